--- /dev/null
+++ b/src/json_util.c
@@ -0,0 +1,199 @@
+#include "json_util.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Largest integer up to which a double represents every integer. */
+#define MAX_EXACT_INTEGER 9007199254740992.0
+
+static bool
+depth_is_allowed (const char *text, size_t size)
+{
+  int depth = 0;
+  bool in_string = false;
+
+  for (size_t i = 0; i < size; i++)
+    {
+      char c = text[i];
+      if (in_string)
+        {
+          if (c == '\\')
+            i++;
+          else if (c == '"')
+            in_string = false;
+          continue;
+        }
+      if (c == '"')
+        in_string = true;
+      else if (c == '{' || c == '[')
+        depth++;
+      else if (c == '}' || c == ']')
+        depth--;
+      if (depth > JSON_MAX_DEPTH)
+        return false;
+    }
+  return true;
+}
+
+static bool
+has_duplicate_key (const cJSON *value)
+{
+  const cJSON *child = NULL;
+  g_autoptr (GHashTable) keys = NULL;
+
+  if (cJSON_IsObject (value))
+    keys = g_hash_table_new (g_str_hash, g_str_equal);
+  cJSON_ArrayForEach (child, value)
+  {
+    if (keys != NULL && !g_hash_table_add (keys, child->string))
+      return true;
+    if (has_duplicate_key (child))
+      return true;
+  }
+  return false;
+}
+
+cJSON *
+json_parse (const char *text, size_t size, const char **reason)
+{
+  const char *ignored = NULL;
+  if (reason == NULL)
+    reason = &ignored;
+
+  if (!depth_is_allowed (text, size))
+    {
+      *reason = "nested too deeply";
+      return NULL;
+    }
+
+  const char *end = NULL;
+  cJSON *value = cJSON_ParseWithLengthOpts (text, size, &end, false);
+  if (value == NULL)
+    {
+      *reason = "not valid JSON";
+      return NULL;
+    }
+  while (end < text + size && g_ascii_isspace (*end))
+    end++;
+  if (end != text + size)
+    {
+      *reason = "text after the JSON value";
+      cJSON_Delete (value);
+      return NULL;
+    }
+  if (has_duplicate_key (value))
+    {
+      *reason = "duplicate key in an object";
+      cJSON_Delete (value);
+      return NULL;
+    }
+  return value;
+}
+
+const char *
+json_string (const cJSON *object, const char *key, const char *fallback)
+{
+  const cJSON *member = cJSON_GetObjectItemCaseSensitive (object, key);
+  return cJSON_IsString (member) ? member->valuestring : fallback;
+}
+
+double
+json_number (const cJSON *object, const char *key, double fallback)
+{
+  const cJSON *member = cJSON_GetObjectItemCaseSensitive (object, key);
+  return cJSON_IsNumber (member) ? member->valuedouble : fallback;
+}
+
+bool
+json_exact_integer (const cJSON *number, int64_t *value)
+{
+  if (!cJSON_IsNumber (number) || floor (number->valuedouble) != number->valuedouble)
+    return false;
+  if (fabs (number->valuedouble) > MAX_EXACT_INTEGER)
+    return false;
+  *value = (int64_t)number->valuedouble;
+  return true;
+}
+
+static int
+compare_keys (const void *a, const void *b)
+{
+  const cJSON *const *left = a;
+  const cJSON *const *right = b;
+  return strcmp ((*left)->string, (*right)->string);
+}
+
+static void append_canonical (const cJSON *value, GString *out);
+
+static void
+append_string (const char *text, GString *out)
+{
+  cJSON *string = cJSON_CreateStringReference (text);
+  char *quoted = cJSON_PrintUnformatted (string);
+  g_string_append (out, quoted);
+  cJSON_free (quoted);
+  cJSON_Delete (string);
+}
+
+static void
+append_object (const cJSON *object, GString *out)
+{
+  g_autoptr (GPtrArray) members = g_ptr_array_new ();
+  const cJSON *child = NULL;
+
+  cJSON_ArrayForEach (child, object) g_ptr_array_add (members, (void *)child);
+  g_ptr_array_sort (members, compare_keys);
+  g_string_append_c (out, '{');
+  for (guint i = 0; i < members->len; i++)
+    {
+      const cJSON *member = g_ptr_array_index (members, i);
+      if (i > 0)
+        g_string_append_c (out, ',');
+      append_string (member->string, out);
+      g_string_append_c (out, ':');
+      append_canonical (member, out);
+    }
+  g_string_append_c (out, '}');
+}
+
+static void
+append_array (const cJSON *array, GString *out)
+{
+  const cJSON *child = NULL;
+  const char *separator = "";
+
+  g_string_append_c (out, '[');
+  cJSON_ArrayForEach (child, array)
+  {
+    g_string_append (out, separator);
+    append_canonical (child, out);
+    separator = ",";
+  }
+  g_string_append_c (out, ']');
+}
+
+static void
+append_canonical (const cJSON *value, GString *out)
+{
+  if (cJSON_IsObject (value))
+    {
+      append_object (value, out);
+      return;
+    }
+  if (cJSON_IsArray (value))
+    {
+      append_array (value, out);
+      return;
+    }
+  char *text = cJSON_PrintUnformatted (value);
+  g_string_append (out, text);
+  cJSON_free (text);
+}
+
+char *
+json_canonical (const cJSON *value)
+{
+  GString *out = g_string_new (NULL);
+  append_canonical (value, out);
+  return g_string_free (out, FALSE);
+}
--- /dev/null
+++ b/src/option.c
@@ -0,0 +1,371 @@
+#include "option.h"
+
+#include <argp.h>
+#include <errno.h>
+#include <gio/gio.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* argp keys below 128 are short flags; the table's flags are all long. */
+#define KEY_BASE 1000
+#define KEY_CHECK 900
+
+typedef struct
+{
+  const option_table_t *table;
+  option_result_t *result;
+  bool *from_flag;
+  anv_error_t *err;
+  bool failed;
+} parse_state_t;
+
+static size_t
+table_length (const option_table_t *table)
+{
+  size_t n = 0;
+  while (table->options[n].name != NULL)
+    n++;
+  return n;
+}
+
+static char *
+environment_name (const char *name)
+{
+  g_autofree char *upper = g_ascii_strup (name, -1);
+  g_strdelimit (upper, "-", '_');
+  return g_strconcat ("ANVILLB_", upper, NULL);
+}
+
+static bool
+value_error (const char *source, const char *value, const char *allowed, anv_error_t *err)
+{
+  anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_VALUE,
+                 "%s: value '%s' is not allowed: expected %s", source, value, allowed);
+  return false;
+}
+
+bool
+option_parse_address (const char *text, char *host, size_t host_size, uint16_t *port)
+{
+  const char *colon = strrchr (text, ':');
+  if (colon == NULL || colon == text || colon[1] < '0' || colon[1] > '9')
+    return false;
+
+  char *end = NULL;
+  unsigned long number = strtoul (colon + 1, &end, 10);
+  if (*end != '\0' || number > UINT16_MAX)
+    return false;
+
+  const char *start = text;
+  size_t length = (size_t)(colon - text);
+  bool bracketed = text[0] == '[' && colon[-1] == ']';
+  if (bracketed)
+    {
+      start++;
+      length -= 2;
+    }
+  if (length == 0 || length >= host_size)
+    return false;
+  memcpy (host, start, length);
+  host[length] = '\0';
+  if (!bracketed && strchr (host, ':') != NULL)
+    return false;
+  *port = (uint16_t)number;
+  return g_hostname_is_ip_address (host);
+}
+
+bool
+option_address_is_loopback (const char *text)
+{
+  char host[64];
+  uint16_t port;
+  if (!option_parse_address (text, host, sizeof (host), &port))
+    return false;
+  g_autoptr (GInetAddress) address = g_inet_address_new_from_string (host);
+  return address != NULL && g_inet_address_get_is_loopback (address);
+}
+
+static bool
+check_address (const char *source, const char *value, anv_error_t *err)
+{
+  char host[64];
+  uint16_t port;
+  if (!option_parse_address (value, host, sizeof (host), &port))
+    return value_error (source, value, "IP:PORT with a numeric address", err);
+  return true;
+}
+
+static bool
+store_number (const option_t *option, const char *source, const char *value, anv_error_t *err)
+{
+  char allowed[96];
+  char *end = NULL;
+
+  errno = 0;
+  double number = 0;
+  int64_t integer = 0;
+  if (option->type == OPTION_INTEGER)
+    {
+      integer = g_ascii_strtoll (value, &end, 10);
+      number = (double)integer;
+      g_snprintf (allowed, sizeof (allowed), "an integer from %.0f to %.0f", option->min,
+                  option->max);
+    }
+  else
+    {
+      number = g_ascii_strtod (value, &end);
+      g_snprintf (allowed, sizeof (allowed), "a number from %g to %g", option->min, option->max);
+    }
+  bool complete = end != value && *end == '\0' && errno == 0;
+  if (!complete || !(number >= option->min && number <= option->max))
+    return value_error (source, value, allowed, err);
+  if (option->type == OPTION_INTEGER)
+    *(int64_t *)option->target = integer;
+  else
+    *(double *)option->target = number;
+  return true;
+}
+
+static bool
+store_bool (const option_t *option, const char *source, const char *value, anv_error_t *err)
+{
+  bool yes = strcmp (value, "true") == 0;
+  if (!yes && strcmp (value, "false") != 0)
+    return value_error (source, value, "true or false", err);
+  *(bool *)option->target = yes;
+  return true;
+}
+
+static bool
+store_enum (const option_t *option, const char *source, const char *value, anv_error_t *err)
+{
+  for (int64_t i = 0; option->choices[i] != NULL; i++)
+    {
+      if (strcmp (option->choices[i], value) == 0)
+        {
+          *(int64_t *)option->target = i;
+          return true;
+        }
+    }
+  g_autofree char *allowed = g_strjoinv (", ", (char **)option->choices);
+  g_autofree char *text = g_strconcat ("one of ", allowed, NULL);
+  return value_error (source, value, text, err);
+}
+
+static bool
+store_list (const option_t *option, const char *source, const char *value, bool append,
+            anv_error_t *err)
+{
+  GPtrArray **list = option->target;
+  if (*list == NULL)
+    *list = g_ptr_array_new_with_free_func (g_free);
+  if (!append)
+    g_ptr_array_set_size (*list, 0);
+
+  g_auto (GStrv) parts = g_strsplit (value, ",", -1);
+  for (char **part = parts; *part != NULL; part++)
+    {
+      if (**part == '\0')
+        continue;
+      if (option->type == OPTION_ADDRESS_LIST && !check_address (source, *part, err))
+        return false;
+      g_ptr_array_add (*list, g_strdup (*part));
+    }
+  return true;
+}
+
+static bool
+store_value (const option_t *option, const char *source, const char *value, bool append,
+             anv_error_t *err)
+{
+  switch (option->type)
+    {
+    case OPTION_INTEGER:
+    case OPTION_NUMBER:
+      return store_number (option, source, value, err);
+    case OPTION_BOOL:
+      return store_bool (option, source, value, err);
+    case OPTION_ENUM:
+      return store_enum (option, source, value, err);
+    case OPTION_LIST:
+    case OPTION_ADDRESS_LIST:
+      return store_list (option, source, value, append, err);
+    case OPTION_ADDRESS:
+      if (!check_address (source, value, err))
+        return false;
+      break;
+    case OPTION_STRING:
+      break;
+    }
+  char **target = option->target;
+  g_free (*target);
+  *target = g_strdup (value);
+  return true;
+}
+
+static bool
+apply_defaults (const option_table_t *table, anv_error_t *err)
+{
+  for (const option_t *option = table->options; option->name != NULL; option++)
+    {
+      bool is_list = option->type == OPTION_LIST || option->type == OPTION_ADDRESS_LIST;
+      if (is_list && !store_list (option, option->name, "", false, err))
+        return false;
+      if (option->default_value == NULL)
+        continue;
+      if (!store_value (option, option->name, option->default_value, false, err))
+        return false;
+    }
+  return true;
+}
+
+static bool
+apply_environment (const option_table_t *table, bool *is_set, anv_error_t *err)
+{
+  for (size_t i = 0; table->options[i].name != NULL; i++)
+    {
+      g_autofree char *name = environment_name (table->options[i].name);
+      const char *value = g_getenv (name);
+      if (value == NULL)
+        continue;
+      if (!store_value (&table->options[i], name, value, false, err))
+        return false;
+      is_set[i] = true;
+    }
+  return true;
+}
+
+static error_t
+parse_flag (int key, char *value, struct argp_state *argp_state)
+{
+  parse_state_t *state = argp_state->input;
+
+  if (key == KEY_CHECK)
+    {
+      state->result->check_only = true;
+      return 0;
+    }
+  if (key == ARGP_KEY_ARG)
+    {
+      if (state->table->positional == NULL)
+        argp_error (argp_state, "unexpected argument '%s'", value);
+      /* Everything from the first positional argument on belongs to the program. */
+      state->result->first_argument = argp_state->next - 1;
+      argp_state->next = argp_state->argc;
+      return 0;
+    }
+  /* The keys that argp uses for its own events are above all flags. */
+  if (key < KEY_BASE || (size_t)(key - KEY_BASE) >= table_length (state->table))
+    return ARGP_ERR_UNKNOWN;
+
+  size_t index = (size_t)(key - KEY_BASE);
+  const option_t *option = &state->table->options[index];
+  g_autofree char *source = g_strconcat ("--", option->name, NULL);
+  const char *text = option->type == OPTION_BOOL ? "true" : value;
+  if (!store_value (option, source, text, state->from_flag[index], state->err))
+    {
+      state->failed = true;
+      return EINVAL;
+    }
+  state->from_flag[index] = true;
+  return 0;
+}
+
+static struct argp_option *
+build_argp_options (const option_table_t *table, GPtrArray *texts)
+{
+  size_t n = table_length (table);
+  struct argp_option *argp_options = g_new0 (struct argp_option, n + 2);
+
+  for (size_t i = 0; i < n; i++)
+    {
+      const option_t *option = &table->options[i];
+      const char *fallback = option->default_value != NULL ? option->default_value : "none";
+      g_autofree char *variable = environment_name (option->name);
+      char *help = g_strdup_printf ("%s [%s; default: %s]", option->help, variable, fallback);
+      g_ptr_array_add (texts, help);
+      argp_options[i].name = option->name;
+      argp_options[i].key = KEY_BASE + (int)i;
+      argp_options[i].arg = option->type == OPTION_BOOL ? NULL : option->argument;
+      argp_options[i].doc = help;
+    }
+  argp_options[n].name = "check";
+  argp_options[n].key = KEY_CHECK;
+  argp_options[n].doc = "Check the settings, print nothing if they are valid, and exit";
+  return argp_options;
+}
+
+static bool
+check_required (const option_table_t *table, const bool *is_set, const bool *from_flag,
+                anv_error_t *err)
+{
+  for (size_t i = 0; table->options[i].name != NULL; i++)
+    {
+      const option_t *option = &table->options[i];
+      if (!option->required || is_set[i] || from_flag[i])
+        continue;
+      g_autofree char *variable = environment_name (option->name);
+      anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_MISSING, "--%s (or %s) is required: %s",
+                     option->name, variable, option->help);
+      return false;
+    }
+  return true;
+}
+
+bool
+option_parse (const option_table_t *table, int argc, char **argv, option_result_t *result,
+              anv_error_t *err)
+{
+  size_t n = table_length (table);
+  g_autofree bool *is_set = g_new0 (bool, n + 1);
+  g_autofree bool *from_flag = g_new0 (bool, n + 1);
+
+  *result = (option_result_t){ .first_argument = argc };
+  if (!apply_defaults (table, err) || !apply_environment (table, is_set, err))
+    return false;
+
+  g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (g_free);
+  g_autofree struct argp_option *argp_options = build_argp_options (table, texts);
+  parse_state_t state = { .table = table, .result = result, .from_flag = from_flag, .err = err };
+  struct argp argp = {
+    .options = argp_options,
+    .parser = parse_flag,
+    .args_doc = table->positional,
+    .doc = table->summary,
+  };
+  error_t status = argp_parse (&argp, argc, argv, ARGP_IN_ORDER, NULL, &state);
+  if (state.failed)
+    return false;
+  if (status != 0)
+    {
+      anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_UNKNOWN,
+                     "cannot parse the command line: %s", g_strerror (status));
+      return false;
+    }
+  return check_required (table, is_set, from_flag, err);
+}
+
+void
+option_free (const option_table_t *table)
+{
+  for (const option_t *option = table->options; option->name != NULL; option++)
+    {
+      switch (option->type)
+        {
+        case OPTION_STRING:
+        case OPTION_ADDRESS:
+          g_clear_pointer ((char **)option->target, g_free);
+          break;
+        case OPTION_LIST:
+        case OPTION_ADDRESS_LIST:
+          g_clear_pointer ((GPtrArray **)option->target, g_ptr_array_unref);
+          break;
+        case OPTION_INTEGER:
+        case OPTION_NUMBER:
+        case OPTION_BOOL:
+        case OPTION_ENUM:
+          break;
+        }
+    }
+}
--- /dev/null
+++ b/src/option.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "anv_error.h"
+
+/* option - settings from flags and environment variables, described by one table per program.
+ *
+ * Each setting is the flag --NAME and the environment variable ANVILLB_NAME (upper case, '-' as
+ * '_'). A flag overrides the environment, which overrides the default. Every value is checked
+ * against its type and range when it is read; the error names the setting, where it came from, the
+ * value and what is allowed. Besides the table every program has --check (check the settings and
+ * exit), --help and --version. */
+
+typedef enum
+{
+  OPTION_STRING,       /* char *; allocated */
+  OPTION_INTEGER,      /* int64_t within min..max */
+  OPTION_NUMBER,       /* double within min..max */
+  OPTION_BOOL,         /* bool; the flag takes no value, the variable takes true or false */
+  OPTION_ADDRESS,      /* char *; "IP:PORT" or "[IP6]:PORT", no host names */
+  OPTION_LIST,         /* GPtrArray * of char *; repeated flag, comma-separated variable or value */
+  OPTION_ADDRESS_LIST, /* as OPTION_LIST, each element an address */
+  OPTION_ENUM,         /* int64_t index into choices */
+} option_type_t;
+
+typedef enum
+{
+  OPTION_ERROR_UNKNOWN = 1,
+  OPTION_ERROR_VALUE,
+  OPTION_ERROR_MISSING,
+} option_error_t;
+
+typedef struct
+{
+  const char *name; /* long flag without dashes; NULL ends the table */
+  option_type_t type;
+  void *target;              /* where the value is stored, of the C type named above */
+  const char *default_value; /* as text; NULL for none */
+  double min;                /* for OPTION_INTEGER and OPTION_NUMBER */
+  double max;
+  const char *const *choices; /* for OPTION_ENUM, ends with NULL */
+  bool required;
+  const char *argument; /* name of the value in --help */
+  const char *help;
+} option_t;
+
+typedef struct
+{
+  const char *program;
+  const char *summary;    /* first line of --help */
+  const char *positional; /* usage of positional arguments; NULL if none are taken */
+  const option_t *options;
+} option_table_t;
+
+typedef struct
+{
+  bool check_only;    /* --check was given */
+  int first_argument; /* index in argv of the first positional argument */
+} option_result_t;
+
+/* Reads defaults, then the environment, then ARGV, and checks each value. --help and --version
+ * print and exit the process. Returns false with ANV_ERROR_OPTION. */
+bool option_parse (const option_table_t *table, int argc, char **argv, option_result_t *result,
+                   anv_error_t *err);
+
+/* Frees the values that option_parse() allocated. */
+void option_free (const option_table_t *table);
+
+/* Parses "IP:PORT". HOST gets the address without brackets and has HOST_SIZE bytes. */
+bool option_parse_address (const char *text, char *host, size_t host_size, uint16_t *port);
+
+/* Returns whether TEXT is an address on the loopback interface. */
+bool option_address_is_loopback (const char *text);
--- /dev/null
+++ b/src/wire.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "anv_error.h"
+
+/* wire - typed messages between the project's own processes, in MessagePack.
+ *
+ * A message is the array [type, field...]. Each protocol module (raft_wire, swim_wire, ...) encodes
+ * its structs with wire_writer_t and decodes them with wire_reader_t, field by field in the same
+ * order. A reader that meets a wrong type or the end sets its error flag and returns zero values
+ * from then on, so a decoder checks wire_reader_finish() once at the end. */
+
+/* Deepest nesting of arrays in a message. */
+#define WIRE_MAX_DEPTH 8
+
+typedef enum
+{
+  WIRE_HELLO = 1,
+  WIRE_HEARTBEAT = 2,
+  WIRE_SWIM_PING = 10,
+  WIRE_SWIM_ACK = 11,
+  WIRE_SWIM_PING_REQ = 12,
+  WIRE_CONFIG_FETCH = 20,
+  WIRE_CONFIG_DELTA = 21,
+  WIRE_CONFIG_FULL = 22,
+  WIRE_TARGET_LEASE = 30,
+  WIRE_SERVICE_SUMMARY = 31,
+  WIRE_TEAM_USAGE = 32,
+  WIRE_PROBE_REQUEST = 33,
+  WIRE_PROBE_RESULT = 34,
+  WIRE_CLAIM_REQUEST = 40,
+  WIRE_CLAIM_REPLY = 41,
+  WIRE_CLAIM_OUTCOME = 42,
+  WIRE_CLAIM_RELEASE = 43,
+  WIRE_RAFT_VOTE = 50,
+  WIRE_RAFT_VOTE_REPLY = 51,
+  WIRE_RAFT_APPEND = 52,
+  WIRE_RAFT_APPEND_REPLY = 53,
+  WIRE_RAFT_SNAPSHOT = 54,
+} wire_type_t;
+
+typedef enum
+{
+  WIRE_ERROR_MALFORMED = 1,
+  WIRE_ERROR_TOO_DEEP,
+  WIRE_ERROR_FIELD,
+} wire_error_t;
+
+typedef struct
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+} wire_writer_t;
+
+/* Starts a message of TYPE with FIELD_COUNT fields after the type. */
+void wire_writer_init (wire_writer_t *writer, wire_type_t type, size_t field_count);
+void wire_writer_destroy (wire_writer_t *writer);
+
+void wire_write_uint (wire_writer_t *writer, uint64_t value);
+void wire_write_int (wire_writer_t *writer, int64_t value);
+void wire_write_double (wire_writer_t *writer, double value);
+void wire_write_bool (wire_writer_t *writer, bool value);
+void wire_write_string (wire_writer_t *writer, const char *text);
+void wire_write_bytes (wire_writer_t *writer, const void *data, size_t size);
+
+/* Starts a nested array of COUNT elements, which must follow. */
+void wire_write_array (wire_writer_t *writer, size_t count);
+
+typedef struct
+{
+  msgpack_zone zone;
+  msgpack_object root;
+  /* Position in the arrays that are open, outermost first. */
+  struct
+  {
+    const msgpack_object_array *array;
+    uint32_t next;
+  } stack[WIRE_MAX_DEPTH];
+  unsigned depth;
+  bool failed;
+} wire_reader_t;
+
+/* Parses DATA, which must stay valid while the reader is used. Returns false with ANV_ERROR_WIRE
+ * for malformed or too deeply nested input; memory is bounded by a small multiple of SIZE. On
+ * success the type is stored in TYPE and the reader stands at the first field. */
+bool wire_reader_init (wire_reader_t *reader, const uint8_t *data, size_t size, wire_type_t *type,
+                       anv_error_t *err);
+void wire_reader_destroy (wire_reader_t *reader);
+
+uint64_t wire_read_uint (wire_reader_t *reader);
+int64_t wire_read_int (wire_reader_t *reader);
+double wire_read_double (wire_reader_t *reader);
+bool wire_read_bool (wire_reader_t *reader);
+
+/* Returns an allocated copy, "" on failure. Text with a null byte inside is a failure. */
+char *wire_read_string (wire_reader_t *reader);
+
+/* Copies text to BUFFER; text that does not fit is a failure. */
+void wire_read_string_to (wire_reader_t *reader, char *buffer, size_t size);
+
+/* Returns a pointer into the input, NULL with *SIZE 0 on failure. */
+const uint8_t *wire_read_bytes (wire_reader_t *reader, size_t *size);
+
+/* Opens a nested array and returns its element count; 0 on failure. Each opened array is closed
+ * with wire_read_array_end(), which skips unread elements. */
+uint32_t wire_read_array (wire_reader_t *reader);
+void wire_read_array_end (wire_reader_t *reader);
+
+/* Returns whether all reads succeeded; otherwise sets ANV_ERROR_WIRE. Unread fields at the end are
+ * allowed, so that a newer sender can append fields. */
+bool wire_reader_finish (wire_reader_t *reader, anv_error_t *err);
