--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,6 +11,8 @@
   shift
   build=build-sanitize
   setup=(-Db_sanitize=address,undefined -Db_lundef=false)
+  # Instrumented runs are several times slower.
+  export ANVILLB_TEST_SEEDS="${ANVILLB_TEST_SEEDS:-200}"
 fi
 [ -d "$build" ] || meson setup "$build" "${setup[@]}"
 meson compile -C "$build"
--- /dev/null
+++ b/src/claim_store.c
@@ -0,0 +1,363 @@
+#include "claim_store.h"
+
+#include <string.h>
+
+/* Records removed by one command at most, so that the cost of a command stays bounded. */
+#define MAX_EXPIRED_PER_COMMAND 64
+#define SNAPSHOT_FIELDS_PER_RECORD 10
+
+typedef struct
+{
+  uint8_t key[CLAIM_KEY_SIZE];
+  uint8_t nonce[CLAIM_NONCE_SIZE];
+  uint8_t body_digest[CLAIM_DIGEST_SIZE];
+  list_node_t node;
+  claim_state_t state;
+  uint32_t status;
+  uint32_t generation;     /* number of releases so far */
+  uint64_t deadline_at_ms; /* in store time */
+  uint64_t expires_at_ms;
+  GBytes *headers;
+  GBytes *body;
+} claim_record_t;
+
+static guint
+key_hash (gconstpointer key)
+{
+  guint hash = 0;
+  memcpy (&hash, key, sizeof (hash));
+  return hash;
+}
+
+static gboolean
+key_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, CLAIM_KEY_SIZE) == 0;
+}
+
+static size_t
+answer_size (const claim_record_t *record)
+{
+  size_t size = record->headers != NULL ? g_bytes_get_size (record->headers) : 0;
+  return size + (record->body != NULL ? g_bytes_get_size (record->body) : 0);
+}
+
+static void
+free_record (gpointer data)
+{
+  claim_record_t *record = data;
+  list_remove (&record->node);
+  g_clear_pointer (&record->headers, g_bytes_unref);
+  g_clear_pointer (&record->body, g_bytes_unref);
+  g_free (record);
+}
+
+static claim_record_t *
+add_record (claim_store_t *store, const uint8_t *key)
+{
+  claim_record_t *record = g_new0 (claim_record_t, 1);
+  memcpy (record->key, key, CLAIM_KEY_SIZE);
+  list_node_init (&record->node);
+  list_push_back (&store->by_age, &record->node);
+  g_hash_table_insert (store->records, record->key, record);
+  return record;
+}
+
+static void
+touch (claim_store_t *store, claim_record_t *record, const claim_command_t *command)
+{
+  record->expires_at_ms = store->now_ms + command->retention_ms;
+  list_remove (&record->node);
+  list_push_back (&store->by_age, &record->node);
+}
+
+static void
+expire_records (claim_store_t *store)
+{
+  for (int i = 0; i < MAX_EXPIRED_PER_COMMAND; i++)
+    {
+      list_node_t *node = list_first (&store->by_age);
+      if (node == NULL)
+        return;
+      claim_record_t *record = LIST_ENTRY (node, claim_record_t, node);
+      if (record->expires_at_ms > store->now_ms)
+        return;
+      store->answer_bytes -= answer_size (record);
+      g_hash_table_remove (store->records, record->key);
+    }
+}
+
+static bool
+holds (const claim_record_t *record, const claim_command_t *command)
+{
+  return memcmp (record->nonce, command->nonce, CLAIM_NONCE_SIZE) == 0;
+}
+
+static void
+set_granted (claim_store_t *store, claim_record_t *record, const claim_command_t *command)
+{
+  memcpy (record->nonce, command->nonce, CLAIM_NONCE_SIZE);
+  memcpy (record->body_digest, command->body_digest, CLAIM_DIGEST_SIZE);
+  record->state = CLAIM_STATE_GRANTED;
+  record->deadline_at_ms = store->now_ms + command->deadline_ms;
+  touch (store, record, command);
+}
+
+static void
+fill_answer (const claim_record_t *record, claim_result_t *result)
+{
+  result->type = CLAIM_RESULT_COMPLETED;
+  result->status = record->status;
+  result->headers = record->headers != NULL ? g_bytes_ref (record->headers) : NULL;
+  result->body = record->body != NULL ? g_bytes_ref (record->body) : NULL;
+}
+
+static void
+apply_grant (claim_store_t *store, claim_record_t *record, const claim_command_t *command,
+             claim_result_t *result)
+{
+  if (record == NULL)
+    {
+      record = add_record (store, command->key);
+      set_granted (store, record, command);
+      result->type = CLAIM_RESULT_GRANTED;
+      return;
+    }
+  if (record->state == CLAIM_STATE_RELEASED)
+    {
+      /* A claim that was sent before the last release is a delayed copy: its attempt may have
+       * ended, so the right would stay with nobody. */
+      result->type = CLAIM_RESULT_STALE;
+      result->generation = record->generation;
+      if (command->generation != record->generation)
+        return;
+      set_granted (store, record, command);
+      result->type = CLAIM_RESULT_GRANTED;
+      return;
+    }
+  if (memcmp (record->body_digest, command->body_digest, CLAIM_DIGEST_SIZE) != 0)
+    {
+      result->type = CLAIM_RESULT_MISMATCH;
+      return;
+    }
+  if (record->state == CLAIM_STATE_COMPLETED)
+    {
+      fill_answer (record, result);
+      return;
+    }
+  if (holds (record, command))
+    result->type = CLAIM_RESULT_GRANTED;
+  else if (store->now_ms < record->deadline_at_ms)
+    result->type = CLAIM_RESULT_IN_PROGRESS;
+  else
+    result->type = CLAIM_RESULT_UNKNOWN;
+}
+
+static void
+apply_outcome (claim_store_t *store, claim_record_t *record, const claim_command_t *command,
+               claim_result_t *result)
+{
+  bool is_holder
+      = record != NULL && record->state != CLAIM_STATE_RELEASED && holds (record, command);
+  result->type = is_holder ? CLAIM_RESULT_RECORDED : CLAIM_RESULT_REFUSED;
+  if (!is_holder || record->state == CLAIM_STATE_COMPLETED)
+    return;
+
+  record->state = CLAIM_STATE_COMPLETED;
+  record->status = command->status;
+  record->headers = command->headers != NULL ? g_bytes_ref (command->headers) : NULL;
+  record->body = command->body != NULL ? g_bytes_ref (command->body) : NULL;
+  store->answer_bytes += answer_size (record);
+  touch (store, record, command);
+}
+
+static void
+apply_release (claim_store_t *store, claim_record_t *record, const claim_command_t *command,
+               claim_result_t *result)
+{
+  result->type = CLAIM_RESULT_RECORDED;
+  /* A release may overtake its claim. The record made for it turns the late claim down. */
+  if (record == NULL)
+    record = add_record (store, command->key);
+  else if (record->state == CLAIM_STATE_GRANTED && !holds (record, command))
+    return;
+  else if (record->state == CLAIM_STATE_COMPLETED)
+    {
+      result->type = CLAIM_RESULT_REFUSED;
+      return;
+    }
+  record->state = CLAIM_STATE_RELEASED;
+  record->generation++;
+  touch (store, record, command);
+}
+
+void
+claim_store_init (claim_store_t *store)
+{
+  memset (store, 0, sizeof (*store));
+  list_init (&store->by_age);
+  store->records = g_hash_table_new_full (key_hash, key_equal, NULL, free_record);
+}
+
+void
+claim_store_destroy (claim_store_t *store)
+{
+  g_clear_pointer (&store->records, g_hash_table_unref);
+}
+
+void
+claim_store_apply (claim_store_t *store, const claim_command_t *command, claim_result_t *result)
+{
+  memset (result, 0, sizeof (*result));
+  store->now_ms += command->advance_ms;
+  expire_records (store);
+
+  claim_record_t *record = g_hash_table_lookup (store->records, command->key);
+  switch (command->type)
+    {
+    case CLAIM_COMMAND_GRANT:
+      apply_grant (store, record, command, result);
+      break;
+    case CLAIM_COMMAND_OUTCOME:
+      apply_outcome (store, record, command, result);
+      break;
+    case CLAIM_COMMAND_RELEASE:
+      apply_release (store, record, command, result);
+      break;
+    }
+}
+
+size_t
+claim_store_count (const claim_store_t *store)
+{
+  return g_hash_table_size (store->records);
+}
+
+bool
+claim_store_lookup (const claim_store_t *store, const uint8_t *key, claim_state_t *state)
+{
+  const claim_record_t *record = g_hash_table_lookup (store->records, key);
+  if (record != NULL)
+    *state = record->state;
+  return record != NULL;
+}
+
+static void
+write_bytes_or_empty (wire_writer_t *writer, GBytes *bytes)
+{
+  gsize size = 0;
+  const void *data = bytes != NULL ? g_bytes_get_data (bytes, &size) : NULL;
+  wire_write_bytes (writer, size > 0 ? data : "", size);
+}
+
+GByteArray *
+claim_store_snapshot (const claim_store_t *store)
+{
+  wire_writer_t writer;
+  wire_writer_init (&writer, WIRE_RAFT_SNAPSHOT, 2);
+  wire_write_uint (&writer, store->now_ms);
+  wire_write_array (&writer, claim_store_count (store));
+  LIST_FOREACH (&store->by_age, node)
+  {
+    const claim_record_t *record = LIST_ENTRY (node, claim_record_t, node);
+    wire_write_array (&writer, SNAPSHOT_FIELDS_PER_RECORD);
+    wire_write_bytes (&writer, record->key, CLAIM_KEY_SIZE);
+    wire_write_bytes (&writer, record->nonce, CLAIM_NONCE_SIZE);
+    wire_write_bytes (&writer, record->body_digest, CLAIM_DIGEST_SIZE);
+    wire_write_uint (&writer, record->state);
+    wire_write_uint (&writer, record->status);
+    wire_write_uint (&writer, record->deadline_at_ms);
+    wire_write_uint (&writer, record->expires_at_ms);
+    write_bytes_or_empty (&writer, record->headers);
+    write_bytes_or_empty (&writer, record->body);
+    wire_write_uint (&writer, record->generation);
+  }
+  GByteArray *bytes = g_byte_array_sized_new ((guint)writer.buffer.size);
+  g_byte_array_append (bytes, (const guint8 *)writer.buffer.data, (guint)writer.buffer.size);
+  wire_writer_destroy (&writer);
+  return bytes;
+}
+
+static bool
+read_fixed (wire_reader_t *reader, uint8_t *out, size_t size)
+{
+  size_t actual = 0;
+  const uint8_t *data = wire_read_bytes (reader, &actual);
+  if (actual != size)
+    return false;
+  memcpy (out, data, size);
+  return true;
+}
+
+static GBytes *
+read_bytes_or_null (wire_reader_t *reader)
+{
+  size_t size = 0;
+  const uint8_t *data = wire_read_bytes (reader, &size);
+  return size > 0 ? g_bytes_new (data, size) : NULL;
+}
+
+static bool
+restore_record (claim_store_t *store, wire_reader_t *reader)
+{
+  uint8_t key[CLAIM_KEY_SIZE];
+  wire_read_array (reader);
+  if (!read_fixed (reader, key, sizeof (key)))
+    return false;
+
+  claim_record_t *record = add_record (store, key);
+  bool valid = read_fixed (reader, record->nonce, CLAIM_NONCE_SIZE)
+               && read_fixed (reader, record->body_digest, CLAIM_DIGEST_SIZE);
+  record->state = (claim_state_t)wire_read_uint (reader);
+  record->status = (uint32_t)wire_read_uint (reader);
+  record->deadline_at_ms = wire_read_uint (reader);
+  record->expires_at_ms = wire_read_uint (reader);
+  record->headers = read_bytes_or_null (reader);
+  record->body = read_bytes_or_null (reader);
+  record->generation = (uint32_t)wire_read_uint (reader);
+  store->answer_bytes += answer_size (record);
+  wire_read_array_end (reader);
+  return valid && record->state >= CLAIM_STATE_GRANTED && record->state <= CLAIM_STATE_RELEASED;
+}
+
+bool
+claim_store_restore (claim_store_t *store, const uint8_t *data, size_t size, anv_error_t *err)
+{
+  wire_reader_t reader;
+  wire_type_t type;
+  claim_store_t loaded;
+
+  if (!wire_reader_init (&reader, data, size, &type, err))
+    {
+      anv_error_convert (err, ANV_ERROR_CLAIM, CLAIM_STORE_ERROR_SNAPSHOT,
+                         "unreadable claim snapshot");
+      return false;
+    }
+  claim_store_init (&loaded);
+  loaded.now_ms = wire_read_uint (&reader);
+  uint32_t count = wire_read_array (&reader);
+  bool valid = true;
+  for (uint32_t i = 0; valid && i < count; i++)
+    valid = restore_record (&loaded, &reader);
+  wire_read_array_end (&reader);
+  valid = wire_reader_finish (&reader, NULL) && valid && claim_store_count (&loaded) == count;
+  wire_reader_destroy (&reader);
+  if (!valid)
+    {
+      claim_store_destroy (&loaded);
+      anv_error_set (err, ANV_ERROR_CLAIM, CLAIM_STORE_ERROR_SNAPSHOT, "damaged claim snapshot");
+      return false;
+    }
+
+  claim_store_destroy (store);
+  claim_store_init (store);
+  g_clear_pointer (&store->records, g_hash_table_unref);
+  store->records = loaded.records;
+  store->now_ms = loaded.now_ms;
+  store->answer_bytes = loaded.answer_bytes;
+  /* The list head is part of the struct, so the nodes move one by one. */
+  list_node_t *node = NULL;
+  while ((node = list_pop_front (&loaded.by_age)) != NULL)
+    list_push_back (&store->by_age, node);
+  return true;
+}
--- /dev/null
+++ b/src/claim_wire.c
@@ -0,0 +1,163 @@
+#include "claim_wire.h"
+
+#include <string.h>
+
+#define REQUEST_FIELDS 13
+#define REPLY_FIELDS 7
+
+static void
+write_optional (wire_writer_t *writer, GBytes *bytes)
+{
+  gsize size = 0;
+  const void *data = bytes != NULL ? g_bytes_get_data (bytes, &size) : NULL;
+  wire_write_bytes (writer, size > 0 ? data : "", size);
+}
+
+static GBytes *
+read_optional (wire_reader_t *reader)
+{
+  size_t size = 0;
+  const uint8_t *data = wire_read_bytes (reader, &size);
+  return size > 0 ? g_bytes_new (data, size) : NULL;
+}
+
+static void
+read_fixed (wire_reader_t *reader, uint8_t *out, size_t size)
+{
+  size_t actual = 0;
+  const uint8_t *data = wire_read_bytes (reader, &actual);
+  if (actual == size)
+    memcpy (out, data, size);
+  else
+    reader->failed = true;
+}
+
+static size_t
+bytes_size (GBytes *bytes)
+{
+  return bytes != NULL ? g_bytes_get_size (bytes) : 0;
+}
+
+static bool
+answer_fits (GBytes *headers, GBytes *body)
+{
+  return bytes_size (headers) + bytes_size (body) <= CLAIM_MAX_ANSWER_SIZE;
+}
+
+static bool
+finish (wire_reader_t *reader, bool valid, const char *what, anv_error_t *err)
+{
+  if (!wire_reader_finish (reader, err))
+    {
+      anv_error_convert (err, ANV_ERROR_CLAIM, 1, "malformed %s", what);
+      return false;
+    }
+  if (!valid)
+    anv_error_set (err, ANV_ERROR_CLAIM, 1, "%s with a value out of range", what);
+  return valid;
+}
+
+void
+claim_command_clear (claim_command_t *command)
+{
+  g_clear_pointer (&command->headers, g_bytes_unref);
+  g_clear_pointer (&command->body, g_bytes_unref);
+}
+
+void
+claim_result_clear (claim_result_t *result)
+{
+  g_clear_pointer (&result->headers, g_bytes_unref);
+  g_clear_pointer (&result->body, g_bytes_unref);
+}
+
+void
+claim_result_copy (claim_result_t *to, const claim_result_t *from)
+{
+  *to = *from;
+  if (to->headers != NULL)
+    g_bytes_ref (to->headers);
+  if (to->body != NULL)
+    g_bytes_ref (to->body);
+}
+
+void
+claim_request_encode (wire_writer_t *writer, uint64_t request_id, uint32_t relays_left,
+                      const claim_command_t *command)
+{
+  wire_writer_init (writer, WIRE_CLAIM_REQUEST, REQUEST_FIELDS);
+  wire_write_uint (writer, request_id);
+  wire_write_uint (writer, relays_left);
+  wire_write_uint (writer, command->type);
+  wire_write_bytes (writer, command->key, CLAIM_KEY_SIZE);
+  wire_write_bytes (writer, command->nonce, CLAIM_NONCE_SIZE);
+  wire_write_bytes (writer, command->body_digest, CLAIM_DIGEST_SIZE);
+  wire_write_uint (writer, command->generation);
+  wire_write_uint (writer, command->deadline_ms);
+  wire_write_uint (writer, command->retention_ms);
+  wire_write_uint (writer, command->advance_ms);
+  wire_write_uint (writer, command->status);
+  write_optional (writer, command->headers);
+  write_optional (writer, command->body);
+}
+
+bool
+claim_request_decode (wire_reader_t *reader, uint64_t *request_id, uint32_t *relays_left,
+                      claim_command_t *command, anv_error_t *err)
+{
+  memset (command, 0, sizeof (*command));
+  *request_id = wire_read_uint (reader);
+  *relays_left = (uint32_t)wire_read_uint (reader);
+  command->type = (claim_command_type_t)wire_read_uint (reader);
+  read_fixed (reader, command->key, CLAIM_KEY_SIZE);
+  read_fixed (reader, command->nonce, CLAIM_NONCE_SIZE);
+  read_fixed (reader, command->body_digest, CLAIM_DIGEST_SIZE);
+  command->generation = (uint32_t)wire_read_uint (reader);
+  command->deadline_ms = wire_read_uint (reader);
+  command->retention_ms = wire_read_uint (reader);
+  command->advance_ms = wire_read_uint (reader);
+  command->status = (uint32_t)wire_read_uint (reader);
+  command->headers = read_optional (reader);
+  command->body = read_optional (reader);
+
+  bool valid = command->type >= CLAIM_COMMAND_GRANT && command->type <= CLAIM_COMMAND_RELEASE
+               && answer_fits (command->headers, command->body);
+  if (finish (reader, valid, "claim request", err))
+    return true;
+  claim_command_clear (command);
+  return false;
+}
+
+void
+claim_reply_encode (wire_writer_t *writer, uint64_t request_id, const claim_result_t *result)
+{
+  wire_writer_init (writer, WIRE_CLAIM_REPLY, REPLY_FIELDS);
+  wire_write_uint (writer, request_id);
+  wire_write_uint (writer, result->type);
+  wire_write_uint (writer, result->generation);
+  wire_write_uint (writer, result->status);
+  write_optional (writer, result->headers);
+  write_optional (writer, result->body);
+  wire_write_string (writer, result->leader_address);
+}
+
+bool
+claim_reply_decode (wire_reader_t *reader, uint64_t *request_id, claim_result_t *result,
+                    anv_error_t *err)
+{
+  memset (result, 0, sizeof (*result));
+  *request_id = wire_read_uint (reader);
+  result->type = (claim_result_type_t)wire_read_uint (reader);
+  result->generation = (uint32_t)wire_read_uint (reader);
+  result->status = (uint32_t)wire_read_uint (reader);
+  result->headers = read_optional (reader);
+  result->body = read_optional (reader);
+  wire_read_string_to (reader, result->leader_address, sizeof (result->leader_address));
+
+  bool valid = result->type >= CLAIM_RESULT_GRANTED && result->type <= CLAIM_RESULT_UNAVAILABLE
+               && answer_fits (result->headers, result->body);
+  if (finish (reader, valid, "claim reply", err))
+    return true;
+  claim_result_clear (result);
+  return false;
+}
