--- /dev/null
+++ b/tests/http/test_http_headers.cc
@@ -0,0 +1,41 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "http_headers.h"
+}
+
+// Guards against passing on fields that concern one connection, and against a caller that removes
+// end-to-end fields by naming them in Connection.
+TEST (HttpHeaders, HopByHopFieldsAreRemoved)
+{
+  http_headers_t headers;
+  http_headers_init (&headers);
+  http_headers_append (&headers, "Host", "h");
+  http_headers_append (&headers, "Connection", "close, X-Private ,Host");
+  http_headers_append (&headers, "connection", "X-Other, Idempotency-Key");
+  http_headers_append (&headers, "X-Private", "1");
+  http_headers_append (&headers, "x-other", "1");
+  http_headers_append (&headers, "X-Others", "1");
+  http_headers_append (&headers, "Idempotency-Key", "k");
+  http_headers_append (&headers, "TE", "trailers");
+  http_headers_append (&headers, "Keep-Alive", "1");
+  http_headers_append (&headers, "Upgrade", "h2c");
+  http_headers_remove_hop_by_hop (&headers);
+  GString *text = g_string_new (nullptr);
+  http_headers_write (&headers, text);
+  EXPECT_STREQ (text->str, "Host: h\r\nX-Others: 1\r\nIdempotency-Key: k\r\n");
+  g_string_free (text, TRUE);
+  http_headers_destroy (&headers);
+}
+
+// Guards against a token that is found inside another word.
+TEST (HttpHeaders, TokensAreWholeWords)
+{
+  http_headers_t headers;
+  http_headers_init (&headers);
+  http_headers_append (&headers, "Connection", "xclose,\tKeep-Alive ,closed");
+  EXPECT_FALSE (http_headers_has_token (&headers, "connection", "close"));
+  EXPECT_TRUE (http_headers_has_token (&headers, "connection", "keep-alive"));
+  http_headers_destroy (&headers);
+}
