--- /dev/null
+++ b/src/caller_conn.c
@@ -0,0 +1,390 @@
+#include "caller_conn.h"
+
+#include <string.h>
+
+#define READ_SIZE (64 * 1024)
+/* Rest of a request body that is dropped to keep the connection; a longer one closes it. */
+#define MAX_DISCARD_BYTES (256 * 1024)
+#define LINGER_TIMEOUT_US (2 * G_USEC_PER_SEC)
+/* Time to flush the last response to a slow caller. */
+#define FLUSH_TIMEOUT_US (30 * G_USEC_PER_SEC)
+
+static void consume (caller_conn_t *conn, const char *bytes, size_t size);
+
+static void
+arm_timer (caller_conn_t *conn, int64_t delay_us)
+{
+  io_loop_t *loop = conn->options->loop;
+  io_timer_set (loop, &conn->timer, io_loop_now_us (loop) + delay_us);
+}
+
+static void
+drop_leftover (caller_conn_t *conn)
+{
+  if (conn->leftover != NULL)
+    g_string_free (conn->leftover, TRUE);
+  conn->leftover = NULL;
+}
+
+static void
+free_conn (io_deferred_t *deferred)
+{
+  caller_conn_t *conn = LIST_ENTRY (deferred, caller_conn_t, free);
+  http_codec_destroy (&conn->codec);
+  drop_leftover (conn);
+  g_free (conn);
+}
+
+static void
+close_conn (caller_conn_t *conn, bool reset)
+{
+  if (conn->state == CALLER_CLOSED)
+    return;
+  conn->state = CALLER_CLOSED;
+  byte_stream_close (&conn->stream, reset);
+  io_timer_cancel (&conn->timer);
+  io_deferred_cancel (&conn->resume);
+  list_remove (&conn->node);
+  io_loop_defer (conn->options->loop, &conn->free);
+  conn->options->closed (conn, conn->options->data);
+}
+
+void
+caller_conn_close (caller_conn_t *conn)
+{
+  proxy_request_t *request = conn->request;
+  conn->request = NULL;
+  if (request != NULL)
+    proxy_request_caller_gone (request);
+  close_conn (conn, request != NULL);
+}
+
+static void
+update_reading (caller_conn_t *conn)
+{
+  bool reading = conn->leftover == NULL && !conn->paused;
+  if (conn->state == CALLER_LINGERING)
+    reading = true;
+  byte_stream_set_reading (&conn->stream, reading);
+}
+
+/* Ends the output when it is flushed. Closing at once could destroy the response: the kernel sends
+ * a reset when unread input is left. */
+static void
+end_output (caller_conn_t *conn)
+{
+  if (conn->output_ended || byte_stream_pending (&conn->stream) > 0)
+    return;
+  conn->output_ended = true;
+  byte_stream_shutdown_output (&conn->stream);
+  arm_timer (conn, LINGER_TIMEOUT_US);
+}
+
+static void
+start_linger (caller_conn_t *conn)
+{
+  conn->state = CALLER_LINGERING;
+  drop_leftover (conn);
+  arm_timer (conn, FLUSH_TIMEOUT_US);
+  update_reading (conn);
+  end_output (conn);
+}
+
+static void
+wait_for_request (caller_conn_t *conn)
+{
+  conn->state = CALLER_IDLE;
+  conn->message_complete = false;
+  conn->paused = false;
+  conn->discarded = 0;
+  http_codec_reset (&conn->codec);
+  arm_timer (conn, conn->options->idle_timeout_us);
+  if (conn->leftover != NULL)
+    io_loop_defer (conn->options->loop, &conn->resume);
+  update_reading (conn);
+}
+
+static void
+on_resume (io_deferred_t *deferred)
+{
+  caller_conn_t *conn = LIST_ENTRY (deferred, caller_conn_t, resume);
+  GString *leftover = conn->leftover;
+
+  if (leftover == NULL || conn->state == CALLER_REQUEST)
+    return;
+  conn->leftover = NULL;
+  consume (conn, leftover->str, leftover->len);
+  g_string_free (leftover, TRUE);
+}
+
+static void
+refuse (caller_conn_t *conn, int status, const char *reason)
+{
+  g_autofree char *body = g_strconcat (reason, "\n", NULL);
+  g_autofree char *text = g_strdup_printf (
+      "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\nAnvillb-Not-Run: "
+      "1\r\nConnection: close\r\n\r\n%s",
+      status, http_status_str ((enum http_status)status), strlen (body), body);
+  byte_stream_write (&conn->stream, text, strlen (text));
+  start_linger (conn);
+}
+
+static int
+status_of_error (int code)
+{
+  switch (code)
+    {
+    case HTTP_ERROR_TOO_LARGE:
+      return 431;
+    case HTTP_ERROR_UNSUPPORTED:
+      return 501;
+    case HTTP_ERROR_VERSION:
+      return 505;
+    default:
+      return 400;
+    }
+}
+
+static void
+handle_error (caller_conn_t *conn, const anv_error_t *err)
+{
+  if (conn->state == CALLER_REQUEST)
+    proxy_request_caller_error (conn->request, err->text);
+  else if (conn->state == CALLER_DISCARDING)
+    start_linger (conn);
+  else
+    refuse (conn, status_of_error (err->code), err->text);
+}
+
+static void
+handle_head (caller_conn_t *conn)
+{
+  conn->state = CALLER_REQUEST;
+  io_timer_cancel (&conn->timer);
+  conn->request = proxy_request_new (conn->options->proxy, &conn->exchange, &conn->codec.head);
+  proxy_request_start (conn->request);
+}
+
+static void
+handle_body (caller_conn_t *conn, const http_event_t *event)
+{
+  if (conn->state == CALLER_REQUEST)
+    {
+      proxy_request_receive_body (conn->request, event->bytes, event->size);
+      return;
+    }
+  conn->discarded += event->size;
+  if (conn->discarded > MAX_DISCARD_BYTES)
+    start_linger (conn);
+}
+
+static void
+handle_complete (caller_conn_t *conn)
+{
+  if (conn->state == CALLER_DISCARDING)
+    {
+      wait_for_request (conn);
+      return;
+    }
+  conn->message_complete = true;
+  proxy_request_receive_end (conn->request);
+}
+
+static bool
+wants_input (const caller_conn_t *conn)
+{
+  return conn->state == CALLER_IDLE || conn->state == CALLER_DISCARDING
+         || (conn->state == CALLER_REQUEST && !conn->message_complete);
+}
+
+static void
+keep_leftover (caller_conn_t *conn, const char *bytes, size_t size)
+{
+  if (conn->leftover == NULL)
+    conn->leftover = g_string_sized_new (size + 1);
+  g_string_append_len (conn->leftover, bytes, (gssize)size);
+  update_reading (conn);
+}
+
+static void
+consume (caller_conn_t *conn, const char *bytes, size_t size)
+{
+  anv_error_t err = { 0 };
+  http_event_t event = { .type = HTTP_EVENT_BODY };
+  bool was_inside = http_codec_is_inside (&conn->codec);
+
+  while (wants_input (conn) && event.type != HTTP_EVENT_NEED_INPUT)
+    {
+      switch (http_codec_next (&conn->codec, &bytes, &size, &event, &err))
+        {
+        case HTTP_EVENT_NEED_INPUT:
+          break;
+        case HTTP_EVENT_HEAD:
+          handle_head (conn);
+          break;
+        case HTTP_EVENT_BODY:
+          handle_body (conn, &event);
+          break;
+        case HTTP_EVENT_COMPLETE:
+          handle_complete (conn);
+          break;
+        case HTTP_EVENT_ERROR:
+          handle_error (conn, &err);
+          break;
+        }
+    }
+  if (conn->state == CALLER_REQUEST && size > 0)
+    keep_leftover (conn, bytes, size);
+  else
+    update_reading (conn);
+  if (conn->state == CALLER_IDLE && !was_inside && http_codec_is_inside (&conn->codec))
+    arm_timer (conn, conn->options->header_timeout_us);
+}
+
+static void
+on_readable (byte_stream_t *stream)
+{
+  static char buffer[READ_SIZE];
+  caller_conn_t *conn = LIST_ENTRY (stream, caller_conn_t, stream);
+  ssize_t size = byte_stream_read (stream, buffer, sizeof (buffer));
+
+  if (size == BYTE_STREAM_WOULD_BLOCK)
+    return;
+  if (size <= 0)
+    caller_conn_close (conn);
+  else if (conn->state == CALLER_REQUEST && conn->message_complete)
+    keep_leftover (conn, buffer, (size_t)size);
+  else if (conn->state != CALLER_LINGERING)
+    consume (conn, buffer, (size_t)size);
+}
+
+static void
+on_written (byte_stream_t *stream, size_t size)
+{
+  caller_conn_t *conn = LIST_ENTRY (stream, caller_conn_t, stream);
+  if (conn->state == CALLER_LINGERING)
+    end_output (conn);
+  else if (conn->request != NULL)
+    proxy_request_caller_drained (conn->request);
+}
+
+static void
+on_failed (byte_stream_t *stream, const anv_error_t *err)
+{
+  caller_conn_close (LIST_ENTRY (stream, caller_conn_t, stream));
+}
+
+static void
+on_timer (io_timer_t *timer)
+{
+  caller_conn_t *conn = LIST_ENTRY (timer, caller_conn_t, timer);
+  if (conn->state == CALLER_IDLE && http_codec_is_inside (&conn->codec))
+    refuse (conn, 408, "request head not complete in time");
+  else if (conn->state == CALLER_DISCARDING)
+    start_linger (conn);
+  else
+    close_conn (conn, byte_stream_pending (&conn->stream) > 0);
+}
+
+static void
+exchange_write (caller_exchange_t *exchange, const char *bytes, size_t size)
+{
+  byte_stream_write (&((caller_conn_t *)exchange)->stream, bytes, size);
+}
+
+static size_t
+exchange_pending (const caller_exchange_t *exchange)
+{
+  return byte_stream_pending (&((const caller_conn_t *)exchange)->stream);
+}
+
+static void
+exchange_set_reading (caller_exchange_t *exchange, bool reading)
+{
+  caller_conn_t *conn = (caller_conn_t *)exchange;
+  conn->paused = !reading;
+  update_reading (conn);
+}
+
+static void
+exchange_finished (caller_exchange_t *exchange, bool keep_alive)
+{
+  caller_conn_t *conn = (caller_conn_t *)exchange;
+
+  conn->request = NULL;
+  conn->paused = false;
+  if (!keep_alive)
+    start_linger (conn);
+  else if (conn->message_complete)
+    wait_for_request (conn);
+  else
+    {
+      conn->state = CALLER_DISCARDING;
+      arm_timer (conn, conn->options->header_timeout_us);
+      update_reading (conn);
+    }
+}
+
+static void
+exchange_aborted (caller_exchange_t *exchange)
+{
+  caller_conn_t *conn = (caller_conn_t *)exchange;
+  conn->request = NULL;
+  close_conn (conn, true);
+}
+
+static const byte_stream_ops_t stream_ops = {
+  .readable = on_readable,
+  .written = on_written,
+  .failed = on_failed,
+};
+
+static const caller_exchange_ops_t exchange_ops = {
+  .write = exchange_write,
+  .pending = exchange_pending,
+  .set_reading = exchange_set_reading,
+  .finished = exchange_finished,
+  .aborted = exchange_aborted,
+};
+
+static void
+read_peer_address (GSocket *socket, char *buffer, size_t size)
+{
+  g_autoptr (GSocketAddress) address = g_socket_get_remote_address (socket, NULL);
+  if (!G_IS_INET_SOCKET_ADDRESS (address))
+    {
+      g_strlcpy (buffer, "unknown", size);
+      return;
+    }
+  GInetAddress *ip = g_inet_socket_address_get_address (G_INET_SOCKET_ADDRESS (address));
+  g_autofree char *text = g_inet_address_to_string (ip);
+  g_strlcpy (buffer, text, size);
+}
+
+caller_conn_t *
+caller_conn_new (const caller_conn_options_t *options, GSocket *socket, GIOStream *tls)
+{
+  caller_conn_t *conn = g_new0 (caller_conn_t, 1);
+
+  conn->options = options;
+  conn->exchange.ops = &exchange_ops;
+  conn->exchange.address = conn->address;
+  conn->exchange.tls = tls != NULL;
+  read_peer_address (socket, conn->address, sizeof (conn->address));
+  list_node_init (&conn->node);
+  http_codec_init (&conn->codec, HTTP_CODEC_REQUEST);
+  io_timer_init (&conn->timer, on_timer);
+  io_deferred_init (&conn->resume, on_resume);
+  io_deferred_init (&conn->free, free_conn);
+  byte_stream_open (&conn->stream, &stream_ops, options->loop, socket, tls);
+  conn->stream.watch_hangup = true;
+  wait_for_request (conn);
+  return conn;
+}
+
+void
+caller_conn_drain (caller_conn_t *conn)
+{
+  if (conn->state == CALLER_IDLE && !http_codec_is_inside (&conn->codec) && conn->leftover == NULL)
+    start_linger (conn);
+}
--- /dev/null
+++ b/src/caller_listener.c
@@ -0,0 +1,201 @@
+#include "caller_listener.h"
+
+#include <string.h>
+#include <sys/epoll.h>
+
+#define LOG_MODULE "caller_listener"
+#include "log.h"
+#include "option.h"
+
+#define LISTEN_BACKLOG 1024
+#define MAX_ACCEPTS_PER_TURN 64
+
+static void
+update_accepting (caller_listener_t *listener)
+{
+  bool room = caller_listener_open (listener) < listener->options.max_connections;
+  io_watch_set (listener->options.conn.loop, &listener->watch,
+                listener->accepting && room ? EPOLLIN : 0);
+}
+
+static void
+on_conn_closed (caller_conn_t *conn, void *data)
+{
+  caller_listener_t *listener = data;
+  counter_add (&listener->open, -1);
+  if (listener->accepting)
+    update_accepting (listener);
+}
+
+static GIOStream *
+wrap_tls (caller_listener_t *listener, GSocket *socket)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSocketConnection) base = g_socket_connection_factory_create_connection (socket);
+  GIOStream *tls
+      = g_tls_server_connection_new (G_IO_STREAM (base), listener->options.certificate, &error);
+  if (tls == NULL)
+    {
+      LOG_WARNING ("cannot start TLS error=\"%s\"", error->message);
+      return NULL;
+    }
+  /* The end of a message is known from its framing, and callers often omit close_notify. */
+  g_tls_connection_set_require_close_notify (G_TLS_CONNECTION (tls), FALSE);
+  return tls;
+}
+
+static bool
+accept_one (caller_listener_t *listener)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GSocket) socket = g_socket_accept (listener->socket, NULL, &error);
+  if (socket == NULL)
+    {
+      if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+        LOG_WARNING ("cannot accept error=\"%s\"", error->message);
+      return false;
+    }
+  g_socket_set_blocking (socket, FALSE);
+  g_autoptr (GIOStream) tls = NULL;
+  if (listener->options.certificate != NULL && (tls = wrap_tls (listener, socket)) == NULL)
+    return true;
+  counter_inc (&listener->accepted);
+  counter_add (&listener->open, 1);
+  caller_conn_t *conn = caller_conn_new (&listener->options.conn, socket, tls);
+  list_push_back (&listener->conns, &conn->node);
+  return true;
+}
+
+static void
+on_ready (io_watch_t *watch, uint32_t events)
+{
+  caller_listener_t *listener = LIST_ENTRY (watch, caller_listener_t, watch);
+  for (int i = 0; i < MAX_ACCEPTS_PER_TURN; i++)
+    {
+      if (caller_listener_open (listener) >= listener->options.max_connections)
+        break;
+      if (!accept_one (listener))
+        break;
+    }
+  update_accepting (listener);
+}
+
+static bool
+bind_socket (caller_listener_t *listener, GSocketAddress *address, GError **error)
+{
+  GSocketFamily family = g_socket_address_get_family (address);
+  listener->socket = g_socket_new (family, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+  if (listener->socket == NULL)
+    return false;
+  g_socket_set_blocking (listener->socket, FALSE);
+  g_socket_set_listen_backlog (listener->socket, LISTEN_BACKLOG);
+  return g_socket_bind (listener->socket, address, TRUE, error)
+         && g_socket_listen (listener->socket, error);
+}
+
+static uint16_t
+bound_port (GSocket *socket)
+{
+  g_autoptr (GSocketAddress) address = g_socket_get_local_address (socket, NULL);
+  return g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (address));
+}
+
+static bool
+start (task_t *task, anv_error_t *err)
+{
+  caller_listener_t *listener = (caller_listener_t *)task;
+  char host[64];
+  uint16_t port = 0;
+  g_autoptr (GError) error = NULL;
+
+  if (!option_parse_address (listener->options.listen, host, sizeof (host), &port))
+    {
+      anv_error_set (err, ANV_ERROR_HTTP, HTTP_ERROR_SOCKET, "malformed address '%s'",
+                     listener->options.listen);
+      return false;
+    }
+  g_autoptr (GSocketAddress) address = g_inet_socket_address_new_from_string (host, port);
+  if (!bind_socket (listener, address, &error))
+    {
+      anv_error_set (err, ANV_ERROR_HTTP, HTTP_ERROR_SOCKET, "cannot listen on %s: %s",
+                     listener->options.listen, error->message);
+      return false;
+    }
+  listener->port = bound_port (listener->socket);
+  listener->accepting = true;
+  io_watch_init (&listener->watch, g_socket_get_fd (listener->socket), on_ready);
+  update_accepting (listener);
+  LOG_NOTICE ("listening address=%s port=%u tls=%s", host, listener->port,
+              listener->options.certificate != NULL ? "yes" : "no");
+  return true;
+}
+
+static void
+receive (task_t *task, const message_t *message)
+{
+}
+
+static void
+stop_accepting (caller_listener_t *listener)
+{
+  if (listener->socket == NULL)
+    return;
+  listener->accepting = false;
+  io_watch_remove (listener->options.conn.loop, &listener->watch);
+  g_socket_close (listener->socket, NULL);
+  g_clear_object (&listener->socket);
+}
+
+static void
+stop (task_t *task)
+{
+  caller_listener_t *listener = (caller_listener_t *)task;
+  stop_accepting (listener);
+  list_node_t *node = NULL;
+  while ((node = list_first (&listener->conns)) != NULL)
+    caller_conn_close (LIST_ENTRY (node, caller_conn_t, node));
+}
+
+static const task_ops_t listener_ops = {
+  .name = "caller_listener",
+  .start = start,
+  .receive = receive,
+  .stop = stop,
+};
+
+void
+caller_listener_init (caller_listener_t *listener, const caller_listener_options_t *options,
+                      GMainContext *context)
+{
+  *listener = (caller_listener_t){ .options = *options };
+  listener->options.conn.closed = on_conn_closed;
+  listener->options.conn.data = listener;
+  list_init (&listener->conns);
+  task_init (&listener->task, &listener_ops, context);
+  counter_register (options->counters, &listener->open, COUNTER_KIND_GAUGE,
+                    "anvillb_caller_connections", NULL, "Open connections of callers.");
+  counter_register (options->counters, &listener->accepted, COUNTER_KIND_COUNTER,
+                    "anvillb_caller_connections_total", NULL, "Accepted connections.");
+}
+
+void
+caller_listener_destroy (caller_listener_t *listener)
+{
+  task_destroy (&listener->task);
+}
+
+void
+caller_listener_drain (caller_listener_t *listener)
+{
+  stop_accepting (listener);
+  LIST_FOREACH_SAFE (&listener->conns, node)
+  {
+    caller_conn_drain (LIST_ENTRY (node, caller_conn_t, node));
+  }
+}
+
+size_t
+caller_listener_open (const caller_listener_t *listener)
+{
+  return (size_t)listener->open.value;
+}
--- /dev/null
+++ b/src/entry_options.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "option.h"
+
+/* entry_options - settings of anvillb-entry. */
+
+typedef struct
+{
+  char *listen;
+  char *advertise;
+  char *admin_listen;
+  char *instance;
+  char *domain;
+  char *tls_cert;
+  char *tls_key;
+  bool insecure_listen;
+  int64_t max_connections;
+  int64_t header_timeout_ms;
+  int64_t idle_timeout_ms;
+  int64_t connect_timeout_ms;
+  int64_t upstream_idle_ms;
+  int64_t request_timeout_ms;
+  int64_t stall_ms;
+  int64_t max_body_bytes;
+  int64_t replay_bytes;
+  int64_t resolve_ttl_ms;
+  int64_t drain_limit_ms;
+  char *trace_file;
+  int64_t log_level;
+} entry_options_t;
+
+extern entry_options_t entry_options;
+extern const option_table_t entry_option_table;
+
+/* Checks what concerns several settings: every listening address other than loopback needs TLS or
+ * --insecure-listen. Returns false with ANV_ERROR_OPTION. */
+bool entry_options_check (anv_error_t *err);
--- /dev/null
+++ b/src/proxy.c
@@ -0,0 +1,558 @@
+#include "proxy_request.h"
+
+#include <string.h>
+
+#define LOG_MODULE "proxy"
+#include "log.h"
+
+#define MAX_DEADLINE_DIGITS 9
+#define NS_PER_US 1000
+
+int64_t
+proxy_now_us (const proxy_request_t *request)
+{
+  return io_loop_now_us (request->proxy->options.loop);
+}
+
+int64_t
+proxy_wall_ns (void)
+{
+  return g_get_real_time () * NS_PER_US;
+}
+
+static void
+register_counters (proxy_t *proxy)
+{
+  static const char *const status_labels[] = { "class=\"none\"", "class=\"1xx\"", "class=\"2xx\"",
+                                               "class=\"3xx\"",  "class=\"4xx\"", "class=\"5xx\"" };
+  static const char *const end_labels[ATTEMPT_END_COUNT] = {
+    "end=\"complete\"",      "end=\"shed\"",      "end=\"discarded\"",   "end=\"connect_failed\"",
+    "end=\"closed_reused\"", "end=\"closed\"",    "end=\"truncated\"",   "end=\"invalid\"",
+    "end=\"stalled\"",       "end=\"timed_out\"", "end=\"caller_gone\"", "end=\"caller_error\"",
+  };
+  proxy_counters_t *counters = &proxy->counters;
+  counter_registry_t *registry = proxy->options.counters;
+
+  counter_register (registry, &counters->requests, COUNTER_KIND_COUNTER, "anvillb_requests_total",
+                    NULL, "Requests from callers.");
+  counter_register (registry, &counters->in_flight, COUNTER_KIND_GAUGE,
+                    "anvillb_requests_in_flight", NULL, "Requests in progress.");
+  for (size_t i = 0; i < G_N_ELEMENTS (counters->statuses); i++)
+    counter_register (registry, &counters->statuses[i], COUNTER_KIND_COUNTER,
+                      "anvillb_responses_total", status_labels[i], "Responses to callers.");
+  for (size_t i = 0; i < ATTEMPT_END_COUNT; i++)
+    counter_register (registry, &counters->attempts[i], COUNTER_KIND_COUNTER,
+                      "anvillb_attempts_total", end_labels[i], "Attempts at backend servers.");
+  counter_register (registry, &counters->not_run, COUNTER_KIND_COUNTER, "anvillb_not_run_total",
+                    NULL, "Responses with Anvillb-Not-Run.");
+  counter_register (registry, &counters->unknown, COUNTER_KIND_COUNTER,
+                    "anvillb_outcome_unknown_total", NULL,
+                    "Responses with Anvillb-Outcome: unknown.");
+  counter_register (registry, &counters->aborted, COUNTER_KIND_COUNTER, "anvillb_aborted_total",
+                    NULL, "Responses that were cut off.");
+  counter_register (registry, &counters->added_latency, COUNTER_KIND_HISTOGRAM,
+                    "anvillb_added_latency_ms", NULL,
+                    "Time of a request that was not spent in attempts.");
+}
+
+void
+proxy_init (proxy_t *proxy, const proxy_options_t *options)
+{
+  static counter_registry_t unused;
+
+  *proxy = (proxy_t){ .options = *options };
+  list_init (&proxy->requests);
+  if (options->counters == NULL)
+    {
+      counter_registry_init (&unused);
+      proxy->options.counters = &unused;
+    }
+  register_counters (proxy);
+}
+
+void
+proxy_destroy (proxy_t *proxy)
+{
+  list_node_t *node = NULL;
+  while ((node = list_first (&proxy->requests)) != NULL)
+    {
+      proxy_request_t *request = LIST_ENTRY (node, proxy_request_t, node);
+      caller_exchange_t *caller = request->caller;
+      proxy_request_caller_gone (request);
+      caller->ops->aborted (caller);
+    }
+}
+
+size_t
+proxy_in_flight (const proxy_t *proxy)
+{
+  return (size_t)proxy->counters.in_flight.value;
+}
+
+static void
+free_request (io_deferred_t *deferred)
+{
+  proxy_request_t *request = LIST_ENTRY (deferred, proxy_request_t, free);
+  proxy_attempt_clear (&request->attempt);
+  http_headers_destroy (&request->headers);
+  g_free (request->target);
+  g_free (request->retry_after);
+  if (request->body != NULL)
+    g_string_free (request->body, TRUE);
+  g_free (request);
+}
+
+static void
+write_span (proxy_request_t *request)
+{
+  const proxy_options_t *options = &request->proxy->options;
+  span_t *span = &request->span;
+
+  if (options->trace == NULL)
+    return;
+  span->end_ns = proxy_wall_ns ();
+  span->failed = request->response_status == 0 || request->response_status >= 500;
+  span_set (span, "http.request.method", request->head.method);
+  span_set (span, "url.path", request->target);
+  span_set_int (span, "http.response.status_code", request->response_status);
+  span_set_int (span, "anvillb.attempts", request->attempt_count);
+  span_write (span, options->program, options->instance, options->trace);
+}
+
+/* Ends the request for the policy and for the counters. */
+static void
+close_request (proxy_request_t *request)
+{
+  proxy_t *proxy = request->proxy;
+  request_policy_t *policy = proxy->options.policy;
+
+  request->state = REQUEST_DONE;
+  io_timer_cancel (&request->deadline_timer);
+  io_timer_cancel (&request->attempt_timer);
+  list_remove (&request->node);
+  write_span (request);
+  counter_add (&proxy->counters.in_flight, -1);
+  counter_inc (&proxy->counters.statuses[request->response_status / 100]);
+  int64_t total_us = proxy_now_us (request) - request->head.received_us;
+  counter_observe_ms (&proxy->counters.added_latency,
+                      (double)(total_us - request->attempts_us) / 1000);
+  if (request->begun)
+    policy->ops->finished (policy, request);
+  io_loop_defer (proxy->options.loop, &request->free);
+}
+
+void
+proxy_request_finish (proxy_request_t *request, bool keep_alive)
+{
+  caller_exchange_t *caller = request->caller;
+  close_request (request);
+  caller->ops->finished (caller, keep_alive);
+}
+
+void
+proxy_request_abort (proxy_request_t *request)
+{
+  caller_exchange_t *caller = request->caller;
+  counter_inc (&request->proxy->counters.aborted);
+  close_request (request);
+  caller->ops->aborted (caller);
+}
+
+static void
+answer (proxy_request_t *request, const request_response_t *response)
+{
+  proxy_counters_t *counters = &request->proxy->counters;
+  bool keep_alive = request->keep_alive && request->version_minor > 0 && !request->proxy->draining
+                    && !request->expects_continue;
+
+  if (response->not_run)
+    counter_inc (request->possibly_run ? &counters->unknown : &counters->not_run);
+  GString *text = proxy_build_response (request, response, keep_alive);
+  request->response_started = true;
+  request->response_status = response->status;
+  request->caller->ops->write (request->caller, text->str, text->len);
+  g_string_free (text, TRUE);
+  proxy_request_finish (request, keep_alive);
+}
+
+void
+proxy_request_answer_error (proxy_request_t *request, int status, const char *text)
+{
+  char body[PROXY_TEXT_SIZE];
+  http_headers_t headers;
+  int size = g_snprintf (body, sizeof (body), "%s\n", text);
+
+  http_headers_init (&headers);
+  http_headers_append (&headers, "Content-Type", "text/plain");
+  if (status == 503)
+    http_headers_append (&headers, "Retry-After",
+                         request->retry_after != NULL ? request->retry_after : "1");
+  request_response_t response = {
+    .status = status,
+    .headers = &headers,
+    .body = body,
+    .body_size = MIN ((size_t)size, sizeof (body) - 1),
+    .not_run = true,
+  };
+  answer (request, &response);
+  http_headers_destroy (&headers);
+}
+
+static void
+cancel_policy (proxy_request_t *request, cancel_reason_t reason)
+{
+  request_policy_t *policy = request->proxy->options.policy;
+  request->state = REQUEST_DONE;
+  policy->ops->cancelled (policy, request, reason);
+}
+
+/* Ends a request that cannot go on. STATUS is the answer if the response has not started. */
+static void
+end_early (proxy_request_t *request, cancel_reason_t reason, attempt_end_t end, int status,
+           const char *text)
+{
+  if (request->state == REQUEST_ATTEMPT)
+    proxy_attempt_cancel (request, end, text);
+  else
+    cancel_policy (request, reason);
+  if (request->response_started)
+    proxy_request_abort (request);
+  else
+    proxy_request_answer_error (request, status, text);
+}
+
+static void
+on_deadline (io_timer_t *timer)
+{
+  proxy_request_t *request = LIST_ENTRY (timer, proxy_request_t, deadline_timer);
+  attempt_end_t end = request->exchange.stalled ? ATTEMPT_STALLED : ATTEMPT_TIMED_OUT;
+  end_early (request, CANCEL_DEADLINE, end, 504, "deadline exceeded");
+}
+
+void
+proxy_request_arm_deadline (proxy_request_t *request)
+{
+  io_timer_set (request->proxy->options.loop, &request->deadline_timer, request->deadline_us);
+}
+
+/* Reads Anvillb-Deadline-Ms. Returns false if it is malformed. */
+static bool
+read_deadline (proxy_request_t *request)
+{
+  const char *text = http_headers_get (&request->headers, "Anvillb-Deadline-Ms");
+  if (text == NULL)
+    return true;
+  size_t digits = strspn (text, "0123456789");
+  if (digits == 0 || digits > MAX_DEADLINE_DIGITS || text[digits] != '\0')
+    return false;
+  int64_t left_us = g_ascii_strtoll (text, NULL, 10) * 1000;
+  request->head.deadline_us = request->head.received_us + left_us;
+  return true;
+}
+
+static void
+fill_head (proxy_request_t *request, const http_head_t *head)
+{
+  request->head = (request_head_t){
+    .method = head->method,
+    .target = request->target,
+    .path_size = strcspn (request->target, "?"),
+    .host = http_headers_get (&request->headers, "Host"),
+    .headers = &request->headers,
+    .caller_address = request->caller->address,
+    .has_body = head->has_body,
+    .content_length = head->content_length,
+    .received_us = proxy_now_us (request),
+  };
+}
+
+proxy_request_t *
+proxy_request_new (proxy_t *proxy, caller_exchange_t *caller, http_head_t *head)
+{
+  proxy_request_t *request = g_new0 (proxy_request_t, 1);
+
+  request->proxy = proxy;
+  request->caller = caller;
+  request->target = head->target;
+  request->headers = head->headers;
+  head->target = NULL;
+  http_headers_init (&head->headers);
+  request->version_minor = head->version_minor;
+  request->chunked = head->chunked;
+  request->keep_alive = head->keep_alive;
+  request->head_method = strcmp (head->method, "HEAD") == 0;
+  request->body_complete = !head->has_body;
+  fill_head (request, head);
+  list_node_init (&request->exchange.node);
+  io_timer_init (&request->deadline_timer, on_deadline);
+  io_timer_init (&request->attempt_timer, proxy_attempt_expired);
+  io_deferred_init (&request->free, free_request);
+  list_push_back (&proxy->requests, &request->node);
+  counter_inc (&proxy->counters.requests);
+  counter_add (&proxy->counters.in_flight, 1);
+  span_start (&request->span, "request", http_headers_get (&request->headers, "traceparent"),
+              proxy->options.rng, proxy_wall_ns ());
+  return request;
+}
+
+void
+proxy_request_start (proxy_request_t *request)
+{
+  const proxy_options_t *options = &request->proxy->options;
+  const char *expect = http_headers_get (&request->headers, "Expect");
+
+  request->expects_continue = expect != NULL && request->head.has_body;
+  bool valid_deadline = read_deadline (request);
+  request->deadline_us = request->head.received_us + options->default_timeout_us;
+  if (request->head.deadline_us != 0)
+    request->deadline_us = MIN (request->deadline_us, request->head.deadline_us);
+
+  if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") != 0)
+    proxy_request_answer_error (request, 417, "unknown expectation");
+  else if (!valid_deadline)
+    proxy_request_answer_error (request, 400, "malformed Anvillb-Deadline-Ms");
+  else if (request->deadline_us <= request->head.received_us)
+    proxy_request_answer_error (request, 504, "deadline exceeded");
+  else
+    {
+      request->begun = true;
+      proxy_request_arm_deadline (request);
+      options->policy->ops->begin (options->policy, request, &request->head);
+    }
+}
+
+void
+proxy_request_keep_body (proxy_request_t *request, const char *bytes, size_t size)
+{
+  if (request->body == NULL)
+    request->body = g_string_sized_new (size + 1);
+  g_string_append_len (request->body, bytes, (gssize)size);
+}
+
+void
+proxy_request_pause_caller (proxy_request_t *request, bool paused)
+{
+  if (request->caller_paused == paused)
+    return;
+  request->caller_paused = paused;
+  request->caller->ops->set_reading (request->caller, !paused);
+}
+
+void
+proxy_request_invite_body (proxy_request_t *request)
+{
+  static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  if (!request->expects_continue)
+    return;
+  request->expects_continue = false;
+  if (request->body_bytes == 0 && request->version_minor > 0)
+    request->caller->ops->write (request->caller, go_on, strlen (go_on));
+}
+
+static bool
+exceeds (const proxy_request_t *request, size_t limit)
+{
+  int64_t limit_bytes = (int64_t)MIN (limit, (size_t)INT64_MAX);
+  return request->body_bytes > limit || request->head.content_length > limit_bytes;
+}
+
+/* Returns whether the body that has arrived is longer than what is allowed now. */
+static bool
+is_too_large (const proxy_request_t *request)
+{
+  if (request->state == REQUEST_READING)
+    return exceeds (request, request->read_limit);
+  size_t limit = request->attempt.options.max_body_bytes;
+  return request->state == REQUEST_ATTEMPT && limit > 0 && exceeds (request, limit);
+}
+
+static void
+refuse_large_body (proxy_request_t *request)
+{
+  end_early (request, CANCEL_CALLER_ERROR, ATTEMPT_CALLER_ERROR, 413, "request body too large");
+}
+
+/* Forgets the start of the body; the request cannot be repeated from here on. */
+static void
+drop_body (proxy_request_t *request)
+{
+  request->body_dropped = true;
+  if (request->body != NULL)
+    g_string_free (request->body, TRUE);
+  request->body = NULL;
+}
+
+void
+proxy_request_receive_body (proxy_request_t *request, const char *bytes, size_t size)
+{
+  size_t replay_bytes = request->proxy->options.replay_bytes;
+
+  if (request->state == REQUEST_DONE)
+    return;
+  request->body_bytes += size;
+  if (is_too_large (request))
+    {
+      refuse_large_body (request);
+      return;
+    }
+  bool sending = request->state == REQUEST_ATTEMPT && request->attempt.ready;
+  if (sending && !request->body_dropped
+      && (request->body_bytes > replay_bytes || !request->attempt.options.may_retry))
+    drop_body (request);
+  if (!request->body_dropped)
+    proxy_request_keep_body (request, bytes, size);
+  if (sending)
+    proxy_attempt_send_body (request, bytes, size);
+  else if (request->state != REQUEST_READING && request->body_bytes >= replay_bytes)
+    proxy_request_pause_caller (request, true);
+}
+
+static void
+give_body (proxy_request_t *request)
+{
+  request_policy_t *policy = request->proxy->options.policy;
+  request->state = REQUEST_WAITING;
+  const char *body = request->body == NULL ? "" : request->body->str;
+  size_t size = request->body == NULL ? 0 : request->body->len;
+  policy->ops->body (policy, request, body, size);
+}
+
+void
+proxy_request_receive_end (proxy_request_t *request)
+{
+  if (request->state == REQUEST_DONE || request->body_complete)
+    return;
+  request->body_complete = true;
+  if (request->state == REQUEST_READING)
+    give_body (request);
+  else if (request->state == REQUEST_ATTEMPT && request->attempt.ready)
+    proxy_attempt_end_body (request);
+}
+
+void
+proxy_request_caller_error (proxy_request_t *request, const char *detail)
+{
+  if (request->state == REQUEST_DONE)
+    return;
+  request->keep_alive = false;
+  end_early (request, CANCEL_CALLER_ERROR, ATTEMPT_CALLER_ERROR, 400, detail);
+}
+
+void
+proxy_request_caller_gone (proxy_request_t *request)
+{
+  if (request->state == REQUEST_DONE)
+    return;
+  if (request->state == REQUEST_ATTEMPT)
+    proxy_attempt_cancel (request, ATTEMPT_CALLER_GONE, "caller disconnected");
+  else
+    cancel_policy (request, CANCEL_CALLER_GONE);
+  close_request (request);
+}
+
+void
+proxy_request_caller_drained (proxy_request_t *request)
+{
+  if (request->state != REQUEST_ATTEMPT)
+    return;
+  if (request->caller->ops->pending (request->caller) < PROXY_LOW_WATER_BYTES)
+    upstream_exchange_pause (&request->exchange, false);
+}
+
+void
+proxy_request_set_data (proxy_request_t *request, void *data)
+{
+  request->policy_data = data;
+}
+
+void *
+proxy_request_data (const proxy_request_t *request)
+{
+  return request->policy_data;
+}
+
+const request_head_t *
+proxy_request_head (const proxy_request_t *request)
+{
+  return &request->head;
+}
+
+void
+proxy_request_respond (proxy_request_t *request, const request_response_t *response)
+{
+  g_return_if_fail (request->state == REQUEST_WAITING);
+  answer (request, response);
+}
+
+void
+proxy_request_read_body (proxy_request_t *request, size_t max_bytes)
+{
+  g_return_if_fail (request->state == REQUEST_WAITING);
+  request->state = REQUEST_READING;
+  request->read_limit = max_bytes;
+  if (is_too_large (request))
+    {
+      refuse_large_body (request);
+      return;
+    }
+  if (request->body_complete)
+    {
+      give_body (request);
+      return;
+    }
+  proxy_request_invite_body (request);
+  proxy_request_pause_caller (request, false);
+}
+
+void
+proxy_request_set_deadline (proxy_request_t *request, int64_t deadline_us)
+{
+  request->deadline_us = deadline_us;
+  if (request->head.deadline_us != 0)
+    request->deadline_us = MIN (request->deadline_us, request->head.deadline_us);
+  proxy_request_arm_deadline (request);
+}
+
+void
+proxy_request_dispatch (proxy_request_t *request, const request_dispatch_t *dispatch)
+{
+  g_return_if_fail (request->state == REQUEST_WAITING);
+  if (request->body_dropped)
+    {
+      LOG_WARNING ("dispatch refused: the request body is gone");
+      proxy_request_fail (request);
+      return;
+    }
+  if (dispatch->max_body_bytes > 0 && exceeds (request, dispatch->max_body_bytes))
+    {
+      refuse_large_body (request);
+      return;
+    }
+  if (dispatch->deadline_us != 0)
+    proxy_request_set_deadline (request, dispatch->deadline_us);
+  proxy_attempt_start (request, dispatch);
+  if (!request->body_complete)
+    proxy_request_invite_body (request);
+}
+
+void
+proxy_request_fail (proxy_request_t *request)
+{
+  g_return_if_fail (request->state == REQUEST_WAITING);
+  switch (request->last_end)
+    {
+    case ATTEMPT_SHED:
+      proxy_request_answer_error (request, 503, "backend server is overloaded");
+      break;
+    case ATTEMPT_STALLED:
+    case ATTEMPT_TIMED_OUT:
+      proxy_request_answer_error (request, 504, "backend server did not answer in time");
+      break;
+    case ATTEMPT_CONNECT_FAILED:
+      proxy_request_answer_error (request, 502, "cannot connect to backend server");
+      break;
+    default:
+      proxy_request_answer_error (request, 502, "no valid response from backend server");
+      break;
+    }
+}
--- /dev/null
+++ b/src/proxy_message.c
@@ -0,0 +1,151 @@
+#include "proxy_request.h"
+
+#include <string.h>
+
+#define VIA_VALUE "1.1 anvillb"
+
+/* Fields of a request that the proxy writes itself or that end here. */
+static const char *const replaced_request_fields[]
+    = { "Expect", "Anvillb-Deadline-Ms", "Anvillb-Hop", "Anvillb-Not-Run", "Anvillb-Outcome" };
+
+/* Fields that only the system may set; a backend server cannot know whether a request ran. */
+static const char *const system_response_fields[]
+    = { "Anvillb-Not-Run", "Anvillb-Outcome", "Anvillb-Replayed" };
+
+static void
+add_forwarding_fields (proxy_request_t *request, http_headers_t *out)
+{
+  const char *earlier = http_headers_get (out, "X-Forwarded-For");
+  if (earlier == NULL)
+    http_headers_append (out, "X-Forwarded-For", request->caller->address);
+  else
+    {
+      g_autoptr (GString) value = g_string_new (NULL);
+      for (size_t i = 0; i < http_headers_length (out); i++)
+        {
+          if (g_ascii_strcasecmp (http_headers_name (out, i), "X-Forwarded-For") == 0)
+            g_string_append_printf (value, "%s, ", http_headers_value (out, i));
+        }
+      g_string_append (value, request->caller->address);
+      http_headers_set (out, "X-Forwarded-For", value->str);
+    }
+  /* The entry that forwarded the request knows the protocol of the caller. */
+  bool forwarded = http_headers_get (&request->headers, "Anvillb-Hop") != NULL;
+  if (!forwarded || http_headers_get (out, "X-Forwarded-Proto") == NULL)
+    http_headers_set (out, "X-Forwarded-Proto", request->caller->tls ? "https" : "http");
+  http_headers_append (out, "Via", VIA_VALUE);
+}
+
+static void
+add_context_fields (proxy_request_t *request, http_headers_t *out)
+{
+  char text[SPAN_TRACEPARENT_SIZE];
+  span_traceparent (&request->attempt.span, text);
+  http_headers_set (out, "traceparent", text);
+  if (request->deadline_us == 0)
+    return;
+  int64_t left_ms = MAX (request->deadline_us - proxy_now_us (request), 0) / 1000;
+  g_snprintf (text, sizeof (text), "%" G_GINT64_FORMAT, left_ms);
+  http_headers_append (out, "Anvillb-Deadline-Ms", text);
+}
+
+GString *
+proxy_build_request_head (proxy_request_t *request)
+{
+  const http_headers_t *extra = &request->attempt.extra_headers;
+  http_headers_t out;
+
+  http_headers_init (&out);
+  http_headers_append_all (&out, &request->headers);
+  http_headers_remove_hop_by_hop (&out);
+  for (size_t i = 0; i < G_N_ELEMENTS (replaced_request_fields); i++)
+    http_headers_remove (&out, replaced_request_fields[i]);
+  if (http_headers_get (&out, "Host") == NULL)
+    http_headers_append (&out, "Host", request->attempt.address);
+  add_forwarding_fields (request, &out);
+  add_context_fields (request, &out);
+  if (request->chunked)
+    http_headers_append (&out, "Transfer-Encoding", "chunked");
+  for (size_t i = 0; i < http_headers_length (extra); i++)
+    http_headers_set (&out, http_headers_name (extra, i), http_headers_value (extra, i));
+
+  GString *text = g_string_sized_new (1024);
+  g_string_append_printf (text, "%s %s HTTP/1.1\r\n", request->head.method, request->target);
+  http_headers_write (&out, text);
+  g_string_append (text, "\r\n");
+  http_headers_destroy (&out);
+  return text;
+}
+
+static void
+append_status_line (GString *text, int status)
+{
+  const char *reason = http_status_str ((enum http_status)status);
+  g_string_append_printf (text, "HTTP/1.1 %d %s\r\n", status,
+                          reason[0] == '<' ? "Unassigned" : reason);
+}
+
+GString *
+proxy_build_response_head (proxy_request_t *request, const http_head_t *head)
+{
+  http_headers_t out;
+
+  http_headers_init (&out);
+  http_headers_append_all (&out, &head->headers);
+  http_headers_remove_hop_by_hop (&out);
+  bool trusted = request->attempt.options.target_is_entry;
+  for (size_t i = 0; !trusted && i < G_N_ELEMENTS (system_response_fields); i++)
+    http_headers_remove (&out, system_response_fields[i]);
+  if (request->attempt.not_run && request->possibly_run)
+    {
+      /* Another attempt of this request may have run. */
+      http_headers_remove (&out, "Anvillb-Not-Run");
+      http_headers_set (&out, "Anvillb-Outcome", "unknown");
+    }
+  if (head->status == 204)
+    http_headers_remove (&out, "Content-Length");
+  http_headers_append (&out, "Via", VIA_VALUE);
+
+  request->response_chunked
+      = head->has_body && head->content_length < 0 && request->version_minor > 0;
+  if (request->response_chunked)
+    http_headers_append (&out, "Transfer-Encoding", "chunked");
+  if (!request->keep_alive)
+    http_headers_append (&out, "Connection", "close");
+
+  GString *text = g_string_sized_new (512);
+  append_status_line (text, head->status);
+  http_headers_write (&out, text);
+  g_string_append (text, "\r\n");
+  http_headers_destroy (&out);
+  return text;
+}
+
+GString *
+proxy_build_response (proxy_request_t *request, const request_response_t *response, bool keep_alive)
+{
+  GString *text = g_string_sized_new (256 + response->body_size);
+  append_status_line (text, response->status);
+  if (response->headers != NULL)
+    http_headers_write (response->headers, text);
+  if (response->status != 204 && response->status != 304)
+    g_string_append_printf (text, "Content-Length: %zu\r\n", response->body_size);
+  if (response->not_run && !request->possibly_run)
+    g_string_append (text, "Anvillb-Not-Run: 1\r\n");
+  else if (response->not_run)
+    g_string_append (text, "Anvillb-Outcome: unknown\r\n");
+  if (!keep_alive)
+    g_string_append (text, "Connection: close\r\n");
+  g_string_append (text, "\r\n");
+  if (!request->head_method)
+    g_string_append_len (text, response->body, (gssize)response->body_size);
+  return text;
+}
+
+void
+proxy_write_chunk (GString *out, const char *bytes, size_t size)
+{
+  g_string_append_printf (out, "%zx\r\n", size);
+  g_string_append_len (out, bytes, (gssize)size);
+  g_string_append_len (out, "\r\n", 2);
+}
--- /dev/null
+++ b/src/upstream_conn.c
@@ -0,0 +1,330 @@
+#include "upstream_conn.h"
+
+#include "upstream_pool.h"
+
+static void
+free_conn (io_deferred_t *deferred)
+{
+  upstream_conn_t *conn = LIST_ENTRY (deferred, upstream_conn_t, free);
+  http_codec_destroy (&conn->codec);
+  g_free (conn);
+}
+
+void
+upstream_conn_close (upstream_conn_t *conn)
+{
+  if (conn->state == UPSTREAM_DEAD)
+    return;
+  conn->state = UPSTREAM_DEAD;
+  if (conn->exchange != NULL)
+    conn->exchange->conn = NULL;
+  conn->exchange = NULL;
+  byte_stream_close (&conn->stream, false);
+  io_timer_cancel (&conn->timer);
+  list_remove (&conn->node);
+  io_loop_defer (conn->pool->options.loop, &conn->free);
+  conn->target->connections--;
+  upstream_pool_conn_closed (conn->target);
+}
+
+static void
+fail_exchange (upstream_conn_t *conn, upstream_failure_t failure, const char *detail)
+{
+  upstream_exchange_t *exchange = conn->exchange;
+  upstream_conn_close (conn);
+  if (exchange != NULL)
+    exchange->ops->failed (exchange, failure, detail);
+}
+
+static void
+note_progress (upstream_conn_t *conn)
+{
+  conn->last_progress_us = io_loop_now_us (conn->pool->options.loop);
+}
+
+static void
+arm_stall_check (upstream_conn_t *conn)
+{
+  int64_t stall_us = conn->exchange->stall_us;
+  if (stall_us <= 0)
+    io_timer_cancel (&conn->timer);
+  else
+    io_timer_set (conn->pool->options.loop, &conn->timer, conn->last_progress_us + stall_us);
+}
+
+static void
+start_exchange (upstream_conn_t *conn)
+{
+  conn->state = UPSTREAM_BUSY;
+  conn->got_bytes = false;
+  conn->paused = false;
+  note_progress (conn);
+  arm_stall_check (conn);
+  if (conn->exchange->head_request)
+    http_codec_expect_no_body (&conn->codec);
+  byte_stream_set_reading (&conn->stream, true);
+  conn->exchange->ops->ready (conn->exchange);
+}
+
+/* Returns whether the exchange waits for the peer, so that silence is the peer's. */
+static bool
+waits_for_peer (const upstream_conn_t *conn)
+{
+  return byte_stream_pending (&conn->stream) > 0 || (conn->exchange->request_sent && !conn->paused);
+}
+
+static void
+check_stall (upstream_conn_t *conn)
+{
+  upstream_exchange_t *exchange = conn->exchange;
+  io_loop_t *loop = conn->pool->options.loop;
+  int64_t now_us = io_loop_now_us (loop);
+
+  if (!waits_for_peer (conn))
+    note_progress (conn);
+  if (now_us - conn->last_progress_us < exchange->stall_us)
+    {
+      arm_stall_check (conn);
+      return;
+    }
+  if (!upstream_pool_sibling_progress (conn, conn->last_progress_us))
+    {
+      io_timer_set (loop, &conn->timer, now_us + exchange->stall_us / 4);
+      return;
+    }
+  conn->pool->stalls++;
+  conn->retired = true;
+  exchange->stalled = true;
+  upstream_pool_retire_siblings (conn);
+  if (exchange->ends_on_stall)
+    fail_exchange (conn, UPSTREAM_STALLED, "no progress");
+}
+
+static void
+on_timer (io_timer_t *timer)
+{
+  upstream_conn_t *conn = LIST_ENTRY (timer, upstream_conn_t, timer);
+  if (conn->state == UPSTREAM_CONNECTING)
+    fail_exchange (conn, UPSTREAM_CONNECT_FAILED, "no connection within the time limit");
+  else if (conn->state == UPSTREAM_BUSY)
+    check_stall (conn);
+  else
+    upstream_conn_close (conn);
+}
+
+static void
+finish_exchange (upstream_conn_t *conn, bool clean)
+{
+  upstream_exchange_t *exchange = conn->exchange;
+  bool reuse = clean && conn->codec.head.keep_alive && exchange->request_sent && !conn->retired
+               && byte_stream_pending (&conn->stream) == 0;
+
+  exchange->conn = NULL;
+  conn->exchange = NULL;
+  http_codec_reset (&conn->codec);
+  /* The exchange ends first, so that it sees its own response before the connection goes on. */
+  if (!reuse)
+    upstream_conn_close (conn);
+  exchange->ops->complete (exchange);
+  if (!reuse)
+    return;
+  conn->state = UPSTREAM_IDLE;
+  io_loop_t *loop = conn->pool->options.loop;
+  io_timer_set (loop, &conn->timer, io_loop_now_us (loop) + conn->pool->options.idle_timeout_us);
+  upstream_pool_conn_idle (conn);
+}
+
+static void
+handle_head (upstream_conn_t *conn)
+{
+  upstream_exchange_t *exchange = conn->exchange;
+  int status = conn->codec.head.status;
+
+  if (status == 101)
+    {
+      fail_exchange (conn, UPSTREAM_INVALID, "unexpected 101");
+      return;
+    }
+  if (status >= 200)
+    {
+      exchange->ops->head (exchange, &conn->codec.head);
+      return;
+    }
+  http_codec_reset (&conn->codec);
+  if (exchange->head_request)
+    http_codec_expect_no_body (&conn->codec);
+}
+
+static void
+consume (upstream_conn_t *conn, const char *bytes, size_t size)
+{
+  anv_error_t err = { 0 };
+  http_event_t event;
+
+  while (conn->state == UPSTREAM_BUSY && conn->exchange != NULL)
+    {
+      switch (http_codec_next (&conn->codec, &bytes, &size, &event, &err))
+        {
+        case HTTP_EVENT_NEED_INPUT:
+          return;
+        case HTTP_EVENT_HEAD:
+          handle_head (conn);
+          break;
+        case HTTP_EVENT_BODY:
+          conn->exchange->ops->body (conn->exchange, event.bytes, event.size);
+          break;
+        case HTTP_EVENT_COMPLETE:
+          if (conn->codec.head.status >= 200)
+            finish_exchange (conn, size == 0);
+          break;
+        case HTTP_EVENT_ERROR:
+          fail_exchange (conn, UPSTREAM_INVALID, err.text);
+          break;
+        }
+    }
+}
+
+static void
+handle_end (upstream_conn_t *conn, bool clean)
+{
+  anv_error_t err = { 0 };
+
+  if (conn->state != UPSTREAM_BUSY)
+    upstream_conn_close (conn);
+  else if (!conn->got_bytes)
+    fail_exchange (conn, UPSTREAM_CLOSED, "closed before the response");
+  else if (clean && http_codec_end_of_input (&conn->codec, &err) == HTTP_EVENT_COMPLETE)
+    finish_exchange (conn, false);
+  else
+    fail_exchange (conn, UPSTREAM_TRUNCATED, "closed inside the response");
+}
+
+static void
+on_readable (byte_stream_t *stream)
+{
+  upstream_conn_t *conn = LIST_ENTRY (stream, upstream_conn_t, stream);
+  char *buffer = conn->pool->buffer;
+  ssize_t size = byte_stream_read (stream, buffer, UPSTREAM_READ_SIZE);
+
+  if (size == BYTE_STREAM_WOULD_BLOCK)
+    return;
+  if (size <= 0)
+    {
+      handle_end (conn, size == BYTE_STREAM_EOF);
+      return;
+    }
+  note_progress (conn);
+  if (conn->state != UPSTREAM_BUSY)
+    {
+      /* Bytes that no request asked for could be taken for the next response. */
+      upstream_conn_close (conn);
+      return;
+    }
+  conn->got_bytes = true;
+  consume (conn, buffer, (size_t)size);
+}
+
+static void
+on_connected (byte_stream_t *stream)
+{
+  upstream_conn_t *conn = LIST_ENTRY (stream, upstream_conn_t, stream);
+  start_exchange (conn);
+}
+
+static void
+on_written (byte_stream_t *stream, size_t size)
+{
+  upstream_conn_t *conn = LIST_ENTRY (stream, upstream_conn_t, stream);
+  note_progress (conn);
+  if (conn->exchange != NULL)
+    conn->exchange->ops->written (conn->exchange, size);
+}
+
+static void
+on_failed (byte_stream_t *stream, const anv_error_t *err)
+{
+  upstream_conn_t *conn = LIST_ENTRY (stream, upstream_conn_t, stream);
+  if (conn->state == UPSTREAM_CONNECTING)
+    fail_exchange (conn, UPSTREAM_CONNECT_FAILED, err->text);
+  else if (conn->state == UPSTREAM_IDLE)
+    upstream_conn_close (conn);
+  /* A server can answer and close before it has read the whole request. The answer is still in the
+   * socket; the reading side reports the end. */
+  conn->retired = true;
+}
+
+static const byte_stream_ops_t stream_ops = {
+  .connected = on_connected,
+  .readable = on_readable,
+  .written = on_written,
+  .failed = on_failed,
+};
+
+/* A connection that could not be started fails at its first turn. */
+static void
+fail_later (upstream_conn_t *conn)
+{
+  io_loop_t *loop = conn->pool->options.loop;
+  io_timer_set (loop, &conn->timer, io_loop_now_us (loop));
+}
+
+upstream_conn_t *
+upstream_conn_new (upstream_pool_t *pool, upstream_target_t *target, GSocketAddress *address,
+                   upstream_exchange_t *exchange)
+{
+  upstream_conn_t *conn = g_new0 (upstream_conn_t, 1);
+  io_loop_t *loop = pool->options.loop;
+  int64_t now_us = io_loop_now_us (loop);
+
+  conn->state = UPSTREAM_CONNECTING;
+  conn->pool = pool;
+  conn->target = target;
+  conn->created_us = now_us;
+  conn->last_progress_us = now_us;
+  list_node_init (&conn->node);
+  http_codec_init (&conn->codec, HTTP_CODEC_RESPONSE);
+  io_timer_init (&conn->timer, on_timer);
+  io_deferred_init (&conn->free, free_conn);
+  conn->exchange = exchange;
+  exchange->conn = conn;
+  exchange->reused = false;
+  conn->stream.closed = true;
+  if (address != NULL && byte_stream_connect (&conn->stream, &stream_ops, loop, address, NULL))
+    io_timer_set (loop, &conn->timer, now_us + pool->options.connect_timeout_us);
+  else
+    fail_later (conn);
+  return conn;
+}
+
+void
+upstream_conn_assign (upstream_conn_t *conn, upstream_exchange_t *exchange)
+{
+  conn->exchange = exchange;
+  exchange->conn = conn;
+  exchange->reused = true;
+  start_exchange (conn);
+}
+
+void
+upstream_exchange_write (upstream_exchange_t *exchange, const char *bytes, size_t size)
+{
+  if (exchange->conn != NULL)
+    byte_stream_write (&exchange->conn->stream, bytes, size);
+}
+
+size_t
+upstream_exchange_pending (const upstream_exchange_t *exchange)
+{
+  return exchange->conn == NULL ? 0 : byte_stream_pending (&exchange->conn->stream);
+}
+
+void
+upstream_exchange_pause (upstream_exchange_t *exchange, bool paused)
+{
+  upstream_conn_t *conn = exchange->conn;
+  if (conn == NULL || conn->state != UPSTREAM_BUSY || conn->paused == paused)
+    return;
+  conn->paused = paused;
+  note_progress (conn);
+  byte_stream_set_reading (&conn->stream, !paused);
+}
--- /dev/null
+++ b/src/upstream_pool.c
@@ -0,0 +1,204 @@
+#include "upstream_pool.h"
+
+#include "option.h"
+
+static GSocketAddress *
+parse_address (const char *address)
+{
+  char host[64];
+  uint16_t port = 0;
+  if (!option_parse_address (address, host, sizeof (host), &port))
+    return NULL;
+  return g_inet_socket_address_new_from_string (host, port);
+}
+
+static void
+free_target (gpointer data)
+{
+  upstream_target_t *target = data;
+  g_clear_object (&target->socket_address);
+  g_free (target->address);
+  g_free (target);
+}
+
+static upstream_target_t *
+get_target (upstream_pool_t *pool, const char *address)
+{
+  upstream_target_t *target = g_hash_table_lookup (pool->targets, address);
+  if (target != NULL)
+    return target;
+  target = g_new0 (upstream_target_t, 1);
+  target->pool = pool;
+  target->address = g_strdup (address);
+  target->socket_address = parse_address (address);
+  list_init (&target->active);
+  list_init (&target->idle);
+  list_init (&target->waiting);
+  g_hash_table_insert (pool->targets, target->address, target);
+  return target;
+}
+
+static void
+remove_unused_target (upstream_target_t *target)
+{
+  if (target->connections == 0 && list_is_empty (&target->waiting))
+    g_hash_table_remove (target->pool->targets, target->address);
+}
+
+void
+upstream_pool_init (upstream_pool_t *pool, const upstream_pool_options_t *options)
+{
+  pool->options = *options;
+  pool->targets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_target);
+  pool->opened = 0;
+  pool->reused = 0;
+  pool->stalls = 0;
+}
+
+static void
+close_list (list_t *list)
+{
+  list_node_t *node = NULL;
+  while ((node = list_first (list)) != NULL)
+    upstream_conn_close (LIST_ENTRY (node, upstream_conn_t, node));
+}
+
+void
+upstream_pool_destroy (upstream_pool_t *pool)
+{
+  g_autoptr (GPtrArray) targets = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, pool->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (targets, value);
+  for (guint i = 0; i < targets->len; i++)
+    {
+      upstream_target_t *target = g_ptr_array_index (targets, i);
+      /* The last connection frees the target. */
+      target->connections++;
+      close_list (&target->idle);
+      close_list (&target->active);
+    }
+  g_clear_pointer (&pool->targets, g_hash_table_unref);
+}
+
+static void
+open_connection (upstream_target_t *target, upstream_exchange_t *exchange)
+{
+  target->connections++;
+  target->pool->opened++;
+  upstream_conn_t *conn
+      = upstream_conn_new (target->pool, target, target->socket_address, exchange);
+  list_push_back (&target->active, &conn->node);
+}
+
+/* Gives idle and new connections to waiting exchanges. */
+static void
+serve_waiting (upstream_target_t *target)
+{
+  while (!list_is_empty (&target->waiting))
+    {
+      list_node_t *idle = list_first (&target->idle);
+      if (idle == NULL && target->connections >= target->max_connections)
+        return;
+      list_node_t *node = list_pop_front (&target->waiting);
+      upstream_exchange_t *exchange = LIST_ENTRY (node, upstream_exchange_t, node);
+      if (idle == NULL)
+        {
+          open_connection (target, exchange);
+          continue;
+        }
+      list_remove (idle);
+      list_push_back (&target->active, idle);
+      target->pool->reused++;
+      upstream_conn_assign (LIST_ENTRY (idle, upstream_conn_t, node), exchange);
+    }
+}
+
+void
+upstream_pool_acquire (upstream_pool_t *pool, const char *address, int max_connections,
+                       upstream_exchange_t *exchange)
+{
+  upstream_target_t *target = get_target (pool, address);
+  target->max_connections = MAX (max_connections, 1);
+  exchange->target = target;
+  exchange->conn = NULL;
+  exchange->stalled = false;
+  exchange->reused = false;
+  exchange->request_sent = false;
+  list_push_back (&target->waiting, &exchange->node);
+  serve_waiting (target);
+}
+
+void
+upstream_pool_cancel (upstream_exchange_t *exchange)
+{
+  if (exchange->conn != NULL)
+    {
+      upstream_conn_close (exchange->conn);
+      return;
+    }
+  if (!list_node_is_linked (&exchange->node))
+    return;
+  list_remove (&exchange->node);
+  remove_unused_target (exchange->target);
+}
+
+int
+upstream_pool_connections (const upstream_pool_t *pool, const char *address)
+{
+  const upstream_target_t *target = g_hash_table_lookup (pool->targets, address);
+  return target == NULL ? 0 : target->connections;
+}
+
+void
+upstream_pool_conn_idle (upstream_conn_t *conn)
+{
+  upstream_target_t *target = conn->target;
+  list_remove (&conn->node);
+  list_push_front (&target->idle, &conn->node);
+  /* The limit may have been lowered while the connection was in use. */
+  if (target->connections > target->max_connections)
+    upstream_conn_close (conn);
+  else
+    serve_waiting (target);
+}
+
+void
+upstream_pool_conn_closed (upstream_target_t *target)
+{
+  serve_waiting (target);
+  remove_unused_target (target);
+}
+
+static bool
+list_has_progress (const list_t *list, const upstream_conn_t *except, int64_t since_us)
+{
+  LIST_FOREACH (list, node)
+  {
+    const upstream_conn_t *conn = LIST_ENTRY (node, upstream_conn_t, node);
+    if (conn != except && conn->last_progress_us > since_us)
+      return true;
+  }
+  return false;
+}
+
+bool
+upstream_pool_sibling_progress (const upstream_conn_t *conn, int64_t since_us)
+{
+  return list_has_progress (&conn->target->active, conn, since_us)
+         || list_has_progress (&conn->target->idle, conn, since_us);
+}
+
+void
+upstream_pool_retire_siblings (upstream_conn_t *conn)
+{
+  LIST_FOREACH_SAFE (&conn->target->idle, node)
+  {
+    upstream_conn_t *sibling = LIST_ENTRY (node, upstream_conn_t, node);
+    if (sibling->created_us <= conn->created_us)
+      upstream_conn_close (sibling);
+  }
+}
