link, peer_network: framed links between processes (not wired yet)

Processes need links that notice silence, carry time stamps for the age of messages and can run TLS on both sides.

--- a/src/byte_stream.c
+++ b/src/byte_stream.c
@@ -211,6 +211,14 @@
   return true;
 }
 
+void
+byte_stream_start_tls (byte_stream_t *stream, GIOStream *tls)
+{
+  g_assert (!stream->reading && stream->tls == NULL && byte_stream_pending (stream) == 0);
+  stream->tls = g_object_ref (tls);
+  update_watch (stream);
+}
+
 ssize_t
 byte_stream_read (byte_stream_t *stream, char *buffer, size_t size)
 {
--- /dev/null
+++ b/src/link.c
@@ -0,0 +1,366 @@
+#include "link.h"
+
+#include <string.h>
+
+#define LOG_MODULE "link"
+#include "log.h"
+#include "option.h"
+
+#define HELLO_FIELDS 4
+#define HEARTBEAT_FIELDS 3
+#define READ_SIZE 65536
+/* Bytes taken from one link in a turn, so that a busy link does not starve the others. */
+#define MAX_READ_PER_TURN (1024 * 1024)
+
+static int64_t
+now_us (const link_t *link)
+{
+  return io_loop_now_us (link->loop);
+}
+
+static void
+free_link (io_deferred_t *deferred)
+{
+  link_t *link = LIST_ENTRY (deferred, link_t, free);
+  frame_reader_destroy (&link->reader);
+  g_clear_pointer (&link->early, g_byte_array_unref);
+  g_free (link);
+}
+
+void
+link_close (link_t *link, const anv_error_t *err)
+{
+  if (link->closed)
+    return;
+  link->closed = true;
+  link->open = false;
+  byte_stream_close (&link->stream, false);
+  io_timer_cancel (&link->timer);
+  link->ops->closed (link, err);
+  io_loop_defer (link->loop, &link->free);
+}
+
+static void
+close_with (link_t *link, link_error_t code, const char *text)
+{
+  anv_error_t err = { 0 };
+  anv_error_set (&err, ANV_ERROR_LINK, code, "%s", text);
+  link_close (link, &err);
+}
+
+static void
+write_message (link_t *link, wire_writer_t *writer)
+{
+  GByteArray *frame = g_byte_array_sized_new ((guint)writer->buffer.size + FRAME_HEADER_SIZE);
+  frame_append (frame, (const uint8_t *)writer->buffer.data, writer->buffer.size);
+  byte_stream_write (&link->stream, (const char *)frame->data, frame->len);
+  g_byte_array_unref (frame);
+  wire_writer_destroy (writer);
+}
+
+static void
+send_hello (link_t *link)
+{
+  wire_writer_t writer;
+  wire_writer_init (&writer, WIRE_HELLO, HELLO_FIELDS);
+  wire_write_string (&writer, link->self->id);
+  wire_write_string (&writer, link->self->domain);
+  wire_write_string (&writer, link->self->address);
+  wire_write_uint (&writer, link->self->incarnation);
+  write_message (link, &writer);
+}
+
+static void
+send_heartbeat (link_t *link)
+{
+  wire_writer_t writer;
+  int64_t held_us = link->peer_sent_us != 0 ? now_us (link) - link->peer_stamp_us : 0;
+  wire_writer_init (&writer, WIRE_HEARTBEAT, HEARTBEAT_FIELDS);
+  wire_write_int (&writer, now_us (link));
+  wire_write_int (&writer, link->peer_sent_us);
+  wire_write_int (&writer, held_us);
+  write_message (link, &writer);
+}
+
+static bool
+read_hello (link_t *link, wire_reader_t *reader, anv_error_t *err)
+{
+  link_hello_t *peer = &link->peer;
+  wire_read_string_to (reader, peer->id, sizeof (peer->id));
+  wire_read_string_to (reader, peer->domain, sizeof (peer->domain));
+  wire_read_string_to (reader, peer->address, sizeof (peer->address));
+  peer->incarnation = wire_read_uint (reader);
+  return wire_reader_finish (reader, err);
+}
+
+static bool
+read_heartbeat (link_t *link, wire_reader_t *reader, anv_error_t *err)
+{
+  int64_t sent_us = wire_read_int (reader);
+  int64_t echo_us = wire_read_int (reader);
+  int64_t held_us = wire_read_int (reader);
+  if (!wire_reader_finish (reader, err))
+    return false;
+
+  link->peer_sent_us = sent_us;
+  link->peer_stamp_us = now_us (link);
+  link_clock_excess (&link->clock, link->peer_stamp_us, sent_us);
+  /* The peer sent this at least HELD after our stamp, so the bound does not grow with the period of
+   * the heartbeats. */
+  if (echo_us != 0 && held_us >= 0 && echo_us + held_us <= link->peer_stamp_us)
+    link_clock_calibrate (&link->clock, link->peer_stamp_us, sent_us, echo_us + held_us);
+  return true;
+}
+
+static void
+open_link (link_t *link)
+{
+  link->open = true;
+  link->reader.max_size = FRAME_MAX_SIZE;
+  byte_stream_write (&link->stream, (const char *)link->early->data, link->early->len);
+  g_byte_array_set_size (link->early, 0);
+  send_heartbeat (link);
+  link->ops->opened (link);
+}
+
+static bool
+handle_frame (link_t *link, const uint8_t *data, size_t size, anv_error_t *err)
+{
+  wire_reader_t reader;
+  wire_type_t type;
+  if (!wire_reader_init (&reader, data, size, &type, err))
+    return false;
+
+  bool valid = true;
+  if (type == WIRE_HEARTBEAT)
+    valid = read_heartbeat (link, &reader, err);
+  else if (type == WIRE_HELLO && !link->open)
+    valid = read_hello (link, &reader, err);
+  else if (!link->open || type == WIRE_HELLO)
+    {
+      anv_error_set (err, ANV_ERROR_LINK, LINK_ERROR_PROTOCOL, "unexpected message type %d",
+                     (int)type);
+      valid = false;
+    }
+  wire_reader_destroy (&reader);
+  if (!valid)
+    return false;
+
+  if (type == WIRE_HELLO)
+    open_link (link);
+  else if (type != WIRE_HEARTBEAT)
+    {
+      link->used_us = now_us (link);
+      link->ops->received (link, data, size);
+    }
+  return true;
+}
+
+static void
+handle_input (link_t *link, const char *bytes, size_t size)
+{
+  anv_error_t err = { 0 };
+  link->received_us = now_us (link);
+  bool valid = frame_reader_feed (&link->reader, (const uint8_t *)bytes, size, &err);
+  while (valid && !link->closed)
+    {
+      g_autoptr (GBytes) payload = frame_reader_next (&link->reader, &err);
+      if (payload == NULL)
+        break;
+      gsize length = 0;
+      const uint8_t *data = g_bytes_get_data (payload, &length);
+      valid = handle_frame (link, data, length, &err);
+    }
+  if (!link->closed && anv_error_is_set (&err))
+    {
+      anv_error_convert (&err, ANV_ERROR_LINK, LINK_ERROR_PROTOCOL, "invalid message");
+      link_close (link, &err);
+    }
+}
+
+static void
+on_readable (byte_stream_t *stream)
+{
+  link_t *link = LIST_ENTRY (stream, link_t, stream);
+  char buffer[READ_SIZE];
+
+  for (size_t total = 0; total < MAX_READ_PER_TURN && !link->closed;)
+    {
+      ssize_t got = byte_stream_read (stream, buffer, sizeof (buffer));
+      if (got == BYTE_STREAM_WOULD_BLOCK)
+        return;
+      if (got <= 0)
+        {
+          close_with (link, LINK_ERROR_CLOSED,
+                      got == BYTE_STREAM_EOF ? "closed by peer" : "cannot read");
+          return;
+        }
+      total += (size_t)got;
+      handle_input (link, buffer, (size_t)got);
+    }
+}
+
+static void
+start_reading (link_t *link)
+{
+  send_hello (link);
+  byte_stream_set_reading (&link->stream, true);
+}
+
+static void
+on_connected (byte_stream_t *stream)
+{
+  link_t *link = LIST_ENTRY (stream, link_t, stream);
+  anv_error_t err = { 0 };
+
+  if (link->tls != NULL)
+    {
+      g_autoptr (GIOStream) tls = tls_config_connect (link->tls, stream->socket, &err);
+      if (tls == NULL)
+        {
+          link_close (link, &err);
+          return;
+        }
+      byte_stream_start_tls (stream, tls);
+    }
+  start_reading (link);
+}
+
+static void
+on_written (byte_stream_t *stream, size_t size)
+{
+}
+
+static void
+on_failed (byte_stream_t *stream, const anv_error_t *err)
+{
+  link_t *link = LIST_ENTRY (stream, link_t, stream);
+  anv_error_t own = *err;
+  anv_error_convert (&own, ANV_ERROR_LINK, LINK_ERROR_SOCKET, "connection failed");
+  link_close (link, &own);
+}
+
+static const byte_stream_ops_t stream_ops = {
+  .connected = on_connected,
+  .readable = on_readable,
+  .written = on_written,
+  .failed = on_failed,
+};
+
+static void
+on_timer (io_timer_t *timer)
+{
+  link_t *link = LIST_ENTRY (timer, link_t, timer);
+  int64_t now = now_us (link);
+
+  if (!link->open && now - link->opened_us >= LINK_HANDSHAKE_US)
+    {
+      close_with (link, LINK_ERROR_SILENT, "no HELLO within the time limit");
+      return;
+    }
+  if (link->open && now - link->received_us >= LINK_SILENCE_US)
+    {
+      close_with (link, LINK_ERROR_SILENT, "no input within the time limit");
+      return;
+    }
+  if (link->open && now - link->used_us >= LINK_IDLE_US)
+    {
+      close_with (link, LINK_ERROR_CLOSED, "idle");
+      return;
+    }
+  if (link->open)
+    send_heartbeat (link);
+  io_timer_set (link->loop, &link->timer, now + LINK_HEARTBEAT_US);
+}
+
+static link_t *
+new_link (const link_ops_t *ops, void *owner, io_loop_t *loop, const link_hello_t *self,
+          const tls_config_t *tls)
+{
+  link_t *link = g_new0 (link_t, 1);
+  link->ops = ops;
+  link->owner = owner;
+  link->loop = loop;
+  link->self = self;
+  link->tls = tls;
+  link->early = g_byte_array_new ();
+  list_node_init (&link->node);
+  frame_reader_init (&link->reader, LINK_MAX_HELLO_SIZE);
+  link_clock_init (&link->clock);
+  io_timer_init (&link->timer, on_timer);
+  io_deferred_init (&link->free, free_link);
+  link->opened_us = now_us (link);
+  link->received_us = link->opened_us;
+  link->used_us = link->opened_us;
+  io_timer_set (loop, &link->timer, link->opened_us + LINK_HEARTBEAT_US);
+  return link;
+}
+
+link_t *
+link_accept (const link_ops_t *ops, void *owner, io_loop_t *loop, const link_hello_t *self,
+             const tls_config_t *tls, GSocket *socket)
+{
+  anv_error_t err = { 0 };
+  g_autoptr (GIOStream) stream = NULL;
+  if (tls != NULL)
+    {
+      stream = tls_config_accept (tls, socket, &err);
+      if (stream == NULL)
+        {
+          LOG_WARNING ("cannot accept a link error=\"%s\"", err.text);
+          return NULL;
+        }
+    }
+  link_t *link = new_link (ops, owner, loop, self, tls);
+  byte_stream_open (&link->stream, &stream_ops, loop, socket, stream);
+  start_reading (link);
+  return link;
+}
+
+link_t *
+link_connect (const link_ops_t *ops, void *owner, io_loop_t *loop, const link_hello_t *self,
+              const tls_config_t *tls, const char *address, anv_error_t *err)
+{
+  char host[LINK_ADDRESS_SIZE];
+  uint16_t port = 0;
+  if (!option_parse_address (address, host, sizeof (host), &port))
+    {
+      anv_error_set (err, ANV_ERROR_LINK, LINK_ERROR_SOCKET, "malformed address '%s'", address);
+      return NULL;
+    }
+  g_autoptr (GSocketAddress) target = g_inet_socket_address_new_from_string (host, port);
+  link_t *link = new_link (ops, owner, loop, self, tls);
+  g_strlcpy (link->target, address, sizeof (link->target));
+  if (byte_stream_connect (&link->stream, &stream_ops, loop, target, err))
+    return link;
+  anv_error_convert (err, ANV_ERROR_LINK, LINK_ERROR_SOCKET, "cannot connect to %s", address);
+  io_timer_cancel (&link->timer);
+  free_link (&link->free);
+  return NULL;
+}
+
+bool
+link_send (link_t *link, const uint8_t *data, size_t size)
+{
+  size_t queued = byte_stream_pending (&link->stream) + link->early->len;
+  if (link->closed || size == 0 || size > FRAME_MAX_SIZE || queued + size > LINK_MAX_PENDING)
+    return false;
+
+  link->used_us = now_us (link);
+  if (!link->open)
+    {
+      frame_append (link->early, data, size);
+      return true;
+    }
+  GByteArray *frame = g_byte_array_sized_new ((guint)size + FRAME_HEADER_SIZE);
+  frame_append (frame, data, size);
+  byte_stream_write (&link->stream, (const char *)frame->data, frame->len);
+  g_byte_array_unref (frame);
+  return true;
+}
+
+int64_t
+link_message_age (const link_t *link, int64_t sent_us)
+{
+  return link_clock_age (&link->clock, now_us (link), sent_us);
+}
--- /dev/null
+++ b/src/peer_network.c
@@ -0,0 +1,303 @@
+#include "peer_network.h"
+
+#include <string.h>
+#include <sys/epoll.h>
+
+#define LOG_MODULE "peer_network"
+#include "log.h"
+#include "option.h"
+
+#define LISTEN_BACKLOG 512
+#define MAX_ACCEPTS_PER_TURN 64
+
+static const char *
+link_address (const link_t *link)
+{
+  return link->target[0] != '\0' ? link->target : link->peer.address;
+}
+
+static void
+count_cross_domain (peer_network_t *network, const link_t *link, size_t size)
+{
+  if (link->open && strcmp (link->peer.domain, network->options.self.domain) != 0)
+    counter_add (&network->cross_domain_bytes, (int64_t)size);
+}
+
+static void
+on_opened (link_t *link)
+{
+  peer_network_t *network = link->owner;
+  const char *address = link_address (link);
+  LOG_DEBUG ("link open peer=%s address=%s", link->peer.id, address);
+  if (address[0] != '\0')
+    g_hash_table_replace (network->by_address, g_strdup (address), link);
+}
+
+static void
+on_received (link_t *link, const uint8_t *data, size_t size)
+{
+  peer_network_t *network = link->owner;
+  counter_inc (&network->received_messages);
+  counter_add (&network->received_bytes, (int64_t)size);
+  count_cross_domain (network, link, size);
+  network->options.handler.received (network->options.handler.data, link, data, size);
+}
+
+static void
+on_closed (link_t *link, const anv_error_t *err)
+{
+  peer_network_t *network = link->owner;
+  const char *address = link_address (link);
+  LOG_DEBUG ("link closed peer=%s address=%s reason=\"%s\"", link->peer.id, address, err->text);
+  if (err->code == LINK_ERROR_SILENT)
+    counter_inc (&network->silent_links);
+  if (g_hash_table_lookup (network->by_address, address) == link)
+    g_hash_table_remove (network->by_address, address);
+  g_hash_table_remove (network->by_number, &link->number);
+  list_remove (&link->node);
+  counter_add (&network->open_links, -1);
+}
+
+static const link_ops_t link_ops = {
+  .opened = on_opened,
+  .received = on_received,
+  .closed = on_closed,
+};
+
+static void
+add_link (peer_network_t *network, link_t *link)
+{
+  link->number = ++network->next_number;
+  list_push_back (&network->links, &link->node);
+  g_hash_table_insert (network->by_number, &link->number, link);
+  counter_add (&network->open_links, 1);
+}
+
+static bool
+has_room (const peer_network_t *network)
+{
+  return (size_t)network->open_links.value < network->options.max_links;
+}
+
+static void
+on_ready (io_watch_t *watch, uint32_t events)
+{
+  peer_network_t *network = LIST_ENTRY (watch, peer_network_t, watch);
+  for (int i = 0; i < MAX_ACCEPTS_PER_TURN; i++)
+    {
+      g_autoptr (GSocket) socket = g_socket_accept (network->socket, NULL, NULL);
+      if (socket == NULL)
+        return;
+      /* Beyond the limit the connection is closed at once; the peer tries again later. */
+      if (!has_room (network))
+        continue;
+      link_t *link = link_accept (&link_ops, network, network->options.loop,
+                                  &network->options.self, network->options.tls, socket);
+      if (link != NULL)
+        add_link (network, link);
+    }
+}
+
+static bool
+listen_on (peer_network_t *network, const char *host, uint16_t port, GError **error)
+{
+  g_autoptr (GSocketAddress) address = g_inet_socket_address_new_from_string (host, port);
+  network->socket = g_socket_new (g_socket_address_get_family (address), G_SOCKET_TYPE_STREAM,
+                                  G_SOCKET_PROTOCOL_TCP, error);
+  if (network->socket == NULL)
+    return false;
+  g_socket_set_blocking (network->socket, FALSE);
+  g_socket_set_listen_backlog (network->socket, LISTEN_BACKLOG);
+  return g_socket_bind (network->socket, address, TRUE, error)
+         && g_socket_listen (network->socket, error);
+}
+
+static void
+set_own_address (peer_network_t *network, const char *host)
+{
+  if (network->options.self.address[0] != '\0')
+    return;
+  g_autoptr (GSocketAddress) local = g_socket_get_local_address (network->socket, NULL);
+  guint16 port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local));
+  const char *format = strchr (host, ':') != NULL ? "[%s]:%u" : "%s:%u";
+  g_snprintf (network->options.self.address, sizeof (network->options.self.address), format, host,
+              port);
+}
+
+static bool
+start (task_t *task, anv_error_t *err)
+{
+  peer_network_t *network = (peer_network_t *)task;
+  char host[LINK_ADDRESS_SIZE];
+  uint16_t port = 0;
+  g_autoptr (GError) error = NULL;
+
+  if (!option_parse_address (network->options.listen, host, sizeof (host), &port))
+    {
+      anv_error_set (err, ANV_ERROR_LINK, LINK_ERROR_SOCKET, "malformed address '%s'",
+                     network->options.listen);
+      return false;
+    }
+  if (!listen_on (network, host, port, &error))
+    {
+      anv_error_set (err, ANV_ERROR_LINK, LINK_ERROR_SOCKET, "cannot listen on %s: %s",
+                     network->options.listen, error->message);
+      return false;
+    }
+  set_own_address (network, host);
+  io_watch_init (&network->watch, g_socket_get_fd (network->socket), on_ready);
+  io_watch_set (network->options.loop, &network->watch, EPOLLIN);
+  LOG_NOTICE ("accepting links address=%s tls=%s", network->options.self.address,
+              network->options.tls != NULL ? "yes" : "no");
+  return true;
+}
+
+static void
+receive (task_t *task, const message_t *message)
+{
+}
+
+static void
+stop (task_t *task)
+{
+  peer_network_t *network = (peer_network_t *)task;
+  anv_error_t err = { 0 };
+  anv_error_set (&err, ANV_ERROR_LINK, LINK_ERROR_CLOSED, "stopping");
+  LIST_FOREACH_SAFE (&network->links, node)
+  {
+    link_close (LIST_ENTRY (node, link_t, node), &err);
+  }
+  if (network->socket == NULL)
+    return;
+  io_watch_remove (network->options.loop, &network->watch);
+  g_socket_close (network->socket, NULL);
+  g_clear_object (&network->socket);
+}
+
+static const task_ops_t network_ops = {
+  .name = "peer_network",
+  .start = start,
+  .receive = receive,
+  .stop = stop,
+};
+
+static void
+register_counters (peer_network_t *network)
+{
+  counter_registry_t *registry = network->options.counters;
+  const struct
+  {
+    counter_t *counter;
+    counter_kind_t kind;
+    const char *name;
+    const char *help;
+  } table[] = {
+    { &network->open_links, COUNTER_KIND_GAUGE, "anvillb_links", "Links to other processes." },
+    { &network->sent_messages, COUNTER_KIND_COUNTER, "anvillb_link_messages_sent_total",
+      "Messages sent to other processes." },
+    { &network->sent_bytes, COUNTER_KIND_COUNTER, "anvillb_link_bytes_sent_total",
+      "Bytes of messages sent." },
+    { &network->received_messages, COUNTER_KIND_COUNTER, "anvillb_link_messages_received_total",
+      "Messages received from other processes." },
+    { &network->received_bytes, COUNTER_KIND_COUNTER, "anvillb_link_bytes_received_total",
+      "Bytes of messages received." },
+    { &network->dropped_messages, COUNTER_KIND_COUNTER, "anvillb_link_messages_dropped_total",
+      "Messages that could not be queued." },
+    { &network->silent_links, COUNTER_KIND_COUNTER, "anvillb_links_silent_total",
+      "Links closed because the peer was silent." },
+    { &network->cross_domain_bytes, COUNTER_KIND_COUNTER, "anvillb_link_bytes_cross_domain_total",
+      "Bytes of messages to and from other failure domains." },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
+    counter_register (registry, table[i].counter, table[i].kind, table[i].name, NULL,
+                      table[i].help);
+}
+
+void
+peer_network_init (peer_network_t *network, const peer_network_options_t *options,
+                   GMainContext *context)
+{
+  *network = (peer_network_t){ .options = *options };
+  list_init (&network->links);
+  network->by_number = g_hash_table_new (g_int64_hash, g_int64_equal);
+  network->by_address = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  task_init (&network->task, &network_ops, context);
+  register_counters (network);
+}
+
+void
+peer_network_destroy (peer_network_t *network)
+{
+  task_destroy (&network->task);
+  g_clear_pointer (&network->by_number, g_hash_table_unref);
+  g_clear_pointer (&network->by_address, g_hash_table_unref);
+}
+
+static link_t *
+find_or_connect (peer_network_t *network, const char *address)
+{
+  anv_error_t err = { 0 };
+  link_t *link = g_hash_table_lookup (network->by_address, address);
+  if (link != NULL)
+    return link;
+  if (!has_room (network))
+    return NULL;
+  link = link_connect (&link_ops, network, network->options.loop, &network->options.self,
+                       network->options.tls, address, &err);
+  if (link == NULL)
+    {
+      LOG_DEBUG ("no link address=%s error=\"%s\"", address, err.text);
+      return NULL;
+    }
+  add_link (network, link);
+  g_hash_table_replace (network->by_address, g_strdup (address), link);
+  return link;
+}
+
+static bool
+send_on (peer_network_t *network, link_t *link, const uint8_t *data, size_t size)
+{
+  if (link == NULL || !link_send (link, data, size))
+    {
+      counter_inc (&network->dropped_messages);
+      return false;
+    }
+  counter_inc (&network->sent_messages);
+  counter_add (&network->sent_bytes, (int64_t)size);
+  count_cross_domain (network, link, size);
+  return true;
+}
+
+void
+peer_network_send (peer_network_t *network, const char *address, const uint8_t *data, size_t size)
+{
+  send_on (network, find_or_connect (network, address), data, size);
+}
+
+bool
+peer_network_reply (peer_network_t *network, uint64_t number, const uint8_t *data, size_t size)
+{
+  return send_on (network, g_hash_table_lookup (network->by_number, &number), data, size);
+}
+
+void
+peer_network_send_writer (peer_network_t *network, const char *address, wire_writer_t *writer)
+{
+  peer_network_send (network, address, (const uint8_t *)writer->buffer.data, writer->buffer.size);
+  wire_writer_destroy (writer);
+}
+
+bool
+peer_network_reply_writer (peer_network_t *network, uint64_t number, wire_writer_t *writer)
+{
+  bool sent = peer_network_reply (network, number, (const uint8_t *)writer->buffer.data,
+                                  writer->buffer.size);
+  wire_writer_destroy (writer);
+  return sent;
+}
+
+const char *
+peer_network_address (const peer_network_t *network)
+{
+  return network->options.self.address;
+}
