--- /dev/null
+++ b/tests/decision/test_deadline.cc
@@ -0,0 +1,42 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "deadline.h"
+}
+
+// Guards against a caller that extends its route's timeout and against unreadable headers.
+TEST (Deadline, HeaderOnlyShortens)
+{
+  EXPECT_EQ (deadline_start (1000, 2000, nullptr), 2001000);
+  EXPECT_EQ (deadline_start (1000, 2000, "500"), 501000);
+  EXPECT_EQ (deadline_start (1000, 2000, "9000"), 2001000);
+  for (const char *text : { "", "-1", "1e3", " 5", "5 ", "99999999999999999999" })
+    EXPECT_EQ (deadline_start (1000, 2000, text), 2001000) << text;
+}
+
+// Guards against a hop that passes on more time than its caller will wait.
+TEST (Deadline, ShrinksAtEachHop)
+{
+  int64_t deadline = deadline_start (0, 100, nullptr);
+  EXPECT_EQ (deadline_next_hop_ms (deadline, 30000, 4500), 65);
+  EXPECT_EQ (deadline_next_hop_ms (deadline, 99999, 0), 0);
+  EXPECT_EQ (deadline_next_hop_ms (deadline, 200000, 0), 0);
+  EXPECT_TRUE (deadline_allows (deadline, 0, 50000, 50000));
+  EXPECT_FALSE (deadline_allows (deadline, 0, 50001, 50000));
+  EXPECT_TRUE (deadline_allows (DEADLINE_NONE, 1, 1000000, 1));
+}
+
+// Guards against waits that are wrong by the difference between the clocks of the two processes.
+TEST (Deadline, RetryAfterCountsFromTheAnswersDate)
+{
+  const char *date = "Sun, 06 Nov 1994 08:49:37 GMT";
+  const int64_t wall_ms = 784111777000 + 40000;
+  EXPECT_EQ (deadline_retry_after_us ("7", date, wall_ms), 7000000);
+  EXPECT_EQ (deadline_retry_after_us ("Sun, 06 Nov 1994 08:49:42 GMT", date, wall_ms), 5000000);
+  EXPECT_EQ (deadline_retry_after_us ("Sun, 06 Nov 1994 08:49:30 GMT", date, wall_ms), 0);
+  EXPECT_EQ (deadline_retry_after_us ("Sun, 06 Nov 1994 08:50:20 GMT", nullptr, wall_ms), 3000000);
+  EXPECT_EQ (deadline_retry_after_us (nullptr, date, wall_ms), DEADLINE_RETRY_UNKNOWN);
+  for (const char *text : { "", "soon", "-3", "Sun, 06 Xyz 1994 08:49:37 GMT", "Sun, 06 Nov 1994" })
+    EXPECT_EQ (deadline_retry_after_us (text, date, wall_ms), DEADLINE_RETRY_UNKNOWN) << text;
+}
--- /dev/null
+++ b/tests/membership/test_link_clock.cc
@@ -0,0 +1,47 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "link_clock.h"
+}
+
+static const int64_t MS = 1000;
+static const int64_t S = 1000000;
+
+// Guards against a lease that is extended by the time its announcement spent in a socket buffer.
+TEST (LinkClock, ExcessIsTheDelayAboveTheSmallest)
+{
+  link_clock_t clock;
+  link_clock_init (&clock);
+  const int64_t skew = 5000 * S;
+  EXPECT_EQ (link_clock_excess (&clock, 10 * S + 7 * MS, 10 * S + skew), 0);
+  EXPECT_EQ (link_clock_excess (&clock, 11 * S + 5 * MS, 11 * S + skew), 0);
+  EXPECT_EQ (link_clock_excess (&clock, 20 * S + 5 * MS, 12 * S + skew), 8 * S);
+}
+
+// Guards against a smallest delay that is kept so long that clock drift counts as delay.
+TEST (LinkClock, ForgetsAfterSixtySeconds)
+{
+  link_clock_t clock;
+  link_clock_init (&clock);
+  link_clock_excess (&clock, 1 * S, 1 * S);
+  link_clock_calibrate (&clock, 1 * S, 1 * S, 1 * S);
+  EXPECT_EQ (link_clock_excess (&clock, 50 * S, 49 * S), 1 * S);
+  EXPECT_EQ (link_clock_age (&clock, 50 * S, 49 * S), 1 * S);
+  EXPECT_EQ (link_clock_excess (&clock, 110 * S, 109 * S), 0);
+  EXPECT_EQ (link_clock_age (&clock, 110 * S, 109 * S), LINK_CLOCK_AGE_UNKNOWN);
+}
+
+// Guards against an age below the true one, whatever the clock difference and the two delays.
+TEST (LinkClock, AgeIsAnUpperBoundAfterARoundTrip)
+{
+  link_clock_t clock;
+  link_clock_init (&clock);
+  EXPECT_EQ (link_clock_age (&clock, 1 * S, 0), LINK_CLOCK_AGE_UNKNOWN);
+  // The stamp of 100 s is sent back when the sender's clock, 30 s ahead, reads 130.2 s.
+  link_clock_calibrate (&clock, 103 * S, 130 * S + 200 * MS, 100 * S);
+  // Sent at 104 s, received at 109 s: 5 s old, and the way of the stamp took 0.2 s.
+  EXPECT_EQ (link_clock_age (&clock, 109 * S, 134 * S), 5 * S + 200 * MS);
+  link_clock_calibrate (&clock, 110 * S, 140 * S, 109 * S + 999 * MS);
+  EXPECT_EQ (link_clock_age (&clock, 110 * S, 135 * S), 5 * S + 1 * MS);
+}
