--- a/src/deadline.h
+++ b/src/deadline.h
@@ -30,7 +30,7 @@
 bool deadline_allows (int64_t deadline_us, int64_t now_us, int64_t wait_us, int64_t expected_us);
 
 /* Returns how long to wait according to a refusal, in microseconds from its arrival, or
- * DEADLINE_RETRY_UNKNOWN. RETRY_AFTER is a number of seconds or an HTTP date; a date is counted from
- * DATE, the answer's own Date header, so that the server's clock may be wrong. WALL_MS replaces DATE
- * if that is NULL or malformed. A date in the past gives 0. */
+ * DEADLINE_RETRY_UNKNOWN. RETRY_AFTER is a number of seconds or an HTTP date; a date is counted
+ * from DATE, the answer's own Date header, so that the server's clock may be wrong. WALL_MS
+ * replaces DATE if that is NULL or malformed. A date in the past gives 0. */
 int64_t deadline_retry_after_us (const char *retry_after, const char *date, int64_t wall_ms);
--- a/src/link_clock.c
+++ b/src/link_clock.c
@@ -73,7 +73,8 @@
     {
       if (!slot_is_recent (clock, i, now_us) || !clock->slots[i].has_offset)
         continue;
-      offset = known ? MAX (offset, clock->slots[i].largest_offset) : clock->slots[i].largest_offset;
+      offset
+          = known ? MAX (offset, clock->slots[i].largest_offset) : clock->slots[i].largest_offset;
       known = true;
     }
   if (!known)
--- a/src/link_clock.h
+++ b/src/link_clock.h
@@ -38,8 +38,8 @@
  * returns its excess delay in microseconds, 0 or more. */
 int64_t link_clock_excess (link_clock_t *clock, int64_t now_us, int64_t sent_us);
 
-/* Records a round trip: the sender's clock read REMOTE_US when NOT_BEFORE_US of the receiver's clock
- * had already passed. For an echo, NOT_BEFORE_US is the returned time stamp. */
+/* Records a round trip: the sender's clock read REMOTE_US when NOT_BEFORE_US of the receiver's
+ * clock had already passed. For an echo, NOT_BEFORE_US is the returned time stamp. */
 void link_clock_calibrate (link_clock_t *clock, int64_t now_us, int64_t remote_us,
                            int64_t not_before_us);
 
