swim: membership with failure detection, comparison of tables and local health

In test_swim a refutation started only when the gossip of the suspicion arrived (3.1 s of a timeout of 5.6 s at 48 members) and live members were declared dead.

--- /dev/null
+++ b/src/swim_table.c
@@ -0,0 +1,356 @@
+#include "swim_table.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Dead members that swim_table_random_dead() walks at most. */
+#define DEAD_WALK_LIMIT 8192
+
+static uint32_t
+hash_text (const char *text)
+{
+  uint32_t hash = 0x811c9dc5;
+  for (const char *p = text; *p != '\0'; p++)
+    hash = (hash ^ (uint8_t)*p) * 0x01000193;
+  return hash;
+}
+
+/* What a member contributes to the hash of its bucket. A suspicion is temporary and does not count;
+ * removal of dead members happens at different times, so they do not count either. */
+static uint32_t
+record_hash (const swim_member_t *member)
+{
+  if (member->status == SWIM_DEAD)
+    return 0;
+  uint64_t value = member->id_hash;
+  value = (value << 32 | member->flags) ^ (member->incarnation * 0x9e3779b97f4a7c15ULL);
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+  return (uint32_t)(value >> 32);
+}
+
+static unsigned
+bucket_of (const swim_member_t *member)
+{
+  return member->id_hash % SWIM_BUCKETS;
+}
+
+static void
+set_text (char **text, const char *value)
+{
+  if (*text != NULL && strcmp (*text, value) == 0)
+    return;
+  g_clear_pointer (text, g_ref_string_release);
+  *text = g_ref_string_new_intern (value);
+}
+
+static void
+member_free (void *data)
+{
+  swim_member_t *member = data;
+  g_clear_pointer (&member->id, g_ref_string_release);
+  g_clear_pointer (&member->peer_address, g_ref_string_release);
+  g_clear_pointer (&member->caller_address, g_ref_string_release);
+  g_clear_pointer (&member->domain, g_ref_string_release);
+  g_free (member);
+}
+
+/* Inserts MEMBER at a random place of the round. If it lands among those that were already taken,
+ * its turn comes in the next round. */
+static void
+ring_add (swim_table_t *table, swim_ring_t *ring, swim_member_t *member)
+{
+  guint place = (guint)rng_below (table->rng, ring->members->len + 1);
+  g_ptr_array_add (ring->members, member);
+  swim_member_t *other = g_ptr_array_index (ring->members, place);
+  ring->members->pdata[ring->members->len - 1] = other;
+  ring->members->pdata[place] = member;
+  other->ring_index = ring->members->len - 1;
+  member->ring_index = place;
+  member->in_own_ring = ring == &table->own_ring;
+}
+
+static void
+ring_remove (swim_table_t *table, swim_member_t *member)
+{
+  swim_ring_t *ring = member->in_own_ring ? &table->own_ring : &table->other_ring;
+  guint place = member->ring_index;
+  swim_member_t *last = g_ptr_array_index (ring->members, ring->members->len - 1);
+  ring->members->pdata[place] = last;
+  last->ring_index = place;
+  g_ptr_array_set_size (ring->members, (gint)ring->members->len - 1);
+}
+
+static bool
+is_own_domain (const swim_table_t *table, const swim_member_t *member)
+{
+  /* Interned texts are equal if the pointers are. */
+  return member->domain == table->self->domain;
+}
+
+static void
+enter_ring (swim_table_t *table, swim_member_t *member)
+{
+  if (member == table->self || member->status == SWIM_DEAD)
+    return;
+  ring_add (table, is_own_domain (table, member) ? &table->own_ring : &table->other_ring, member);
+}
+
+static void
+leave_ring (swim_table_t *table, swim_member_t *member)
+{
+  if (member != table->self && member->status != SWIM_DEAD)
+    ring_remove (table, member);
+}
+
+static void
+insert_by_timer (list_t *list, swim_member_t *member)
+{
+  list_node_t *position = list->head.prev;
+  while (position != &list->head
+         && LIST_ENTRY (position, swim_member_t, timer_node)->timer_us > member->timer_us)
+    position = position->prev;
+  list_insert_before (position->next, &member->timer_node);
+}
+
+static void
+enter_timers (swim_table_t *table, swim_member_t *member)
+{
+  if (member->status == SWIM_SUSPECT)
+    {
+      insert_by_timer (&table->suspects, member);
+      table->suspect_count++;
+    }
+  if (member->status == SWIM_DEAD)
+    {
+      insert_by_timer (&table->dead, member);
+      table->dead_count++;
+    }
+}
+
+static void
+leave_timers (swim_table_t *table, swim_member_t *member)
+{
+  list_remove (&member->timer_node);
+  if (member->status == SWIM_SUSPECT)
+    table->suspect_count--;
+  if (member->status == SWIM_DEAD)
+    table->dead_count--;
+}
+
+static swim_member_t *
+member_new (const swim_update_t *update)
+{
+  swim_member_t *member = g_new0 (swim_member_t, 1);
+  set_text (&member->id, update->id);
+  set_text (&member->peer_address, update->peer_address);
+  set_text (&member->caller_address, update->caller_address);
+  set_text (&member->domain, update->domain);
+  member->id_hash = hash_text (update->id);
+  member->incarnation = update->incarnation;
+  member->status = (uint8_t)update->status;
+  member->flags = update->flags;
+  list_node_init (&member->bucket_node);
+  list_node_init (&member->queue_node);
+  list_node_init (&member->timer_node);
+  return member;
+}
+
+swim_member_t *
+swim_table_add (swim_table_t *table, const swim_update_t *update)
+{
+  swim_member_t *member = member_new (update);
+  if (table->self == NULL)
+    table->self = member;
+  g_hash_table_insert (table->members, member->id, member);
+  list_push_back (&table->buckets[bucket_of (member)], &member->bucket_node);
+  table->hashes[bucket_of (member)] ^= record_hash (member);
+  enter_ring (table, member);
+  enter_timers (table, member);
+  return member;
+}
+
+void
+swim_table_init (swim_table_t *table, const swim_update_t *self, rng_t *rng)
+{
+  memset (table, 0, sizeof (*table));
+  table->rng = rng;
+  table->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, member_free);
+  table->own_ring.members = g_ptr_array_new ();
+  table->other_ring.members = g_ptr_array_new ();
+  list_init (&table->suspects);
+  list_init (&table->dead);
+  for (int i = 0; i < SWIM_BUCKETS; i++)
+    list_init (&table->buckets[i]);
+  for (int i = 0; i <= SWIM_MAX_TRANSMITS; i++)
+    list_init (&table->queue[i]);
+  swim_table_add (table, self);
+}
+
+void
+swim_table_destroy (swim_table_t *table)
+{
+  g_ptr_array_unref (table->own_ring.members);
+  g_ptr_array_unref (table->other_ring.members);
+  g_hash_table_unref (table->members);
+}
+
+swim_member_t *
+swim_table_find (const swim_table_t *table, const char *id)
+{
+  return g_hash_table_lookup (table->members, id);
+}
+
+size_t
+swim_table_live (const swim_table_t *table)
+{
+  return g_hash_table_size (table->members) - table->dead_count;
+}
+
+void
+swim_table_remove (swim_table_t *table, swim_member_t *member)
+{
+  g_assert (member != table->self);
+  leave_ring (table, member);
+  leave_timers (table, member);
+  table->hashes[bucket_of (member)] ^= record_hash (member);
+  list_remove (&member->bucket_node);
+  list_remove (&member->queue_node);
+  g_hash_table_remove (table->members, member->id);
+}
+
+void
+swim_table_set (swim_table_t *table, swim_member_t *member, const swim_update_t *update,
+                int64_t timer_us)
+{
+  leave_ring (table, member);
+  leave_timers (table, member);
+  table->hashes[bucket_of (member)] ^= record_hash (member);
+  member->status = (uint8_t)update->status;
+  member->flags = update->flags;
+  member->incarnation = update->incarnation;
+  member->timer_us = timer_us;
+  if (update->status == SWIM_ALIVE)
+    {
+      set_text (&member->peer_address, update->peer_address);
+      set_text (&member->caller_address, update->caller_address);
+      set_text (&member->domain, update->domain);
+    }
+  table->hashes[bucket_of (member)] ^= record_hash (member);
+  enter_ring (table, member);
+  enter_timers (table, member);
+}
+
+void
+swim_table_get (const swim_member_t *member, swim_update_t *update)
+{
+  *update = (swim_update_t){ .id = member->id,
+                             .status = (swim_status_t)member->status,
+                             .flags = member->flags,
+                             .incarnation = member->incarnation,
+                             .peer_address = member->peer_address,
+                             .caller_address = member->caller_address,
+                             .domain = member->domain };
+}
+
+static unsigned
+transmit_limit (const swim_table_t *table)
+{
+  double steps = ceil (log2 ((double)swim_table_live (table) + 1));
+  return (unsigned)MIN (SWIM_SPREAD_FACTOR * steps, SWIM_MAX_TRANSMITS);
+}
+
+void
+swim_table_spread (swim_table_t *table, swim_member_t *member)
+{
+  member->transmits = 0;
+  list_remove (&member->queue_node);
+  list_push_back (&table->queue[0], &member->queue_node);
+}
+
+swim_member_t *
+swim_table_next_update (swim_table_t *table, size_t size,
+                        size_t (*size_of) (const swim_update_t *update), list_t *sent)
+{
+  for (int i = 0; i <= SWIM_MAX_TRANSMITS; i++)
+    {
+      if (list_is_empty (&table->queue[i]))
+        continue;
+      swim_member_t *member = LIST_ENTRY (list_first (&table->queue[i]), swim_member_t, queue_node);
+      swim_update_t update;
+      swim_table_get (member, &update);
+      if (size_of (&update) > size)
+        return NULL;
+      list_remove (&member->queue_node);
+      list_push_back (sent, &member->queue_node);
+      return member;
+    }
+  return NULL;
+}
+
+void
+swim_table_end_message (swim_table_t *table, list_t *sent)
+{
+  unsigned limit = transmit_limit (table);
+  while (!list_is_empty (sent))
+    {
+      swim_member_t *member = LIST_ENTRY (list_pop_front (sent), swim_member_t, queue_node);
+      member->transmits++;
+      if (member->transmits < limit)
+        list_push_back (&table->queue[member->transmits], &member->queue_node);
+    }
+}
+
+static void
+ring_shuffle (swim_table_t *table, swim_ring_t *ring)
+{
+  for (guint i = ring->members->len; i > 1; i--)
+    {
+      guint j = (guint)rng_below (table->rng, i);
+      swim_member_t *a = g_ptr_array_index (ring->members, i - 1);
+      swim_member_t *b = g_ptr_array_index (ring->members, j);
+      ring->members->pdata[i - 1] = b;
+      ring->members->pdata[j] = a;
+      b->ring_index = i - 1;
+      a->ring_index = j;
+    }
+  ring->next = 0;
+}
+
+swim_member_t *
+swim_table_next_probe (swim_table_t *table, bool own)
+{
+  swim_ring_t *ring = own ? &table->own_ring : &table->other_ring;
+  if (ring->members->len == 0)
+    ring = own ? &table->other_ring : &table->own_ring;
+  if (ring->members->len == 0)
+    return NULL;
+  if (ring->next >= ring->members->len)
+    ring_shuffle (table, ring);
+  return g_ptr_array_index (ring->members, ring->next++);
+}
+
+swim_member_t *
+swim_table_random (swim_table_t *table)
+{
+  guint own = table->own_ring.members->len;
+  guint all = own + table->other_ring.members->len;
+  if (all == 0)
+    return NULL;
+  guint index = (guint)rng_below (table->rng, all);
+  if (index < own)
+    return g_ptr_array_index (table->own_ring.members, index);
+  return g_ptr_array_index (table->other_ring.members, index - own);
+}
+
+swim_member_t *
+swim_table_random_dead (swim_table_t *table)
+{
+  if (table->dead_count == 0)
+    return NULL;
+  size_t steps = (size_t)rng_below (table->rng, MIN (table->dead_count, DEAD_WALK_LIMIT));
+  list_node_t *node = list_first (&table->dead);
+  while (steps-- > 0)
+    node = node->next;
+  return LIST_ENTRY (node, swim_member_t, timer_node);
+}
--- /dev/null
+++ b/tests/membership/test_swim.cc
@@ -0,0 +1,211 @@
+// Scenarios of the membership protocol in virtual time, one failure each.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "swim_sim.h"
+
+static sim_options_t
+options_of (int nodes, uint64_t seed)
+{
+  sim_options_t options;
+  options.nodes = nodes;
+  options.seed = seed;
+  return options;
+}
+
+// Guards against members that never learn of each other when they only know a seed.
+TEST (Swim, JoinThroughSeeds)
+{
+  Sim sim (options_of (40, 1));
+  sim.start_all ();
+  sim.run_until (15 * SIM_S);
+  EXPECT_EQ (sim.wrong_views (), 0);
+}
+
+// Guards against a crashed member that stays in the view, and against one that comes back unseen.
+TEST (Swim, CrashAndRestart)
+{
+  Sim sim (options_of (20, 2));
+  sim.start_all ();
+  sim.run_until (15 * SIM_S);
+  sim.crash (7);
+  sim.run_until (35 * SIM_S);
+  EXPECT_EQ (sim.wrong_views (), 0);
+  sim.start (7);
+  sim.run_until (50 * SIM_S);
+  EXPECT_EQ (sim.wrong_views (), 0);
+}
+
+// Guards against a restarted member that is ignored because its wall clock went back.
+TEST (Swim, RestartWithAnEarlierClock)
+{
+  Sim sim (options_of (8, 3));
+  sim.start_all ();
+  sim.run_until (15 * SIM_S);
+  uint64_t before = sim.nodes[5].swim.table.self->incarnation;
+  sim.crash (5);
+  sim.start (5, -3600000);
+  sim.run_until (30 * SIM_S);
+  EXPECT_EQ (sim.wrong_views (), 0);
+  EXPECT_GT (sim.nodes[5].swim.table.self->incarnation, before);
+}
+
+// Guards against a member that is declared dead because one link to it works in one direction only.
+TEST (Swim, OneWayLinkKeepsTheMemberAlive)
+{
+  Sim sim (options_of (8, 4));
+  int dead = 0;
+  sim.member_hook = [&] (int, swim_event_t event, const swim_member_t *) {
+    dead += event == SWIM_EVENT_DEAD ? 1 : 0;
+  };
+  sim.start_all ();
+  sim.run_until (15 * SIM_S);
+  sim.blocked = [] (int from, int to) { return from == 1 && to == 2; };
+  sim.run_until (200 * SIM_S);
+  EXPECT_EQ (dead, 0);
+}
+
+// Guards against a departure that is treated as a failure, and against a draining member that loses
+// its membership before it stops.
+TEST (Swim, LeaveIsAnnounced)
+{
+  Sim sim (options_of (20, 5));
+  int suspected = 0;
+  sim.member_hook = [&] (int, swim_event_t event, const swim_member_t *) {
+    suspected += event == SWIM_EVENT_SUSPECTED ? 1 : 0;
+  };
+  sim.start_all ();
+  sim.run_until (15 * SIM_S);
+  swim_set_version (&sim.nodes[9].swim, sim.now_us, 4, 99);
+  swim_set_leaving (&sim.nodes[9].swim, sim.now_us);
+  sim.run_until (20 * SIM_S);
+  for (int i = 0; i < 20; i++)
+    {
+      EXPECT_EQ (sim.view (i, 9)->status, SWIM_ALIVE);
+      EXPECT_EQ (sim.view (i, 9)->flags, SWIM_FLAG_LEAVING | SWIM_FLAG_CONFIGURED);
+    }
+  swim_stop (&sim.nodes[9].swim, sim.now_us);
+  sim.run_until (20 * SIM_S + 500 * SIM_MS);
+  sim.crash (9);
+  sim.run_until (28 * SIM_S);
+  EXPECT_EQ (sim.wrong_views (), 0);
+  EXPECT_NE (sim.view (0, 9)->flags & SWIM_FLAG_LEFT, 0);
+  EXPECT_EQ (suspected, 0);
+}
+
+// Guards against memory that grows with every instance that was ever replaced, and against dead
+// members that are brought back by the comparison of tables.
+TEST (Swim, DeadMembersAreRemoved)
+{
+  Sim sim (options_of (8, 6));
+  sim.start_all ();
+  sim.run_until (15 * SIM_S);
+  sim.crash (3);
+  sim.run_until (SWIM_RETENTION_US);
+  EXPECT_EQ (sim.view (0, 3)->status, SWIM_DEAD);
+  sim.run_until (SWIM_RETENTION_US + 120 * SIM_S);
+  for (int i = 0; i < 8; i++)
+    EXPECT_TRUE (i == 3 || sim.view (i, 3) == nullptr);
+}
+
+// Guards against a partition of minutes that does not heal, and against members that the two sides
+// declare dead again afterwards.
+TEST (Swim, PartitionHeals)
+{
+  for (uint64_t seed = 1; seed <= 5; seed++)
+    {
+      Sim sim (options_of (48, seed));
+      sim.start_all ();
+      sim.run_until (15 * SIM_S);
+      sim.blocked = [&] (int from, int to) {
+        return (sim.nodes[from].domain == "fd-0") != (sim.nodes[to].domain == "fd-0");
+      };
+      sim.run_until (200 * SIM_S);
+      EXPECT_EQ (swim_live_count (&sim.nodes[0].swim), 16u);
+      EXPECT_EQ (swim_live_count (&sim.nodes[1].swim), 32u);
+      int dead = 0;
+      sim.blocked = nullptr;
+      sim.member_hook = [&] (int, swim_event_t event, const swim_member_t *) {
+        dead += event == SWIM_EVENT_DEAD ? 1 : 0;
+      };
+      sim.run_until (230 * SIM_S);
+      EXPECT_EQ (sim.wrong_views (), 0) << "seed " << seed;
+      EXPECT_EQ (dead, 0) << "seed " << seed;
+    }
+}
+
+// Guards against an instance that is cut off, or whose replies come late, and makes the others
+// believe that the fleet is dead.
+TEST (Swim, OneBadInstanceDoesNotKillTheFleet)
+{
+  for (int fault = 0; fault < 4; fault++)
+    for (uint64_t seed = 1; seed <= 5; seed++)
+      {
+        Sim sim (options_of (48, seed));
+        std::set<std::pair<int, std::string> > dead;
+        sim.start_all ();
+        sim.run_until (15 * SIM_S);
+        sim.member_hook = [&] (int node, swim_event_t event, const swim_member_t *member) {
+          if (event == SWIM_EVENT_DEAD && node != 4 && member->id != sim.nodes[4].id)
+            dead.insert ({ node, member->id });
+        };
+        sim.blocked = [=] (int from, int to) {
+          return (to == 4 && fault != 1 && fault != 3) || (from == 4 && fault != 0 && fault != 3);
+        };
+        sim.nodes[4].slow_us = fault == 3 ? 1500 * SIM_MS : 0;
+        sim.run_until (315 * SIM_S);
+        sim.blocked = nullptr;
+        sim.nodes[4].slow_us = 0;
+        sim.run_until (345 * SIM_S);
+        EXPECT_EQ (dead.size (), 0u) << "fault " << fault << " seed " << seed;
+        EXPECT_EQ (sim.wrong_views (), 0) << "fault " << fault << " seed " << seed;
+      }
+}
+
+// Guards against a member that no other one probes for a long time.
+TEST (Swim, EachMemberIsProbedInTwoRounds)
+{
+  sim_options_t options = options_of (30, 8);
+  options.preload = true;
+  Sim sim (options);
+  sim.start_all ();
+  swim_table_t *table = &sim.nodes[0].swim.table;
+  std::set<const swim_member_t *> seen;
+  size_t own = table->own_ring.members->len;
+  for (size_t i = 0; i < own; i++)
+    seen.insert (swim_table_next_probe (table, true));
+  EXPECT_EQ (seen.size (), own);
+  for (int round = 0; round < 3; round++)
+    {
+      // A member that joins or leaves must not keep others out of more than one round.
+      swim_table_remove (table, swim_table_find (table, sim.nodes[3 * (round + 1)].id.c_str ()));
+      seen.clear ();
+      for (size_t i = 0; i < 2 * own; i++)
+        seen.insert (swim_table_next_probe (table, true));
+      EXPECT_EQ (seen.size (), table->own_ring.members->len);
+    }
+}
+
+// Guards against messages that do not fit a datagram.
+TEST (Swim, MessagesStaySmall)
+{
+  sim_options_t options = options_of (64, 9);
+  Sim sim (options);
+  size_t largest = 0;
+  sim.start_all ();
+  for (int64_t t = 1; t <= 40; t++)
+    {
+      std::vector<std::pair<uint64_t, uint64_t> > before;
+      for (sim_node_t &node : sim.nodes)
+        before.push_back ({ node.messages, node.bytes });
+      sim.run_until (t * 250 * SIM_MS);
+      for (size_t i = 0; i < sim.nodes.size (); i++)
+        if (sim.nodes[i].messages == before[i].first + 1)
+          largest = std::max (largest, (size_t)(sim.nodes[i].bytes - before[i].second));
+    }
+  EXPECT_GT (largest, 500u);
+  EXPECT_LE (largest, 1280u);
+}
