config_doc, config_patch, route_table: check, merge patch and routing

A document of the design scale (62,000 routes, 440,000 teams) does not fit in 128 MB in parsed form, so the check and the patch work member by member on canonical text.

--- /dev/null
+++ b/src/config_build.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "config_doc.h"
+#include "config_field.h"
+#include "json_slice.h"
+
+/* config_build - the parts of a view and their construction; only for config_doc.
+ *
+ * Each function checks one top-level member and fills its part of DOC. Services come first, because
+ * routes refer to them. VALUE is the text of the member. */
+
+/* Position of a team's name in the text, and its limit. */
+typedef struct
+{
+  uint32_t name_offset;
+  uint32_t limit; /* index in limits */
+} config_team_t;
+
+struct config_doc
+{
+  gint refs;
+  GBytes *text;
+  const char *data; /* of text */
+  GStringChunk *strings;
+  size_t string_bytes;
+  GPtrArray *lists; /* arrays that belong to services */
+  GArray *services; /* config_service_t, by name */
+  GArray *routes;   /* config_route_t, in the order of the document */
+  GArray *teams;    /* config_team_t, by name */
+  GArray *limits;   /* config_limit_t; the first is the default */
+};
+
+bool config_build_services (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+bool config_build_routes (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+bool config_build_team_default (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+bool config_build_teams (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+
+/* Copies TEXT into the view. */
+const char *config_build_string (config_doc_t *doc, const char *text);
+
+/* Checks that KEY is a name and comes after PREVIOUS, which it replaces. The order shows that no
+ * key occurs twice. */
+bool config_build_key (const field_context_t *context, json_slice_t key, json_slice_t *previous);
--- a/src/config_doc.h
+++ b/src/config_doc.h
@@ -81,17 +81,17 @@
   uint32_t entries_per_domain; /* 1..4 */
   uint32_t stall_ms;
   uint32_t slow_start_ms;
-  uint32_t max_queue;                /* requests waiting for a slot at one assigned entry */
-  const uint16_t *wrong_statuses;    /* statuses that count as a wrong response */
-  size_t wrong_status_count;         /* 0: none */
-  const char *wrong_require_header;  /* header that a right response has; NULL: no such rule */
+  uint32_t max_queue;               /* requests waiting for a slot at one assigned entry */
+  const uint16_t *wrong_statuses;   /* statuses that count as a wrong response */
+  size_t wrong_status_count;        /* 0: none */
+  const char *wrong_require_header; /* header that a right response has; NULL: no such rule */
 } config_service_t;
 
 typedef struct
 {
   const char *id;
-  const char *prefix;   /* normalised, see route_table */
-  uint32_t service;     /* index for config_doc_service() */
+  const char *prefix; /* normalised, see route_table */
+  uint32_t service;   /* index for config_doc_service() */
   uint32_t timeout_ms;
   uint32_t max_body_bytes;
   uint8_t methods;       /* set of config_method_t */
--- /dev/null
+++ b/src/config_field.c
@@ -0,0 +1,182 @@
+#include "config_field.h"
+
+#include <math.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Characters of a prefix besides letters, digits and '/'. ';' and '%' are left out because backend
+ * servers differ in how they read them. */
+static const char prefix_marks[] = "-._~!$&'()*+,=:@";
+
+bool
+field_error (const field_context_t *context, const char *key, const char *rule, ...)
+{
+  char text[ANV_ERROR_TEXT_SIZE];
+  va_list args;
+  va_start (args, rule);
+  vsnprintf (text, sizeof (text), rule, args);
+  va_end (args);
+  anv_error_set (context->err, ANV_ERROR_CONFIG, CONFIG_ERROR_RULE, "%s%s%.100s: %s", context->path,
+                 key != NULL ? "." : "", key != NULL ? key : "", text);
+  return false;
+}
+
+static const field_t *
+find_field (const field_t *fields, const char *key)
+{
+  for (const field_t *field = fields; field->kind != FIELD_END; field++)
+    {
+      if (strcmp (field->key, key) == 0)
+        return field;
+    }
+  return NULL;
+}
+
+static void
+store_number (const field_t *field, double value, void *out)
+{
+  void *member = (char *)out + field->offset;
+  if (field->kind == FIELD_UINT32)
+    *(uint32_t *)member = (uint32_t)value;
+  else if (field->kind == FIELD_DOUBLE)
+    *(double *)member = value;
+  else if (field->kind == FIELD_BOOL)
+    *(bool *)member = value != 0;
+}
+
+static bool
+read_number (const field_context_t *context, const cJSON *item, const field_t *field, void *out)
+{
+  double value = item->valuedouble;
+  if (!cJSON_IsNumber (item))
+    return field_error (context, field->key, "must be a number");
+  if (field->kind == FIELD_UINT32 && floor (value) != value)
+    return field_error (context, field->key, "must be an integer");
+  /* Negative zero would pass the range but has another text than zero, hence another digest. */
+  if (!isfinite (value) || value < field->min || value > field->max
+      || (value == 0 && signbit (value)))
+    return field_error (context, field->key, "must be from %.10g to %.10g", field->min, field->max);
+  store_number (field, value, out);
+  return true;
+}
+
+static bool
+read_field (const field_context_t *context, const cJSON *item, const field_t *field, void *out)
+{
+  if (field->kind == FIELD_OTHER)
+    return true;
+  if (field->kind != FIELD_BOOL)
+    return read_number (context, item, field, out);
+  if (!cJSON_IsBool (item))
+    return field_error (context, field->key, "must be true or false");
+  store_number (field, cJSON_IsTrue (item), out);
+  return true;
+}
+
+bool
+field_read (const field_context_t *context, const cJSON *object, const field_t *fields, void *out)
+{
+  const cJSON *item = NULL;
+
+  cJSON_ArrayForEach (item, object)
+  {
+    const field_t *field = find_field (fields, item->string);
+    if (field == NULL)
+      return field_error (context, item->string, "unknown key");
+    if (!read_field (context, item, field, out))
+      return false;
+  }
+  for (const field_t *field = fields; field->kind != FIELD_END; field++)
+    {
+      if (cJSON_GetObjectItemCaseSensitive (object, field->key) != NULL)
+        continue;
+      if (field->required)
+        return field_error (context, field->key, "is required");
+      store_number (field, field->fallback, out);
+    }
+  return true;
+}
+
+cJSON *
+field_parse_object (const field_context_t *context, json_slice_t value)
+{
+  const char *reason = NULL;
+  cJSON *object = json_parse (value.data, value.size, &reason);
+  if (object == NULL)
+    {
+      field_error (context, NULL, "%s", reason);
+      return NULL;
+    }
+  if (!cJSON_IsObject (object))
+    {
+      field_error (context, NULL, "must be an object");
+      cJSON_Delete (object);
+      return NULL;
+    }
+  return object;
+}
+
+bool
+field_is_name (const char *text, size_t size)
+{
+  if (size == 0 || size > CONFIG_MAX_NAME_SIZE)
+    return false;
+  for (size_t i = 0; i < size; i++)
+    {
+      if (!g_ascii_isalnum (text[i]) && (text[i] == '\0' || strchr ("._-:@", text[i]) == NULL))
+        return false;
+    }
+  return true;
+}
+
+bool
+field_is_host (const char *text)
+{
+  size_t size = strlen (text);
+  bool literal = size > 2 && text[0] == '[' && text[size - 1] == ']';
+  const char *marks = literal ? ":." : ".-_";
+  size_t first = literal ? 1 : 0;
+  size_t last = literal ? size - 1 : size;
+
+  if (size == 0 || size > CONFIG_MAX_NAME_SIZE)
+    return false;
+  for (size_t i = first; i < last; i++)
+    {
+      if (!g_ascii_isalnum (text[i]) && strchr (marks, text[i]) == NULL)
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_dot_segment (const char *segment, size_t size)
+{
+  return (size == 1 && segment[0] == '.') || (size == 2 && memcmp (segment, "..", 2) == 0);
+}
+
+const char *
+field_prefix_rule (const char *prefix)
+{
+  if (prefix[0] != '/')
+    return "must start with '/'";
+  if (strlen (prefix) > CONFIG_MAX_PREFIX_SIZE)
+    return "is longer than 255 bytes";
+  if (prefix[1] == '\0')
+    return NULL;
+
+  size_t segments = 0;
+  for (const char *p = prefix; *p == '/'; segments++)
+    {
+      const char *segment = ++p;
+      while (g_ascii_isalnum (*p) || (*p != '\0' && strchr (prefix_marks, *p) != NULL))
+        p++;
+      if (*p != '\0' && *p != '/')
+        return "has a character other than letters, digits, '/' and -._~!$&'()*+,=:@";
+      if (p == segment)
+        return "must not end in '/' or have an empty segment";
+      if (is_dot_segment (segment, (size_t)(p - segment)))
+        return "has a dot segment";
+    }
+  return segments <= CONFIG_MAX_PREFIX_SEGMENTS ? NULL : "has more than 32 segments";
+}
--- /dev/null
+++ b/src/config_patch.c
@@ -0,0 +1,201 @@
+#include "config_patch.h"
+
+#include <string.h>
+
+static const json_slice_t EMPTY_OBJECT = { "{}", 2 };
+
+static void
+apply_member (cJSON *target, const cJSON *change)
+{
+  cJSON *old = cJSON_GetObjectItemCaseSensitive (target, change->string);
+  if (cJSON_IsNull (change))
+    {
+      if (old != NULL)
+        cJSON_Delete (cJSON_DetachItemViaPointer (target, old));
+      return;
+    }
+  if (cJSON_IsObject (change) && cJSON_IsObject (old))
+    {
+      config_patch_apply (old, change);
+      return;
+    }
+  cJSON *value = config_patch_apply (NULL, change);
+  if (old != NULL)
+    cJSON_ReplaceItemInObjectCaseSensitive (target, change->string, value);
+  else
+    cJSON_AddItemToObject (target, change->string, value);
+}
+
+cJSON *
+config_patch_apply (cJSON *target, const cJSON *patch)
+{
+  const cJSON *change = NULL;
+  if (!cJSON_IsObject (patch))
+    {
+      cJSON_Delete (target);
+      return cJSON_Duplicate (patch, true);
+    }
+  if (!cJSON_IsObject (target))
+    {
+      cJSON_Delete (target);
+      target = cJSON_CreateObject ();
+    }
+  cJSON_ArrayForEach (change, patch) apply_member (target, change);
+  return target;
+}
+
+static int
+compare_members (const void *a, const void *b)
+{
+  const cJSON *const *left = a;
+  const cJSON *const *right = b;
+  return strcmp ((*left)->string, (*right)->string);
+}
+
+static GPtrArray *
+sorted_members (const cJSON *object)
+{
+  GPtrArray *members = g_ptr_array_new ();
+  const cJSON *child = NULL;
+  cJSON_ArrayForEach (child, object) g_ptr_array_add (members, (void *)child);
+  g_ptr_array_sort (members, compare_members);
+  return members;
+}
+
+static void
+diff_member (const cJSON *old, const cJSON *new_value, cJSON *patch)
+{
+  if (cJSON_Compare (old, new_value, true))
+    return;
+  cJSON *change = cJSON_IsObject (old) && cJSON_IsObject (new_value)
+                      ? config_patch_diff (old, new_value)
+                      : cJSON_Duplicate (new_value, true);
+  cJSON_AddItemToObject (patch, new_value->string, change);
+}
+
+cJSON *
+config_patch_diff (const cJSON *from, const cJSON *to)
+{
+  if (!cJSON_IsObject (from) || !cJSON_IsObject (to))
+    return cJSON_Duplicate (to, true);
+
+  cJSON *patch = cJSON_CreateObject ();
+  g_autoptr (GPtrArray) left = sorted_members (from);
+  g_autoptr (GPtrArray) right = sorted_members (to);
+  guint l = 0;
+  guint r = 0;
+  while (l < left->len || r < right->len)
+    {
+      const cJSON *old = l < left->len ? g_ptr_array_index (left, l) : NULL;
+      const cJSON *new_value = r < right->len ? g_ptr_array_index (right, r) : NULL;
+      int order = old == NULL         ? 1
+                  : new_value == NULL ? -1
+                                      : strcmp (old->string, new_value->string);
+      if (order < 0)
+        cJSON_AddNullToObject (patch, old->string);
+      else if (order > 0)
+        cJSON_AddItemToObject (patch, new_value->string, cJSON_Duplicate (new_value, true));
+      else
+        diff_member (old, new_value, patch);
+      l += order <= 0;
+      r += order >= 0;
+    }
+  return patch;
+}
+
+static void
+append_key (GString *out, json_slice_t key)
+{
+  if (out->str[out->len - 1] != '{')
+    g_string_append_c (out, ',');
+  g_string_append_c (out, '"');
+  g_string_append_len (out, key.data, (gssize)key.size);
+  g_string_append (out, "\":");
+}
+
+/* Returns the key of MEMBER as it appears in canonical text. Free KEY_TEXT with g_free(). */
+static json_slice_t
+escaped_key (const cJSON *member, char **key_text)
+{
+  cJSON *string = cJSON_CreateStringReference (member->string);
+  *key_text = json_canonical (string);
+  cJSON_Delete (string);
+  return (json_slice_t){ *key_text + 1, strlen (*key_text) - 2 };
+}
+
+static bool
+append_change (GString *out, json_slice_t key, json_slice_t target, const cJSON *change)
+{
+  if (cJSON_IsNull (change))
+    return true;
+  append_key (out, key);
+  return config_patch_apply_text (target, change, out);
+}
+
+/* Position in both member lists while they are merged. */
+typedef struct
+{
+  json_cursor_t cursor;
+  json_slice_t key;
+  json_slice_t value;
+  bool has_member;
+} merge_t;
+
+static void
+advance (merge_t *merge)
+{
+  merge->has_member = json_cursor_next (&merge->cursor, &merge->key, &merge->value);
+}
+
+/* Copies the members of the target whose keys come before KEY; returns whether KEY is next. */
+static bool
+copy_until (merge_t *merge, const json_slice_t *key, GString *out)
+{
+  while (merge->has_member)
+    {
+      int order = key != NULL ? json_key_compare (merge->key, *key) : -1;
+      if (order >= 0)
+        return order == 0;
+      append_key (out, merge->key);
+      g_string_append_len (out, merge->value.data, (gssize)merge->value.size);
+      advance (merge);
+    }
+  return false;
+}
+
+static bool
+merge_object (merge_t *merge, const cJSON *patch, GString *out)
+{
+  g_autoptr (GPtrArray) changes = sorted_members (patch);
+  g_string_append_c (out, '{');
+  advance (merge);
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const cJSON *change = g_ptr_array_index (changes, i);
+      g_autofree char *key_text = NULL;
+      json_slice_t key = escaped_key (change, &key_text);
+      bool exists = copy_until (merge, &key, out);
+      if (!append_change (out, key, exists ? merge->value : EMPTY_OBJECT, change))
+        return false;
+      if (exists)
+        advance (merge);
+    }
+  copy_until (merge, NULL, out);
+  g_string_append_c (out, '}');
+  return json_cursor_done (&merge->cursor);
+}
+
+bool
+config_patch_apply_text (json_slice_t target, const cJSON *patch, GString *out)
+{
+  if (!cJSON_IsObject (patch))
+    {
+      g_autofree char *text = json_canonical (patch);
+      g_string_append (out, text);
+      return true;
+    }
+  merge_t merge = { .has_member = false };
+  if (!json_cursor_open (&merge.cursor, target, '{'))
+    json_cursor_open (&merge.cursor, EMPTY_OBJECT, '{');
+  return merge_object (&merge, patch, out);
+}
--- /dev/null
+++ b/src/json_slice.c
@@ -0,0 +1,160 @@
+#include "json_slice.h"
+
+#include <string.h>
+
+#include "json_util.h"
+
+bool
+json_cursor_open (json_cursor_t *cursor, json_slice_t value, char kind)
+{
+  memset (cursor, 0, sizeof (*cursor));
+  cursor->close = kind == '{' ? '}' : ']';
+  cursor->failed = value.size < 2 || value.data[0] != kind;
+  if (cursor->failed)
+    return false;
+  cursor->next = value.data + 1;
+  cursor->end = value.data + value.size;
+  return true;
+}
+
+/* Returns the byte after the string that starts at P, or NULL. */
+static const char *
+skip_string (const char *p, const char *end)
+{
+  for (p++; p < end; p++)
+    {
+      if (*p == '\\')
+        p++;
+      else if (*p == '"')
+        return p + 1;
+    }
+  return NULL;
+}
+
+static const char *
+skip_scalar (const char *p, const char *end)
+{
+  while (p < end && *p != ',' && *p != '}' && *p != ']')
+    p++;
+  return p;
+}
+
+/* Returns the byte after the value that starts at P, or NULL. */
+static const char *
+skip_value (const char *p, const char *end)
+{
+  if (*p == '"')
+    return skip_string (p, end);
+  if (*p != '{' && *p != '[')
+    return skip_scalar (p, end);
+
+  size_t depth = 0;
+  while (p != NULL && p < end)
+    {
+      char c = *p;
+      if (c == '"')
+        {
+          p = skip_string (p, end);
+          continue;
+        }
+      p++;
+      if (c == '{' || c == '[')
+        depth++;
+      else if ((c == '}' || c == ']') && --depth == 0)
+        return p;
+    }
+  return NULL;
+}
+
+static bool
+fail (json_cursor_t *cursor)
+{
+  cursor->failed = true;
+  return false;
+}
+
+static bool
+read_key (json_cursor_t *cursor, json_slice_t *key)
+{
+  const char *start = cursor->next;
+  if (start >= cursor->end || *start != '"')
+    return fail (cursor);
+  const char *after = skip_string (start, cursor->end);
+  if (after == NULL || after >= cursor->end || *after != ':')
+    return fail (cursor);
+  key->data = start + 1;
+  key->size = (size_t)(after - start) - 2;
+  cursor->next = after + 1;
+  return true;
+}
+
+bool
+json_cursor_next (json_cursor_t *cursor, json_slice_t *key, json_slice_t *value)
+{
+  *key = (json_slice_t){ "", 0 };
+  if (cursor->failed || cursor->next >= cursor->end)
+    return false;
+  if (*cursor->next == cursor->close)
+    {
+      cursor->next++;
+      return false;
+    }
+  if (cursor->started && *cursor->next++ != ',')
+    return fail (cursor);
+  cursor->started = true;
+  if (cursor->close == '}' && !read_key (cursor, key))
+    return false;
+  if (cursor->next >= cursor->end)
+    return fail (cursor);
+
+  const char *after = skip_value (cursor->next, cursor->end);
+  if (after == NULL || after == cursor->next || after >= cursor->end)
+    return fail (cursor);
+  value->data = cursor->next;
+  value->size = (size_t)(after - cursor->next);
+  cursor->next = after;
+  return true;
+}
+
+bool
+json_cursor_done (const json_cursor_t *cursor)
+{
+  return !cursor->failed && cursor->next == cursor->end && cursor->end[-1] == cursor->close;
+}
+
+bool
+json_slice_equal (json_slice_t a, json_slice_t b)
+{
+  return a.size == b.size && memcmp (a.data, b.data, a.size) == 0;
+}
+
+static char *
+unescape (json_slice_t key)
+{
+  g_autofree char *quoted = g_strdup_printf ("\"%.*s\"", (int)key.size, key.data);
+  cJSON *string = cJSON_Parse (quoted);
+  char *text = g_strdup (cJSON_IsString (string) ? string->valuestring : "");
+  cJSON_Delete (string);
+  return text;
+}
+
+static int
+compare_bytes (const char *a, size_t a_size, const char *b, size_t b_size)
+{
+  int order = memcmp (a, b, MIN (a_size, b_size));
+  if (order != 0)
+    return order;
+  return a_size < b_size ? -1 : a_size > b_size;
+}
+
+int
+json_key_compare (json_slice_t a, json_slice_t b)
+{
+  bool escaped = memchr (a.data, '\\', a.size) != NULL || memchr (b.data, '\\', b.size) != NULL;
+  if (!escaped)
+    return compare_bytes (a.data, a.size, b.data, b.size);
+
+  g_autofree char *left = unescape (a);
+  g_autofree char *right = unescape (b);
+  return strcmp (left, right);
+}
--- /dev/null
+++ b/src/route_path.c
@@ -0,0 +1,146 @@
+#include "route_path.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Each pass removes one level of percent-encoding; no honest caller sends more than two. */
+#define MAX_DECODE_PASSES 4
+
+/* Decodes one level of percent-encoding in place. Returns whether anything was decoded. */
+static bool
+decode_pass (char *text, size_t *size)
+{
+  size_t out = 0;
+  bool changed = false;
+  for (size_t in = 0; in < *size; in++)
+    {
+      char c = text[in];
+      if (c == '%' && in + 2 < *size && g_ascii_isxdigit (text[in + 1])
+          && g_ascii_isxdigit (text[in + 2]))
+        {
+          c = (char)(g_ascii_xdigit_value (text[in + 1]) * 16
+                     + g_ascii_xdigit_value (text[in + 2]));
+          in += 2;
+          changed = true;
+        }
+      text[out++] = c;
+    }
+  *size = out;
+  return changed;
+}
+
+/* In the path as sent, each '%' must start an escape. After decoding, a '%' may be literal. */
+static bool
+escapes_are_valid (const char *text, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    {
+      if (text[i] != '%')
+        continue;
+      if (i + 2 >= size || !g_ascii_isxdigit (text[i + 1]) || !g_ascii_isxdigit (text[i + 2]))
+        return false;
+    }
+  return true;
+}
+
+static bool
+characters_are_valid (const char *text, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    {
+      if (g_ascii_iscntrl (text[i]))
+        return false;
+    }
+  return g_utf8_validate (text, (gssize)size, NULL);
+}
+
+static bool
+is_separator (char c)
+{
+  return c == '/' || c == '\\';
+}
+
+/* Returns the size of a segment without parameters. A decoded '?' or '#' ends it as well, for
+ * backend servers that split the target after decoding. */
+static size_t
+segment_name_size (const char *data, size_t size)
+{
+  size_t i = 0;
+  while (i < size && strchr (";?#", data[i]) == NULL)
+    i++;
+  return i;
+}
+
+/* Appends the segment at DATA to PATH. Returns false for "..". */
+static bool
+add_segment (route_path_t *path, size_t *used, const char *data, size_t size)
+{
+  size = segment_name_size (data, size);
+  if (size == 0 || (size == 1 && data[0] == '.'))
+    return true;
+  if (size == 2 && memcmp (data, "..", 2) == 0)
+    return false;
+  if (path->count == CONFIG_MAX_PREFIX_SEGMENTS)
+    return true;
+
+  path->text[(*used)++] = '/';
+  for (size_t i = 0; i < size; i++)
+    path->text[(*used)++] = g_ascii_tolower (data[i]);
+  path->ends[path->count++] = *used;
+  return true;
+}
+
+static bool
+split_segments (route_path_t *path, const char *text, size_t size)
+{
+  size_t used = 0;
+  size_t start = 0;
+  for (size_t i = 0; i <= size; i++)
+    {
+      if (i < size && !is_separator (text[i]))
+        continue;
+      if (!add_segment (path, &used, text + start, i - start))
+        return false;
+      start = i + 1;
+    }
+  if (used == 0)
+    path->text[used++] = '/';
+  path->text[used] = '\0';
+  return true;
+}
+
+route_result_t
+route_path_read (route_path_t *path, const char *target)
+{
+  char text[ROUTE_MAX_PATH_SIZE];
+  size_t size = strcspn (target, "?");
+  path->count = 0;
+  if (target[0] != '/' || memchr (target, '#', size) != NULL)
+    return ROUTE_BAD_PATH;
+  if (size > sizeof (text))
+    return ROUTE_PATH_TOO_LONG;
+  if (!escapes_are_valid (target, size))
+    return ROUTE_BAD_PATH;
+
+  memcpy (text, target, size);
+  unsigned passes = 0;
+  while (decode_pass (text, &size))
+    {
+      if (++passes > MAX_DECODE_PASSES)
+        return ROUTE_BAD_PATH;
+    }
+  if (!characters_are_valid (text, size) || !split_segments (path, text, size))
+    return ROUTE_BAD_PATH;
+  return ROUTE_FOUND;
+}
+
+bool
+route_path_is_literal (const char *target, const char *prefix)
+{
+  size_t size = strlen (prefix);
+  if (size == 1)
+    return target[0] == '/';
+  if (strncmp (target, prefix, size) != 0)
+    return false;
+  return target[size] == '\0' || target[size] == '/' || target[size] == '?';
+}
--- /dev/null
+++ b/tests/control/test_config_doc.cc
@@ -0,0 +1,210 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+extern "C"
+{
+#include "config_doc.h"
+}
+
+namespace
+{
+// Replaces single quotes, which stand for double quotes in this file.
+std::string
+json (std::string text)
+{
+  std::replace (text.begin (), text.end (), '\'', '"');
+  return text;
+}
+
+std::string
+error_of (const std::string &quoted)
+{
+  std::string text = json (quoted);
+  anv_error_t err = {};
+  config_doc_t *doc = config_doc_parse (text.data (), text.size (), CONFIG_SCHEMA, &err);
+  EXPECT_EQ (doc == nullptr, anv_error_is_set (&err));
+  config_doc_unref (doc);
+  return err.text;
+}
+
+std::string
+with_service (const std::string &members)
+{
+  return "{'services':{'s':{'hosts':['h']" + members + "}}}";
+}
+
+std::string
+route (const std::string &members)
+{
+  return "{'service':'s','class':'urgent','idempotent':true" + members + "}";
+}
+
+std::string
+with_routes (const std::string &routes)
+{
+  return "{'services':{'s':{'hosts':['h']}},'routes':" + routes + "}";
+}
+const std::string get_a = ",'methods':['GET'],'prefix':'/a'";
+}
+
+// Guards against settings that get lost or get another value than the document states.
+TEST (ConfigDoc, ViewHoldsEverySetting)
+{
+  const std::string text = json (
+      "{ 'services': { 'crew': { 'hosts': ['Crew.example'], 'min_healthy_slots': 20, "
+      "'sensitivity': 0.8, 'retry_share': 0.2, 'entries_per_domain': 2, 'stall_ms': 900, "
+      "'slow_start_ms': 7000, 'max_queue': 50, 'wrong_answer': { 'statuses': [500, 502], "
+      "'require_header': 'X-Sheet-Id' } } }, 'routes': { 'book': { 'service': 'crew', 'methods': "
+      "['POST', 'PUT'], 'prefix': '/p', 'class': 'urgent', 'idempotent': false, 'timeout_ms': "
+      "5000, 'max_body_bytes': 65536 } }, 'teams': { 'gang-12': { 'rate': 5, 'burst': 10 }, "
+      "'gang-2': { 'rate': 0.5, 'burst': 3 } }, 'team_default': { 'rate': 7, 'burst': 8 } }");
+  anv_error_t err = {};
+  config_doc_t *doc = config_doc_parse (text.data (), text.size (), CONFIG_SCHEMA, &err);
+  ASSERT_NE (doc, nullptr) << err.text;
+  const config_service_t *service = config_doc_find_service (doc, "crew");
+  ASSERT_NE (service, nullptr);
+  EXPECT_STREQ (service->hosts[0], "crew.example");
+  EXPECT_EQ (service->min_healthy_slots, 20u);
+  EXPECT_EQ (service->sensitivity, 0.8);
+  EXPECT_EQ (service->retry_share, 0.2);
+  EXPECT_EQ (service->entries_per_domain, 2u);
+  EXPECT_EQ (service->stall_ms, 900u);
+  EXPECT_EQ (service->slow_start_ms, 7000u);
+  EXPECT_EQ (service->max_queue, 50u);
+  ASSERT_EQ (service->wrong_status_count, 2u);
+  EXPECT_EQ (service->wrong_statuses[1], 502);
+  EXPECT_STREQ (service->wrong_require_header, "X-Sheet-Id");
+  const config_route_t *book = config_doc_find_route (doc, "book");
+  ASSERT_NE (book, nullptr);
+  EXPECT_EQ (book->methods, CONFIG_METHOD_POST | CONFIG_METHOD_PUT);
+  EXPECT_STREQ (book->prefix, "/p");
+  EXPECT_EQ (book->request_class, CONFIG_CLASS_URGENT);
+  EXPECT_FALSE (book->idempotent);
+  EXPECT_EQ (book->timeout_ms, 5000u);
+  EXPECT_EQ (book->max_body_bytes, 65536u);
+  EXPECT_EQ (config_doc_team_limit (doc, "gang-12")->burst, 10);
+  EXPECT_EQ (config_doc_team_limit (doc, "gang-2")->rate, 0.5);
+  for (const char *other : { "gang", "gang-1", "gang-123", "", "gang-12\":{\"burst" })
+    EXPECT_EQ (config_doc_team_limit (doc, other)->rate, 7) << other;
+  EXPECT_EQ (config_doc_team_limit (doc, nullptr)->burst, 8);
+  config_doc_unref (doc);
+}
+
+// Guards against defaults that change the meaning of documents that leave a setting out.
+TEST (ConfigDoc, DefaultsOfSchema1)
+{
+  std::string text = json (with_routes ("[" + route (get_a + ",'id':'a'") + "]"));
+  config_doc_t *doc = config_doc_parse (text.data (), text.size (), 1, nullptr);
+  ASSERT_NE (doc, nullptr);
+  const config_service_t *s = config_doc_service (doc, 0);
+  EXPECT_EQ (s->min_healthy_slots, 1u);
+  EXPECT_EQ (s->sensitivity, 0.5);
+  EXPECT_EQ (s->retry_share, 0.1);
+  EXPECT_EQ (s->entries_per_domain, 1u);
+  EXPECT_EQ (s->stall_ms, 1000u);
+  EXPECT_EQ (s->slow_start_ms, 10000u);
+  EXPECT_EQ (s->max_queue, 1000u);
+  EXPECT_EQ (config_doc_route (doc, 0)->timeout_ms, 10000u);
+  EXPECT_EQ (config_doc_route (doc, 0)->max_body_bytes, 1048576u);
+  EXPECT_EQ (config_doc_team_default (doc)->rate, 50);
+  EXPECT_EQ (config_doc_team_default (doc)->burst, 100);
+  config_doc_unref (doc);
+  EXPECT_EQ (config_doc_parse ("{}", 2, CONFIG_SCHEMA + 1, nullptr), nullptr);
+}
+
+// Guards against a document that breaks a rule and is accepted, or an error without path and rule.
+TEST (ConfigDoc, ErrorNamesPathAndRule)
+{
+  const std::string a = route (get_a + ",'id':'a'");
+  const std::pair<std::string, const char *> cases[] = {
+    { "[]", "$: must be an object" },
+    { "{\"services\":{}", "$: not valid JSON" },
+    { "{\"teams\":{},\"teams\":{}}", "$: duplicate key in an object" },
+    { std::string (40, '[') + std::string (40, ']'), "$: nested too deeply" },
+    { "{'route':[]}", "$: unknown key \"route\"" },
+    { "{'services':[]}", "$.services: must be an object" },
+    { "{'services':{'s':{}}}", "$.services.s.hosts: is required" },
+    { "{'services':{'s':7}}", "$.services.s: must be an object" },
+    { "{'services':{'a b':{'hosts':['h']}}}",
+      "$.services: key \"a b\" must have 1 to 128 letters, digits or characters of ._-:@" },
+    { "{'services':{'s':{'hosts':['h']},'t':{'hosts':['g','H']}}}",
+      "$.services.t.hosts: host \"h\" is listed twice" },
+    { "{'services':{'s':{'hosts':['h:80']}}}",
+      "$.services.s.hosts: element 0 must be a host name without port" },
+    { with_service (",'sensitivity':1.5"), "$.services.s.sensitivity: must be from 0 to 1" },
+    { with_service (",'sensitivity':-0"), "$.services.s.sensitivity: must be from 0 to 1" },
+    { with_service (",'sensitivity':1e999"), "$.services.s.sensitivity: must be a number" },
+    { with_service (",'stall_ms':'1'"), "$.services.s.stall_ms: must be a number" },
+    { with_service (",'max_queue':1.5"), "$.services.s.max_queue: must be an integer" },
+    { with_service (",'floor':1"), "$.services.s.floor: unknown key" },
+    { with_service (",'wrong_answer':{'statuses':[99]}"),
+      "$.services.s.wrong_answer.statuses: element 0 must be from 100 to 599" },
+    { with_service (",'wrong_answer':{'header':'X'}"),
+      "$.services.s.wrong_answer.header: unknown key" },
+    { with_routes ("7"), "$.routes: must be an array or an object" },
+    { with_routes ("[" + route (get_a) + "]"), "$.routes[0].id: is required" },
+    { with_routes ("[" + a + "," + a + "]"), "$.routes: id \"a\" is used twice" },
+    { with_routes ("{'b':" + a + "}"), "$.routes.b.id: must be equal to the key of the route" },
+    { with_routes ("[" + a + "," + route (get_a + ",'id':'b'") + "]"),
+      "$.routes: \"b\" has the service, prefix and a method of another route" },
+    { with_routes ("[" + a + "," + route (",'id':'b','methods':['PUT'],'prefix':'/A'") + "]"),
+      "$.routes: prefixes of \"a\" and \"b\" differ only in case" },
+    { with_routes ("[{'id':'a','service':'x','methods':['GET'],'prefix':'/"
+                   "','class':'urgent','idempotent':true}]"),
+      "$.routes[0].service: names no service" },
+    { with_routes ("[{'id':'a','service':'s','methods':['GET'],'prefix':'/','class':'urgent'}]"),
+      "$.routes[0].idempotent: is required" },
+    { with_routes ("[{'id':'a','service':'s','methods':['GET'],'prefix':'/"
+                   "','class':'fast','idempotent':true}]"),
+      "$.routes[0].class: must be \"urgent\" or \"background\"" },
+    { with_routes ("{\"a\":" + route (",'methods':['TRACE'],'prefix':'/'") + "}"),
+      "$.routes.a.methods: must be of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS" },
+    { with_routes ("{\"a\":" + route (",'methods':['GET'],'prefix':'/x/'") + "}"),
+      "$.routes.a.prefix: must not end in '/' or have an empty segment" },
+    { with_routes ("{\"a\":" + route (",'methods':['GET'],'prefix':'/%41'") + "}"),
+      "$.routes.a.prefix: has a character other than letters, digits, '/' and -._~!$&'()*+,=:@" },
+    { with_routes ("{\"a\":" + route (",'methods':['GET'],'prefix':'/x/../y'") + "}"),
+      "$.routes.a.prefix: has a dot segment" },
+    { "{'teams':{'t':{'rate':0,'burst':1}}}", "$.teams.t.rate: must be from 0.001 to 1000000" },
+    { "{'teams':{'t':{'rate':1}}}", "$.teams.t.burst: is required" },
+    { "{'team_default':{'rate':1,'burst':1,'x':1}}", "$.team_default.x: unknown key" },
+    { "{\"teams\":{\"\xff\":{}}}", "$: not valid UTF-8 text" },
+  };
+  for (const auto &[text, expected] : cases)
+    EXPECT_EQ (error_of (text), expected) << text;
+  EXPECT_EQ (error_of (with_routes ("[" + a + "]")), "");
+}
+
+// Guards against reading outside the text, or accepting it, when a peer sends text that is damaged
+// or not canonical. Every cut and every changed byte of a valid text is tried.
+TEST (ConfigDoc, DamagedCanonicalText)
+{
+  const std::string text
+      = json ("{'routes':{'a':{'class':'urgent','idempotent':true,'methods':['GET'],"
+              "'prefix':'/a','service':'s'}},'services':{'s':{'hosts':['h']}},"
+              "'teams':{'t':{'burst':1,'rate':1},'u':{'burst':1,'rate':1}}}");
+  auto accepts = [] (const std::string &quoted) {
+    std::string candidate = json (quoted);
+    g_autoptr (GBytes) bytes = g_bytes_new (candidate.data (), candidate.size ());
+    config_doc_t *doc = config_doc_new (bytes, CONFIG_SCHEMA, nullptr);
+    config_doc_unref (doc);
+    return doc != nullptr;
+  };
+  EXPECT_TRUE (accepts (text));
+  for (size_t i = 0; i < text.size (); i++)
+    {
+      EXPECT_FALSE (accepts (text.substr (0, i)));
+      for (char c : { '"', '\\', '{', ']', '\xff' })
+        {
+          std::string changed = text;
+          changed[i] = c;
+          EXPECT_TRUE (changed == text || !accepts (changed)) << changed;
+        }
+    }
+  EXPECT_FALSE (accepts ("{ 'teams':{}}"));
+  EXPECT_FALSE (accepts ("{'teams':{},'services':{}}"));
+  EXPECT_FALSE (accepts ("{'teams':{'u':{'burst':1,'rate':1},'t':{'burst':1,'rate':1}}}"));
+  EXPECT_FALSE (accepts ("{'teams':{'t':{'burst':1,'rate':1},'t':{'burst':1,'rate':1}}}"));
+}
