--- a/src/config_doc.c
+++ b/src/config_doc.c
@@ -29,7 +29,7 @@
 };
 
 /* Limit of a team without its own if the document has no "team_default". */
-static const config_limit_t DEFAULT_LIMIT = { .rate = 50, .burst = 100 };
+static const config_limit_t default_limit = { .rate = 50, .burst = 100 };
 
 const char *
 config_build_string (config_doc_t *doc, const char *text)
@@ -65,7 +65,7 @@
   doc->routes = g_array_new (FALSE, TRUE, sizeof (config_route_t));
   doc->teams = g_array_new (FALSE, TRUE, sizeof (config_team_t));
   doc->limits = g_array_new (FALSE, TRUE, sizeof (config_limit_t));
-  g_array_append_val (doc->limits, DEFAULT_LIMIT);
+  g_array_append_val (doc->limits, default_limit);
   return doc;
 }
 
--- a/src/config_field.h
+++ b/src/config_field.h
@@ -20,8 +20,8 @@
 {
   const char *key;
   field_kind_t kind;
-  size_t offset; /* of the member in the struct that is filled */
   bool required;
+  size_t offset; /* of the member in the struct that is filled */
   double min;
   double max;
   double fallback;
--- a/src/config_patch.c
+++ b/src/config_patch.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-static const json_slice_t EMPTY_OBJECT = { "{}", 2 };
+static const json_slice_t empty_object = { "{}", 2 };
 
 static void
 apply_member (cJSON *target, const cJSON *change)
@@ -62,15 +62,31 @@
   return members;
 }
 
+/* Objects are compared by their difference, because cJSON_Compare() takes quadratic time for them.
+ */
 static void
 diff_member (const cJSON *old, const cJSON *new_value, cJSON *patch)
 {
-  if (cJSON_Compare (old, new_value, true))
-    return;
-  cJSON *change = cJSON_IsObject (old) && cJSON_IsObject (new_value)
-                      ? config_patch_diff (old, new_value)
-                      : cJSON_Duplicate (new_value, true);
-  cJSON_AddItemToObject (patch, new_value->string, change);
+  cJSON *change = NULL;
+  if (cJSON_IsObject (old) && cJSON_IsObject (new_value))
+    {
+      change = config_patch_diff (old, new_value);
+      if (change->child == NULL)
+        {
+          cJSON_Delete (change);
+          return;
+        }
+    }
+  else if (!cJSON_Compare (old, new_value, true))
+    change = cJSON_Duplicate (new_value, true);
+  if (change != NULL)
+    cJSON_AddItemToObject (patch, new_value->string, change);
+}
+
+static void
+add_member (const cJSON *new_value, cJSON *patch)
+{
+  cJSON_AddItemToObject (patch, new_value->string, cJSON_Duplicate (new_value, true));
 }
 
 cJSON *
@@ -84,22 +100,24 @@
   g_autoptr (GPtrArray) right = sorted_members (to);
   guint l = 0;
   guint r = 0;
-  while (l < left->len || r < right->len)
+  while (l < left->len && r < right->len)
     {
-      const cJSON *old = l < left->len ? g_ptr_array_index (left, l) : NULL;
-      const cJSON *new_value = r < right->len ? g_ptr_array_index (right, r) : NULL;
-      int order = old == NULL         ? 1
-                  : new_value == NULL ? -1
-                                      : strcmp (old->string, new_value->string);
+      const cJSON *old = g_ptr_array_index (left, l);
+      const cJSON *new_value = g_ptr_array_index (right, r);
+      int order = strcmp (old->string, new_value->string);
       if (order < 0)
         cJSON_AddNullToObject (patch, old->string);
       else if (order > 0)
-        cJSON_AddItemToObject (patch, new_value->string, cJSON_Duplicate (new_value, true));
+        add_member (new_value, patch);
       else
         diff_member (old, new_value, patch);
       l += order <= 0;
       r += order >= 0;
     }
+  for (; l < left->len; l++)
+    cJSON_AddNullToObject (patch, ((const cJSON *)g_ptr_array_index (left, l))->string);
+  for (; r < right->len; r++)
+    add_member (g_ptr_array_index (right, r), patch);
   return patch;
 }
 
@@ -175,7 +193,7 @@
       g_autofree char *key_text = NULL;
       json_slice_t key = escaped_key (change, &key_text);
       bool exists = copy_until (merge, &key, out);
-      if (!append_change (out, key, exists ? merge->value : EMPTY_OBJECT, change))
+      if (!append_change (out, key, exists ? merge->value : empty_object, change))
         return false;
       if (exists)
         advance (merge);
@@ -196,6 +214,6 @@
     }
   merge_t merge = { .has_member = false };
   if (!json_cursor_open (&merge.cursor, target, '{'))
-    json_cursor_open (&merge.cursor, EMPTY_OBJECT, '{');
+    json_cursor_open (&merge.cursor, empty_object, '{');
   return merge_object (&merge, patch, out);
 }
--- a/src/config_routes.c
+++ b/src/config_routes.c
@@ -5,14 +5,14 @@
 /* "class", "idempotent" and "methods" have no default: a route that is wrongly taken for idempotent
  * could be run twice. */
 static const field_t route_fields[] = {
-  { "id", FIELD_OTHER, 0 },
-  { "service", FIELD_OTHER, 0, .required = true },
-  { "methods", FIELD_OTHER, 0, .required = true },
-  { "prefix", FIELD_OTHER, 0, .required = true },
-  { "class", FIELD_OTHER, 0, .required = true },
-  { "idempotent", FIELD_BOOL, offsetof (config_route_t, idempotent), .required = true },
-  { "timeout_ms", FIELD_UINT32, offsetof (config_route_t, timeout_ms), false, 1, 3600000, 10000 },
-  { "max_body_bytes", FIELD_UINT32, offsetof (config_route_t, max_body_bytes), false, 0, UINT32_MAX,
+  { "id", FIELD_OTHER, false },
+  { "service", FIELD_OTHER, true },
+  { "methods", FIELD_OTHER, true },
+  { "prefix", FIELD_OTHER, true },
+  { "class", FIELD_OTHER, true },
+  { "idempotent", FIELD_BOOL, true, offsetof (config_route_t, idempotent) },
+  { "timeout_ms", FIELD_UINT32, false, offsetof (config_route_t, timeout_ms), 1, 3600000, 10000 },
+  { "max_body_bytes", FIELD_UINT32, false, offsetof (config_route_t, max_body_bytes), 0, UINT32_MAX,
     1048576 },
   { NULL, FIELD_END },
 };
--- a/src/config_services.c
+++ b/src/config_services.c
@@ -6,25 +6,25 @@
 #define MAX_SERVICE_MS 3600000
 
 static const field_t service_fields[] = {
-  { "hosts", FIELD_OTHER, 0, .required = true },
-  { "wrong_answer", FIELD_OTHER, 0 },
-  { "min_healthy_slots", FIELD_UINT32, offsetof (config_service_t, min_healthy_slots), false, 0,
+  { "hosts", FIELD_OTHER, true },
+  { "wrong_answer", FIELD_OTHER, false },
+  { "min_healthy_slots", FIELD_UINT32, false, offsetof (config_service_t, min_healthy_slots), 0,
     1000000, 1 },
-  { "sensitivity", FIELD_DOUBLE, offsetof (config_service_t, sensitivity), false, 0, 1, 0.5 },
-  { "retry_share", FIELD_DOUBLE, offsetof (config_service_t, retry_share), false, 0, 1, 0.1 },
-  { "entries_per_domain", FIELD_UINT32, offsetof (config_service_t, entries_per_domain), false, 1,
+  { "sensitivity", FIELD_DOUBLE, false, offsetof (config_service_t, sensitivity), 0, 1, 0.5 },
+  { "retry_share", FIELD_DOUBLE, false, offsetof (config_service_t, retry_share), 0, 1, 0.1 },
+  { "entries_per_domain", FIELD_UINT32, false, offsetof (config_service_t, entries_per_domain), 1,
     4, 1 },
-  { "stall_ms", FIELD_UINT32, offsetof (config_service_t, stall_ms), false, 10, MAX_SERVICE_MS,
+  { "stall_ms", FIELD_UINT32, false, offsetof (config_service_t, stall_ms), 10, MAX_SERVICE_MS,
     1000 },
-  { "slow_start_ms", FIELD_UINT32, offsetof (config_service_t, slow_start_ms), false, 0,
+  { "slow_start_ms", FIELD_UINT32, false, offsetof (config_service_t, slow_start_ms), 0,
     MAX_SERVICE_MS, 10000 },
-  { "max_queue", FIELD_UINT32, offsetof (config_service_t, max_queue), false, 1, 1000000, 1000 },
+  { "max_queue", FIELD_UINT32, false, offsetof (config_service_t, max_queue), 1, 1000000, 1000 },
   { NULL, FIELD_END },
 };
 
 static const field_t wrong_answer_fields[] = {
-  { "statuses", FIELD_OTHER, 0 },
-  { "require_header", FIELD_OTHER, 0 },
+  { "statuses", FIELD_OTHER, false },
+  { "require_header", FIELD_OTHER, false },
   { NULL, FIELD_END },
 };
 
--- a/src/config_teams.c
+++ b/src/config_teams.c
@@ -15,8 +15,8 @@
 } memo_t;
 
 static const field_t limit_fields[] = {
-  { "rate", FIELD_DOUBLE, offsetof (config_limit_t, rate), true, 0.001, MAX_TEAM_RATE, 0 },
-  { "burst", FIELD_DOUBLE, offsetof (config_limit_t, burst), true, 1, MAX_TEAM_RATE, 0 },
+  { "rate", FIELD_DOUBLE, true, offsetof (config_limit_t, rate), 0.001, MAX_TEAM_RATE, 0 },
+  { "burst", FIELD_DOUBLE, true, offsetof (config_limit_t, burst), 1, MAX_TEAM_RATE, 0 },
   { NULL, FIELD_END },
 };
 
