segment_log: files behind a vtable and an append-only log

The replicated log needs records that are durable when it says so. file_ops is a vtable over one data directory with a POSIX implementation that locks the directory; segment_log stores numbered records with checksums in segments, with one write and one sync per batch.

Opening writes the last segment anew, because pages whose sync failed in an earlier process can be clean in the page cache without being on the disk. A record whose end was never written is cut; any other mismatch is reported with file and offset. The header has its own checksum, so a damaged size is not taken for a torn write.

--- /dev/null
+++ b/src/file_posix.c
@@ -0,0 +1,173 @@
+#include "file_posix.h"
+
+#include <dirent.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "list.h"
+
+#define DIRECTORY_MODE 0700
+#define FILE_MODE 0600
+
+static file_posix_t *
+from_store (file_store_t *store)
+{
+  return LIST_ENTRY (store, file_posix_t, store);
+}
+
+static bool
+fail (anv_error_t *err, const char *what, const char *name)
+{
+  int number = errno;
+  storage_error_t code = STORAGE_ERROR_IO;
+  if (number == ENOSPC || number == EDQUOT)
+    code = STORAGE_ERROR_FULL;
+  if (number == ENOENT)
+    code = STORAGE_ERROR_NOT_FOUND;
+  anv_error_set (err, ANV_ERROR_STORAGE, code, "cannot %s %s: %s", what, name, strerror (number));
+  return false;
+}
+
+static bool
+posix_open (file_store_t *store, const char *name, bool create, int *handle, anv_error_t *err)
+{
+  int flags = O_RDWR | O_APPEND | O_CLOEXEC | (create ? O_CREAT : 0);
+  *handle = openat (from_store (store)->dir_fd, name, flags, FILE_MODE);
+  return *handle >= 0 || fail (err, "open", name);
+}
+
+static void
+posix_close (file_store_t *store, int handle)
+{
+  close (handle);
+}
+
+static bool
+posix_append (file_store_t *store, int handle, const uint8_t *data, size_t size, anv_error_t *err)
+{
+  while (size > 0)
+    {
+      ssize_t written = write (handle, data, size);
+      if (written < 0 && errno == EINTR)
+        continue;
+      if (written < 0)
+        return fail (err, "append to", "file");
+      data += written;
+      size -= (size_t)written;
+    }
+  return true;
+}
+
+static bool
+posix_sync (file_store_t *store, int handle, anv_error_t *err)
+{
+  return fdatasync (handle) == 0 || fail (err, "sync", "file");
+}
+
+static bool
+posix_read (file_store_t *store, int handle, uint64_t offset, uint8_t *buffer, size_t size,
+            size_t *got, anv_error_t *err)
+{
+  *got = 0;
+  while (*got < size)
+    {
+      ssize_t count = pread (handle, buffer + *got, size - *got, (off_t)(offset + *got));
+      if (count < 0 && errno == EINTR)
+        continue;
+      if (count < 0)
+        return fail (err, "read", "file");
+      if (count == 0)
+        break;
+      *got += (size_t)count;
+    }
+  return true;
+}
+
+static bool
+posix_truncate (file_store_t *store, int handle, uint64_t size, anv_error_t *err)
+{
+  return ftruncate (handle, (off_t)size) == 0 || fail (err, "truncate", "file");
+}
+
+static bool
+posix_rename (file_store_t *store, const char *from, const char *to, anv_error_t *err)
+{
+  int dir_fd = from_store (store)->dir_fd;
+  return renameat (dir_fd, from, dir_fd, to) == 0 || fail (err, "rename", from);
+}
+
+static bool
+posix_remove (file_store_t *store, const char *name, anv_error_t *err)
+{
+  return unlinkat (from_store (store)->dir_fd, name, 0) == 0 || fail (err, "remove", name);
+}
+
+static bool
+posix_list (file_store_t *store, GPtrArray *names, anv_error_t *err)
+{
+  int fd = openat (from_store (store)->dir_fd, ".", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  DIR *dir = fd >= 0 ? fdopendir (fd) : NULL;
+  if (dir == NULL)
+    {
+      fail (err, "list", "directory");
+      if (fd >= 0)
+        close (fd);
+      return false;
+    }
+  errno = 0;
+  for (struct dirent *entry = readdir (dir); entry != NULL; entry = readdir (dir))
+    {
+      if (entry->d_name[0] != '.')
+        g_ptr_array_add (names, g_strdup (entry->d_name));
+    }
+  bool ok = errno == 0 || fail (err, "list", "directory");
+  closedir (dir);
+  return ok;
+}
+
+static bool
+posix_sync_dir (file_store_t *store, anv_error_t *err)
+{
+  return fsync (from_store (store)->dir_fd) == 0 || fail (err, "sync", "directory");
+}
+
+static const file_ops_t posix_ops = {
+  .open = posix_open,
+  .close = posix_close,
+  .append = posix_append,
+  .sync = posix_sync,
+  .read = posix_read,
+  .truncate = posix_truncate,
+  .rename = posix_rename,
+  .remove = posix_remove,
+  .list = posix_list,
+  .sync_dir = posix_sync_dir,
+};
+
+bool
+file_posix_init (file_posix_t *posix, const char *path, anv_error_t *err)
+{
+  posix->store.ops = &posix_ops;
+  if (mkdir (path, DIRECTORY_MODE) != 0 && errno != EEXIST)
+    return fail (err, "create", path);
+  posix->dir_fd = open (path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (posix->dir_fd < 0)
+    return fail (err, "open", path);
+  if (flock (posix->dir_fd, LOCK_EX | LOCK_NB) == 0)
+    return true;
+  close (posix->dir_fd);
+  anv_error_set (err, ANV_ERROR_STORAGE, STORAGE_ERROR_LOCKED,
+                 "data directory %s is in use by another process", path);
+  return false;
+}
+
+void
+file_posix_destroy (file_posix_t *posix)
+{
+  close (posix->dir_fd);
+}
--- /dev/null
+++ b/tests/state/fake_disk.cc
@@ -0,0 +1,221 @@
+#include "fake_disk.h"
+
+static bool
+fail (anv_error_t *err, storage_error_t code, const char *text)
+{
+  anv_error_set (err, ANV_ERROR_STORAGE, code, "%s", text);
+  return false;
+}
+
+void
+FakeDisk::Inode::apply (const Op &op)
+{
+  if (op.truncate)
+    durable.resize (std::min (durable.size (), op.size));
+  else
+    durable += op.data;
+}
+
+FakeDisk::FakeDisk (uint64_t seed) : base_{ { &ops_ }, this }
+{
+  rng_init (&rng_, seed);
+}
+
+bool
+FakeDisk::lies (const std::string &name) const
+{
+  return !lying.empty () && name.find (lying) != std::string::npos;
+}
+
+void
+FakeDisk::apply_dir (std::map<std::string, Link> &names, const DirOp &op)
+{
+  names.erase (op.remove);
+  if (op.inode)
+    names[op.add] = op.inode;
+}
+
+void
+FakeDisk::change_dir (const std::string &remove, const std::string &add, const Link &inode)
+{
+  pending_dir_.push_back ({ remove, add, inode });
+  apply_dir (names_, pending_dir_.back ());
+}
+
+void
+FakeDisk::crash ()
+{
+  handles_.clear ();
+  size_t kept = rng_below (&rng_, pending_dir_.size () + 1);
+  for (size_t i = 0; i < kept && !lies (pending_dir_[i].remove + pending_dir_[i].add); i++)
+    apply_dir (durable_names_, pending_dir_[i]);
+  pending_dir_.clear ();
+  names_ = durable_names_;
+  for (auto &[name, inode] : names_)
+    {
+      size_t survive = lies (inode->name) ? 0 : rng_below (&rng_, inode->pending.size () + 1);
+      for (size_t i = 0; i < survive; i++)
+        inode->apply (inode->pending[i]);
+      if (!lies (inode->name) && survive < inode->pending.size ())
+        {
+          const std::string &data = inode->pending[survive].data;
+          inode->durable += data.substr (0, rng_below (&rng_, data.size () + 1));
+        }
+      inode->pending.clear ();
+      inode->cache = inode->durable;
+    }
+}
+
+void
+FakeDisk::lose ()
+{
+  handles_.clear ();
+  names_.clear ();
+  durable_names_.clear ();
+  pending_dir_.clear ();
+}
+
+std::vector<std::string>
+FakeDisk::names () const
+{
+  std::vector<std::string> out;
+  for (auto &[name, inode] : names_)
+    out.push_back (name);
+  return out;
+}
+
+void
+FakeDisk::set_content (const std::string &name, const std::string &data)
+{
+  auto inode = std::make_shared<Inode> ();
+  inode->cache = inode->durable = data;
+  names_[name] = durable_names_[name] = inode;
+}
+
+void
+FakeDisk::flip_bit (const std::string &name, size_t offset, unsigned bit)
+{
+  std::string data = content (name);
+  data[offset] = (char)(data[offset] ^ (1 << bit));
+  set_content (name, data);
+}
+
+uint64_t
+FakeDisk::used () const
+{
+  uint64_t total = 0;
+  for (auto &[name, inode] : names_)
+    total += inode->cache.size ();
+  return total;
+}
+
+bool
+FakeDisk::append (int handle, const uint8_t *data, size_t size, anv_error_t *err)
+{
+  Link &inode = handles_.at (handle);
+  uint64_t in_use = used ();
+  size_t fits = capacity > in_use ? std::min<uint64_t> (size, capacity - in_use) : 0;
+  std::string written ((const char *)data, fits);
+  inode->cache += written;
+  inode->pending.push_back ({ false, 0, written });
+  bytes_appended += fits;
+  return fits == size || fail (err, STORAGE_ERROR_FULL, "no space left");
+}
+
+bool
+FakeDisk::sync (int handle, anv_error_t *err)
+{
+  Link &inode = handles_.at (handle);
+  syncs++;
+  if (fail_syncs > 0)
+    {
+      // The pages become clean without having been written: a later sync does not write them.
+      fail_syncs--;
+      for (Op &op : inode->pending)
+        op.data.assign (op.data.size (), '\0');
+      return fail (err, STORAGE_ERROR_IO, "sync failed");
+    }
+  if (lies (inode->name))
+    return true;
+  for (const Op &op : inode->pending)
+    inode->apply (op);
+  inode->pending.clear ();
+  return true;
+}
+
+bool
+FakeDisk::sync_dir (anv_error_t *err)
+{
+  syncs++;
+  if (fail_syncs > 0 && fail_syncs--)
+    return fail (err, STORAGE_ERROR_IO, "directory sync failed");
+  std::vector<DirOp> unsynced;
+  for (const DirOp &op : pending_dir_)
+    {
+      if (lies (op.remove + op.add))
+        unsynced.push_back (op);
+      else
+        apply_dir (durable_names_, op);
+    }
+  pending_dir_ = unsynced;
+  return true;
+}
+
+const file_ops_t FakeDisk::ops_ = {
+  [] (file_store_t *store, const char *name, bool create, int *handle, anv_error_t *err) {
+    FakeDisk *disk = from (store);
+    auto found = disk->names_.find (name);
+    if (found == disk->names_.end () && !create)
+      return fail (err, STORAGE_ERROR_NOT_FOUND, "no such file");
+    Link inode = found != disk->names_.end () ? found->second : std::make_shared<Inode> ();
+    if (found == disk->names_.end ())
+      {
+        inode->name = name;
+        disk->change_dir ("", name, inode);
+      }
+    *handle = disk->next_handle_++;
+    disk->handles_[*handle] = inode;
+    return true;
+  },
+  [] (file_store_t *store, int handle) { from (store)->handles_.erase (handle); },
+  [] (file_store_t *store, int handle, const uint8_t *data, size_t size, anv_error_t *err) {
+    return from (store)->append (handle, data, size, err);
+  },
+  [] (file_store_t *store, int handle, anv_error_t *err) {
+    return from (store)->sync (handle, err);
+  },
+  [] (file_store_t *store, int handle, uint64_t offset, uint8_t *buffer, size_t size, size_t *got,
+      anv_error_t *) {
+    const std::string &data = from (store)->handles_.at (handle)->cache;
+    *got = offset < data.size () ? std::min (size, data.size () - offset) : 0;
+    data.copy ((char *)buffer, *got, std::min (offset, data.size ()));
+    return true;
+  },
+  [] (file_store_t *store, int handle, uint64_t size, anv_error_t *) {
+    Link &inode = from (store)->handles_.at (handle);
+    inode->cache.resize (std::min (inode->cache.size (), size));
+    inode->pending.push_back ({ true, size, "" });
+    return true;
+  },
+  [] (file_store_t *store, const char *old_name, const char *new_name, anv_error_t *err) {
+    FakeDisk *disk = from (store);
+    auto found = disk->names_.find (old_name);
+    if (found == disk->names_.end ())
+      return fail (err, STORAGE_ERROR_NOT_FOUND, "no such file");
+    disk->change_dir (old_name, new_name, Link (found->second));
+    return true;
+  },
+  [] (file_store_t *store, const char *name, anv_error_t *err) {
+    FakeDisk *disk = from (store);
+    if (disk->names_.count (name) == 0)
+      return fail (err, STORAGE_ERROR_NOT_FOUND, "no such file");
+    disk->change_dir (name, "", nullptr);
+    return true;
+  },
+  [] (file_store_t *store, GPtrArray *names, anv_error_t *) {
+    for (auto &[name, inode] : from (store)->names_)
+      g_ptr_array_add (names, g_strdup (name.c_str ()));
+    return true;
+  },
+  [] (file_store_t *store, anv_error_t *err) { return from (store)->sync_dir (err); },
+};
