--- /dev/null
+++ b/src/ejector.c
@@ -0,0 +1,125 @@
+#include "ejector.h"
+
+#include <stdlib.h>
+
+void
+ejector_init (ejector_t *e)
+{
+  *e = (ejector_t){ 0 };
+}
+
+/* Returns the most settled slots within at least the last EJECTOR_SHARE_MEMORY_US. */
+static uint32_t
+remember_settled (ejector_t *e, int64_t now_us, uint32_t settled)
+{
+  int64_t age_us = now_us - e->period_start_us;
+
+  if (!e->started || age_us >= EJECTOR_SHARE_MEMORY_US)
+    *e = (ejector_t){ .period_start_us = now_us, .previous_max = e->period_max, .started = true };
+
+  if (settled > e->period_max)
+    e->period_max = settled;
+  return e->period_max > e->previous_max ? e->period_max : e->previous_max;
+}
+
+static bool
+is_settled (const ejector_target_t *target, int64_t now_us)
+{
+  return now_us - target->owned_since_us >= EJECTOR_SETTLE_US;
+}
+
+static uint32_t
+fresh_peer_slots (const ejector_view_t *view, int64_t now_us)
+{
+  uint32_t slots = 0;
+
+  for (size_t i = 0; i < view->peer_count; i++)
+    {
+      if (now_us - view->peers[i].taken_us <= EJECTOR_SUMMARY_MAX_AGE_US)
+        slots += view->peers[i].settled_slots;
+    }
+  return slots;
+}
+
+/* Returns ceil (floor * own / (own + peers)), at most OWN. */
+static uint32_t
+share_of_floor (uint32_t floor_slots, uint32_t own, uint32_t peers)
+{
+  uint64_t total = (uint64_t)own + peers;
+
+  if (total == 0)
+    return 0;
+  uint64_t share = ((uint64_t)floor_slots * own + total - 1) / total;
+  return share > own ? own : (uint32_t)share;
+}
+
+static double
+rank_badness (const ejector_target_t *target)
+{
+  if (!target->wanted)
+    return -1;
+  return target->ejected ? target->badness * EJECTOR_SWAP_FACTOR : target->badness;
+}
+
+static int
+compare_worst_first (const void *left, const void *right)
+{
+  const ejector_target_t *a = left;
+  const ejector_target_t *b = right;
+  double difference = rank_badness (b) - rank_badness (a);
+
+  if (difference != 0)
+    return difference > 0 ? 1 : -1;
+  if (a->id != b->id)
+    return a->id < b->id ? -1 : 1;
+  return 0;
+}
+
+static void
+decide_target (ejector_target_t *target, ejector_result_t *result)
+{
+  bool was_ejected = target->ejected;
+
+  target->ejected = target->wanted && result->ejected_slots + target->slots <= result->budget_slots;
+  target->action = EJECTOR_KEEP;
+  if (target->ejected)
+    result->ejected_slots += target->slots;
+  else if (target->wanted)
+    result->held_slots += target->slots;
+
+  if (target->ejected && !was_ejected)
+    {
+      target->action = EJECTOR_EJECT;
+      result->ejected++;
+    }
+  if (!target->ejected && was_ejected)
+    {
+      target->action = EJECTOR_READMIT;
+      result->readmitted++;
+    }
+}
+
+ejector_result_t
+ejector_update (ejector_t *e, int64_t now_us, const ejector_view_t *view)
+{
+  ejector_result_t result = { 0 };
+
+  for (size_t i = 0; i < view->target_count; i++)
+    {
+      result.own_slots += view->targets[i].slots;
+      if (is_settled (&view->targets[i], now_us))
+        result.settled_slots += view->targets[i].slots;
+    }
+
+  uint32_t peers = fresh_peer_slots (view, now_us);
+  uint32_t remembered = remember_settled (e, now_us, result.settled_slots);
+  uint32_t keep = share_of_floor (view->floor_slots, remembered, peers);
+  result.total_slots = result.settled_slots + peers;
+  result.budget_slots = result.settled_slots > keep ? result.settled_slots - keep : 0;
+
+  if (view->target_count > 0)
+    qsort (view->targets, view->target_count, sizeof (ejector_target_t), compare_worst_first);
+  for (size_t i = 0; i < view->target_count; i++)
+    decide_target (&view->targets[i], &result);
+  return result;
+}
