--- a/src/ejector.c
+++ b/src/ejector.c
@@ -113,7 +113,8 @@
 
   uint32_t peers = fresh_peer_slots (view, now_us);
   uint32_t remembered = remember_settled (e, now_us, result.settled_slots);
-  uint32_t keep = share_of_floor (view->floor_slots, remembered, peers);
+  uint32_t floor_slots = view->floor_slots > 0 ? view->floor_slots : 1;
+  uint32_t keep = share_of_floor (floor_slots, remembered, peers);
   result.total_slots = result.settled_slots + peers;
   result.budget_slots = result.settled_slots > keep ? result.settled_slots - keep : 0;
 
--- a/src/ejector.h
+++ b/src/ejector.h
@@ -69,7 +69,7 @@
 
 typedef struct
 {
-  uint32_t floor_slots; /* min_healthy_slots of the installed configuration */
+  uint32_t floor_slots; /* min_healthy_slots of the installed configuration; 0 counts as 1 */
   ejector_target_t *targets;
   size_t target_count;
   const ejector_peer_t *peers; /* one per entry */
--- /dev/null
+++ b/src/health.c
@@ -0,0 +1,348 @@
+#include "health.h"
+
+#include <math.h>
+
+#include "health_target.h"
+
+#define DEFAULT_SLOW_START_US 10000000
+
+/* Scores at which a target asks for its ejection, for sensitivity 0 and 1. A CUSUM of true
+ * likelihood ratios raises a false alarm at most once in exp(threshold) samples. */
+#define THRESHOLD_INSENSITIVE 24.0
+#define THRESHOLD_SENSITIVE 6.0
+
+/* Part of the threshold at which a target becomes suspect. */
+#define SUSPECT_SHARE 0.35
+
+#define LATENCY_GAIN 0.15
+#define USUAL_GAIN 0.001
+#define PROBE_STEP 0.02
+#define INITIAL_PROBE_US 25000.0
+
+/* Counts of requests and failures are halved beyond this number of requests. */
+#define MAX_REQUESTS 100.0
+
+/* Evidence of a probe: a log-normal shape with a deviation of 0.5 at twice the usual latency. */
+#define PROBE_SLOPE 2.77
+#define PROBE_OFFSET 0.96
+
+/* Residual up to which a response counts as timely. */
+#define GOOD_RESIDUAL M_LN2
+
+/* A probe is good for readmission up to this multiple of the usual latency. */
+#define GOOD_PROBE_FACTOR 2.0
+
+void
+health_configure (health_t *h, const health_options_t *options)
+{
+  double sensitivity = fmax (0, fmin (1, options->sensitivity));
+
+  h->options = *options;
+  h->options.sensitivity = sensitivity;
+  if (h->options.slow_start_us <= 0)
+    h->options.slow_start_us = DEFAULT_SLOW_START_US;
+  h->threshold
+      = THRESHOLD_INSENSITIVE + sensitivity * (THRESHOLD_SENSITIVE - THRESHOLD_INSENSITIVE);
+  h->suspect_threshold = SUSPECT_SHARE * h->threshold;
+}
+
+void
+health_init (health_t *h, const health_options_t *options)
+{
+  *h = (health_t){ .reference_us = -1, .probe_log = log (INITIAL_PROBE_US) };
+  health_configure (h, options);
+  h->targets = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  h->ordered = g_ptr_array_new ();
+  h->peers = g_array_new (FALSE, TRUE, sizeof (health_peer_t));
+  h->reference = g_array_new (FALSE, TRUE, sizeof (health_reference_t));
+  latency_model_init (&h->model);
+}
+
+void
+health_destroy (health_t *h)
+{
+  g_ptr_array_free (h->ordered, TRUE);
+  g_hash_table_destroy (h->targets);
+  g_array_free (h->peers, TRUE);
+  g_array_free (h->reference, TRUE);
+}
+
+static health_target_t *
+find (const health_t *h, uint64_t target_id)
+{
+  return g_hash_table_lookup (h->targets, &target_id);
+}
+
+static const health_target_t *
+ordered_target (const health_t *h, guint position)
+{
+  return g_ptr_array_index (h->ordered, position);
+}
+
+void
+health_add_target (health_t *h, int64_t now_us, uint64_t target_id)
+{
+  if (find (h, target_id) != NULL)
+    return;
+  health_target_t *target = g_new0 (health_target_t, 1);
+  target->id = target_id;
+  list_init (&target->attempts);
+  list_init (&target->probes);
+  target->slow_start_us = now_us;
+  target->credit_us = now_us;
+  target->last_sample_us = now_us;
+  target->cold = true;
+  g_hash_table_insert (h->targets, &target->id, target);
+
+  guint position = 0;
+  while (position < h->ordered->len && ordered_target (h, position)->id < target_id)
+    position++;
+  g_ptr_array_insert (h->ordered, (gint)position, target);
+}
+
+static void
+forget_attempts (list_t *attempts)
+{
+  list_node_t *node;
+  while ((node = list_pop_front (attempts)) != NULL)
+    LIST_ENTRY (node, health_attempt_t, node)->target = NULL;
+}
+
+void
+health_remove_target (health_t *h, uint64_t target_id)
+{
+  health_target_t *target = find (h, target_id);
+
+  if (target == NULL)
+    return;
+  forget_attempts (&target->attempts);
+  forget_attempts (&target->probes);
+  g_ptr_array_remove (h->ordered, target);
+  g_hash_table_remove (h->targets, &target_id);
+  h->reference_us = -1;
+}
+
+void
+health_set_peer (health_t *h, const health_peer_t *peer)
+{
+  for (guint i = 0; i < h->peers->len; i++)
+    {
+      health_peer_t *known = &g_array_index (h->peers, health_peer_t, i);
+      if (known->entry_id != peer->entry_id)
+        continue;
+      if (peer->taken_us >= known->taken_us)
+        *known = *peer;
+      return;
+    }
+  g_array_append_val (h->peers, *peer);
+}
+
+void
+health_remove_peer (health_t *h, uint64_t entry_id)
+{
+  for (guint i = 0; i < h->peers->len; i++)
+    {
+      if (g_array_index (h->peers, health_peer_t, i).entry_id == entry_id)
+        g_array_remove_index_fast (h->peers, i--);
+    }
+  h->reference_us = -1;
+}
+
+void
+health_begin (health_t *h, int64_t now_us, uint64_t target_id, health_attempt_t *attempt,
+              bool probe)
+{
+  health_target_t *target = find (h, target_id);
+
+  *attempt = (health_attempt_t){ .target = target, .started_us = now_us, .probe = probe };
+  list_node_init (&attempt->node);
+  if (target == NULL)
+    return;
+  list_push_back (probe ? &target->probes : &target->attempts, &attempt->node);
+  if (probe)
+    target->last_probe_us = now_us;
+}
+
+/* Requests and failures fade, so that the rate is that of the recent past. */
+static void
+count_outcome (health_target_t *target, bool failed)
+{
+  target->requests += 1;
+  target->failures += failed ? 1 : 0;
+  if (target->requests >= MAX_REQUESTS)
+    {
+      target->requests /= 2;
+      target->failures /= 2;
+    }
+}
+
+static void
+finish_latency (health_t *h, int64_t now_us, health_target_t *target, int64_t started_us)
+{
+  double latency_log = log (fmax (1, (double)(now_us - started_us)));
+  double reference_log;
+
+  if (!health_is_warm (h, now_us, target))
+    return;
+  if (health_reference_log (h, now_us, target, &reference_log))
+    {
+      double residual = latency_log - reference_log;
+      if (residual < GOOD_RESIDUAL && started_us > target->last_good_start_us)
+        target->last_good_start_us = started_us;
+      health_score_latency (h, now_us, target, latency_model_finished (&h->model, residual));
+      if (!target->unhealthy && !target->readmission.ejected)
+        latency_model_add (&h->model, residual);
+      h->usual_log = h->usual_log == 0 ? reference_log
+                                       : h->usual_log + USUAL_GAIN * (reference_log - h->usual_log);
+    }
+  double gain = target->samples == 0 ? 1 : LATENCY_GAIN;
+  target->latency_log += gain * (latency_log - target->latency_log);
+  target->samples += target->samples < 255;
+}
+
+/* A request that was given up after a long wait says as much as one that still waits. */
+static void
+finish_abandoned (health_t *h, int64_t now_us, health_target_t *target, int64_t started_us)
+{
+  double reference_log;
+  double latency_log = log (fmax (1, (double)(now_us - started_us)));
+
+  if (started_us < target->last_good_start_us || !health_is_warm (h, now_us, target)
+      || !health_reference_log (h, now_us, target, &reference_log))
+    return;
+  double ratio = latency_model_pending (&h->model, latency_log - reference_log);
+  health_score_latency (h, now_us, target, ratio);
+}
+
+static void
+finish_probe (health_t *h, int64_t now_us, health_target_t *target, int64_t started_us,
+              health_result_t result)
+{
+  bool failed = result != HEALTH_OK;
+  double latency_log = log (fmax (1, (double)(now_us - started_us)));
+  double residual = latency_log - health_probe_log (h, now_us, target);
+  bool good = !failed && residual < log (GOOD_PROBE_FACTOR);
+
+  if (target->readmission.ejected)
+    {
+      readmission_probe (&target->readmission, now_us, good);
+      return;
+    }
+  health_score_outcome (h, now_us, target, failed);
+  if (failed || !health_is_warm (h, now_us, target))
+    return;
+  double ratio = PROBE_SLOPE * residual - PROBE_OFFSET;
+  ratio = fmax (LATENCY_MODEL_MIN_LLR, fmin (LATENCY_MODEL_MAX_LLR, ratio));
+  health_score_latency (h, now_us, target, ratio);
+  if (!target->unhealthy)
+    h->probe_log += latency_log > h->probe_log ? PROBE_STEP : -PROBE_STEP;
+}
+
+static bool
+is_evidence_of_outcome (health_result_t result)
+{
+  return result == HEALTH_OK || result == HEALTH_WRONG || result == HEALTH_ERROR
+         || result == HEALTH_CONNECT_FAILED || result == HEALTH_STALLED;
+}
+
+static void
+finish_request (health_t *h, int64_t now_us, health_target_t *target, int64_t started_us,
+                health_result_t result)
+{
+  if (is_evidence_of_outcome (result))
+    {
+      bool failed = result != HEALTH_OK;
+      health_score_outcome (h, now_us, target, failed);
+      count_outcome (target, failed);
+    }
+  if (result == HEALTH_OK)
+    finish_latency (h, now_us, target, started_us);
+  if (result == HEALTH_ABANDONED)
+    finish_abandoned (h, now_us, target, started_us);
+}
+
+static void
+note_crossing (health_t *h, int64_t now_us, const health_target_t *target)
+{
+  double score = health_total_score (h, now_us, target);
+
+  if ((score >= h->suspect_threshold) != target->suspect
+      || (score >= HEALTH_READMITTED_SHARE * h->threshold && !target->unhealthy))
+    h->changed = true;
+}
+
+void
+health_finish (health_t *h, int64_t now_us, health_attempt_t *attempt, health_result_t result)
+{
+  health_target_t *target = attempt->target;
+
+  if (target == NULL)
+    return;
+  list_remove (&attempt->node);
+  attempt->target = NULL;
+  target->last_sample_us = now_us;
+  if (attempt->probe)
+    finish_probe (h, now_us, target, attempt->started_us, result);
+  else
+    finish_request (h, now_us, target, attempt->started_us, result);
+  if (target->readmission.ejected)
+    h->changed |= readmission_is_ready (&target->readmission, now_us);
+  else
+    note_crossing (h, now_us, target);
+}
+
+void
+health_set_ejected (health_t *h, int64_t now_us, uint64_t target_id, bool ejected)
+{
+  health_target_t *target = find (h, target_id);
+
+  if (target == NULL || target->readmission.ejected == ejected)
+    return;
+  if (ejected)
+    {
+      readmission_eject (&target->readmission, now_us);
+      return;
+    }
+  bool ready = readmission_is_ready (&target->readmission, now_us);
+  readmission_return (&target->readmission, now_us);
+  target->cold = false;
+  target->samples = 0;
+  target->slow_start_us = now_us;
+  if (!ready)
+    return;
+  target->suspect = false;
+  target->unhealthy = false;
+  target->requests = 0;
+  target->failures = 0;
+  health_reset_scores (target);
+}
+
+bool
+health_changed (const health_t *h)
+{
+  return h->changed;
+}
+
+void
+health_summary (health_t *h, int64_t now_us, health_peer_t *out)
+{
+  double median_log = 0;
+
+  *out = (health_peer_t){ .taken_us = now_us };
+  for (guint i = 0; i < h->ordered->len; i++)
+    {
+      const health_target_t *target = ordered_target (h, i);
+      out->targets += target->samples > 0 && !target->readmission.ejected;
+    }
+  if (out->targets > 0 && health_own_median_log (h, now_us, &median_log))
+    out->median_latency_us = exp (median_log);
+  else
+    out->targets = 0;
+  out->failure_rate = health_reference_failures (h, now_us, NULL);
+}
+
+int64_t
+health_probe_reference_us (const health_t *h)
+{
+  return (int64_t)exp (h->probe_log);
+}
--- /dev/null
+++ b/src/health_evidence.c
@@ -0,0 +1,313 @@
+#include <math.h>
+
+#include "health_target.h"
+
+/* Most evidence of one kind that may be added at one moment, and the evidence of requests in
+ * flight: a pause of a target delays all its slots at once, which is one event. */
+#define CREDIT_BURST 6.0
+#define MAX_PENDING 6.0
+
+/* Time over which the evidence must spread to reach the threshold, for sensitivity 0. It shrinks
+ * with the square of what is missing to full sensitivity. */
+#define PERSISTENCE_US 5e6
+
+/* A score stops growing here, so that a target that recovers is not held by old evidence. */
+#define MAX_SCORE_SHARE 2.0
+
+/* Failures of one in a thousand are never evidence. */
+#define SMALLEST_FAILURE_RATE 0.001
+
+/* Samples of a target before its mean latency is compared. */
+#define MIN_SAMPLES 3
+
+/* Age at which the sorted reference is computed again. */
+#define REFERENCE_AGE_US 10000
+
+#define PEER_MAX_AGE_US 2000000
+
+/* Requests per target that the failure rate of a peer stands for. */
+#define PEER_REQUESTS 10.0
+
+/* A probe in flight is late at this multiple of the usual probe latency. */
+#define LATE_PROBE_FACTOR 4.0
+
+static const double failure_rates[HEALTH_FAILURE_TESTS] = { 0.3, 0.05, 0.012 };
+
+bool
+health_is_warm (const health_t *h, int64_t now_us, const health_target_t *target)
+{
+  return !target->cold || now_us - target->slow_start_us >= h->options.slow_start_us;
+}
+
+void
+health_reset_scores (health_target_t *target)
+{
+  target->latency_score = 0;
+  for (size_t i = 0; i < HEALTH_FAILURE_TESTS; i++)
+    target->failure_score[i] = 0;
+}
+
+/* Returns the mean latency, or the age of the oldest request in flight if that is larger. */
+static double
+current_log (int64_t now_us, const health_target_t *target)
+{
+  const list_node_t *node = list_first (&target->attempts);
+
+  if (node == NULL)
+    return target->latency_log;
+  const health_attempt_t *oldest = LIST_ENTRY (node, health_attempt_t, node);
+  double age_us = (double)(now_us - oldest->started_us);
+  return age_us > 1 ? fmax (target->latency_log, log (age_us)) : target->latency_log;
+}
+
+static int
+compare_reference (const void *left, const void *right)
+{
+  const health_reference_t *a = left;
+  const health_reference_t *b = right;
+  return a->value < b->value ? -1 : a->value > b->value;
+}
+
+static void
+add_own_targets (health_t *h, int64_t now_us)
+{
+  for (guint i = 0; i < h->ordered->len; i++)
+    {
+      const health_target_t *target = g_ptr_array_index (h->ordered, i);
+      if (target->samples < MIN_SAMPLES || target->readmission.ejected
+          || !health_is_warm (h, now_us, target))
+        continue;
+      health_reference_t own = { current_log (now_us, target), 1, target };
+      g_array_append_val (h->reference, own);
+    }
+}
+
+static void
+add_peers (health_t *h, int64_t now_us)
+{
+  for (guint i = 0; i < h->peers->len; i++)
+    {
+      const health_peer_t *peer = &g_array_index (h->peers, health_peer_t, i);
+      if (peer->targets == 0 || peer->median_latency_us <= 0
+          || now_us - peer->taken_us > PEER_MAX_AGE_US)
+        continue;
+      health_reference_t other = { log (peer->median_latency_us), peer->targets, NULL };
+      g_array_append_val (h->reference, other);
+    }
+}
+
+/* While the own link is suspect, latencies of other entries are no measure for this one. */
+static void
+refresh_reference (health_t *h, int64_t now_us)
+{
+  if (h->reference_us >= 0 && now_us - h->reference_us < REFERENCE_AGE_US)
+    return;
+  g_array_set_size (h->reference, 0);
+  add_own_targets (h, now_us);
+  if (now_us >= h->link_suspect_until_us)
+    add_peers (h, now_us);
+  g_array_sort (h->reference, compare_reference);
+  h->reference_us = now_us;
+}
+
+/* Which values of the reference a median is taken of. */
+typedef struct
+{
+  const health_target_t *without; /* one target that does not count */
+  bool own_only;
+} selection_t;
+
+static uint32_t
+selected_weight (const health_reference_t *entry, const selection_t *selection)
+{
+  if (selection->without != NULL && entry->target == selection->without)
+    return 0;
+  return selection->own_only && entry->target == NULL ? 0 : entry->weight;
+}
+
+static bool
+median_log (health_t *h, int64_t now_us, const selection_t *selection, double *out)
+{
+  uint32_t total = 0;
+  uint32_t seen = 0;
+
+  refresh_reference (h, now_us);
+  for (guint i = 0; i < h->reference->len; i++)
+    total += selected_weight (&g_array_index (h->reference, health_reference_t, i), selection);
+  for (guint i = 0; i < h->reference->len && 2 * seen < total; i++)
+    {
+      const health_reference_t *entry = &g_array_index (h->reference, health_reference_t, i);
+      seen += selected_weight (entry, selection);
+      *out = entry->value;
+    }
+  return total > 0;
+}
+
+bool
+health_reference_log (health_t *h, int64_t now_us, const health_target_t *target, double *out)
+{
+  selection_t others = { .without = target };
+  return median_log (h, now_us, &others, out);
+}
+
+bool
+health_own_median_log (health_t *h, int64_t now_us, double *out)
+{
+  selection_t own = { .own_only = true };
+  return median_log (h, now_us, &own, out);
+}
+
+double
+health_probe_log (health_t *h, int64_t now_us, const health_target_t *target)
+{
+  double reference_log;
+
+  if (h->usual_log == 0 || !health_reference_log (h, now_us, target, &reference_log))
+    return h->probe_log;
+  return h->probe_log + fmax (0, reference_log - h->usual_log);
+}
+
+double
+health_reference_failures (const health_t *h, int64_t now_us, const health_target_t *target)
+{
+  double requests = 0;
+  double failures = 0;
+  double worst_rate = 0;
+  const health_target_t *worst = NULL;
+
+  for (guint i = 0; i < h->ordered->len; i++)
+    {
+      const health_target_t *other = g_ptr_array_index (h->ordered, i);
+      if (other == target || other->readmission.ejected)
+        continue;
+      requests += other->requests;
+      failures += other->failures;
+      double rate = other->requests > 0 ? other->failures / other->requests : 0;
+      if (rate > worst_rate)
+        {
+          worst_rate = rate;
+          worst = other;
+        }
+    }
+  if (worst != NULL)
+    {
+      requests -= worst->requests;
+      failures -= worst->failures;
+    }
+  for (guint i = 0; i < h->peers->len; i++)
+    {
+      const health_peer_t *peer = &g_array_index (h->peers, health_peer_t, i);
+      if (now_us - peer->taken_us > PEER_MAX_AGE_US)
+        continue;
+      requests += peer->targets * PEER_REQUESTS;
+      failures += peer->targets * PEER_REQUESTS * peer->failure_rate;
+    }
+  return requests > 0 ? failures / requests : 0;
+}
+
+/* Lets CREDIT grow with time and takes at most RATIO out of it. */
+static double
+take_credit (const health_t *h, double *credit, int64_t elapsed_us, double ratio)
+{
+  double missing = 1 - h->options.sensitivity;
+  double spread_us = fmax (PERSISTENCE_US * missing * missing, 1e5);
+
+  *credit = fmin (CREDIT_BURST, *credit + h->threshold * (double)elapsed_us / spread_us);
+  if (ratio <= 0)
+    return ratio;
+  double taken = fmin (ratio, *credit);
+  *credit -= taken;
+  return taken;
+}
+
+static double
+add_score (const health_t *h, double score, double ratio)
+{
+  return fmax (0, fmin (score + ratio, MAX_SCORE_SHARE * h->threshold));
+}
+
+static int64_t
+credit_elapsed (health_target_t *target, int64_t now_us)
+{
+  int64_t elapsed_us = now_us - target->credit_us;
+  target->credit_us = now_us;
+  return elapsed_us;
+}
+
+void
+health_score_latency (health_t *h, int64_t now_us, health_target_t *target, double ratio)
+{
+  int64_t elapsed_us = credit_elapsed (target, now_us);
+
+  take_credit (h, &target->failure_credit, elapsed_us, 0);
+  double taken = take_credit (h, &target->latency_credit, elapsed_us, ratio);
+  target->latency_score = add_score (h, target->latency_score, taken);
+}
+
+void
+health_score_outcome (health_t *h, int64_t now_us, health_target_t *target, bool failed)
+{
+  double base = fmax (SMALLEST_FAILURE_RATE, 1.5 * health_reference_failures (h, now_us, target));
+  int64_t elapsed_us = credit_elapsed (target, now_us);
+  double largest = 0;
+
+  take_credit (h, &target->latency_credit, elapsed_us, 0);
+  take_credit (h, &target->failure_credit, elapsed_us, 0);
+  for (size_t i = 0; i < HEALTH_FAILURE_TESTS; i++)
+    {
+      double rate = failure_rates[i];
+      if (base > rate / 2)
+        {
+          target->failure_score[i] = 0;
+          continue;
+        }
+      double ratio = failed ? log (rate / base) : log ((1 - rate) / (1 - base));
+      ratio = fmin (LATENCY_MODEL_MAX_LLR, ratio);
+      if (ratio > target->failure_credit)
+        ratio = target->failure_credit;
+      largest = fmax (largest, ratio);
+      target->failure_score[i] = add_score (h, target->failure_score[i], ratio);
+    }
+  target->failure_credit -= largest;
+}
+
+double
+health_pending_score (health_t *h, int64_t now_us, const health_target_t *target)
+{
+  double score = 0;
+  double reference_log;
+
+  if (!health_is_warm (h, now_us, target))
+    return 0;
+  if (health_reference_log (h, now_us, target, &reference_log))
+    {
+      LIST_FOREACH (&target->attempts, node)
+      {
+        const health_attempt_t *attempt = LIST_ENTRY (node, health_attempt_t, node);
+        double age_us = (double)(now_us - attempt->started_us);
+        /* A request that started later was answered in time: this one is on a silent connection or
+         * is long by itself. */
+        if (attempt->started_us < target->last_good_start_us || age_us <= 1)
+          continue;
+        score += latency_model_pending (&h->model, log (age_us) - reference_log);
+      }
+    }
+  LIST_FOREACH (&target->probes, node)
+  {
+    const health_attempt_t *probe = LIST_ENTRY (node, health_attempt_t, node);
+    double age_us = (double)(now_us - probe->started_us);
+    if (age_us > LATE_PROBE_FACTOR * exp (health_probe_log (h, now_us, target)))
+      score += LATENCY_MODEL_MAX_LLR / 2;
+  }
+  return fmin (score, MAX_PENDING);
+}
+
+double
+health_total_score (health_t *h, int64_t now_us, const health_target_t *target)
+{
+  double score = target->latency_score + health_pending_score (h, now_us, target);
+
+  for (size_t i = 0; i < HEALTH_FAILURE_TESTS; i++)
+    score = fmax (score, target->failure_score[i]);
+  return score;
+}
--- /dev/null
+++ b/src/health_verdict.c
@@ -0,0 +1,223 @@
+#include <math.h>
+
+#include "health_target.h"
+
+/* Hysteresis: parts of the thresholds below which a target leaves the state. */
+#define SUSPECT_END_SHARE 0.5
+#define UNHEALTHY_END_SHARE 0.25
+
+#define READMITTED_US 20000000
+
+#define SMALLEST_WEIGHT 0.1
+
+/* Interval of probes of a suspect target: for sensitivity 1, and what sensitivity 0 adds. */
+#define SUSPECT_PROBE_GAP_US 50000.0
+#define SUSPECT_PROBE_GAP_INSENSITIVE_US 450000.0
+
+/* A target without any response for this long is probed. */
+#define THIN_TRAFFIC_US 2000000.0
+#define THIN_TRAFFIC_INSENSITIVE_US 8000000.0
+
+#define OPINION_REPEAT_US 1000000
+
+/* Without an answer for this long, the entry decides alone. */
+#define OPINION_WAIT_US 3000000
+
+/* How long a confirmation by another entry counts, and how long the own link stays suspect. */
+#define CONFIRMED_US 5000000
+#define LINK_SUSPECT_US 10000000
+
+/* A probe by another entry confirms a fault from this multiple of its usual latency. */
+#define CONFIRMING_FACTOR 2.0
+
+typedef struct
+{
+  uint32_t serving;
+  uint32_t suspect;
+  bool peers;
+} group_t;
+
+static double
+ejection_threshold (const health_t *h, int64_t now_us, const health_target_t *target)
+{
+  const readmission_t *readmission = &target->readmission;
+  bool recent = readmission->ejections > 0 && now_us - readmission->readmitted_us < READMITTED_US;
+  return recent ? HEALTH_READMITTED_SHARE * h->threshold : h->threshold;
+}
+
+static bool
+has_fresh_peer (const health_t *h, int64_t now_us)
+{
+  for (guint i = 0; i < h->peers->len; i++)
+    {
+      const health_peer_t *peer = &g_array_index (h->peers, health_peer_t, i);
+      if (now_us - peer->taken_us <= OPINION_WAIT_US)
+        return true;
+    }
+  return false;
+}
+
+static void
+update_suspicion (health_t *h, health_target_t *target, double score)
+{
+  if (score >= h->suspect_threshold)
+    target->suspect = true;
+  else if (score < SUSPECT_END_SHARE * h->suspect_threshold && !target->unhealthy)
+    target->suspect = false;
+}
+
+/* Returns whether the fault may be on the entry's side, so that another view is needed. */
+static bool
+needs_opinion (const health_t *h, int64_t now_us, const group_t *group)
+{
+  if (now_us < h->link_suspect_until_us)
+    return true;
+  bool many = 3 * group->suspect > group->serving;
+  return many && (group->suspect > 1 || group->serving == 1);
+}
+
+/* Decides without an answer of another entry. When at most half of the targets are suspect, the
+ * others prove that the link works. */
+static bool
+may_decide_alone (int64_t now_us, const health_target_t *target, const group_t *group)
+{
+  bool waited
+      = target->opinion_first_us > 0 && now_us - target->opinion_first_us >= OPINION_WAIT_US;
+  return (waited || !group->peers) && 2 * group->suspect <= group->serving;
+}
+
+static bool
+opinion_is_due (health_target_t *target, int64_t now_us, const group_t *group)
+{
+  if (!group->peers)
+    return false;
+  if (target->opinion_asked_us > 0 && now_us - target->opinion_asked_us < OPINION_REPEAT_US)
+    return false;
+  target->opinion_asked_us = now_us;
+  if (target->opinion_first_us == 0)
+    target->opinion_first_us = now_us;
+  return true;
+}
+
+static void
+update_unhealthy (health_t *h, int64_t now_us, health_target_t *target, double score,
+                  const group_t *group, health_verdict_t *verdict)
+{
+  double threshold = ejection_threshold (h, now_us, target);
+
+  if (target->unhealthy)
+    {
+      target->unhealthy = score >= UNHEALTHY_END_SHARE * threshold;
+      return;
+    }
+  if (score < threshold)
+    {
+      target->opinion_first_us = 0;
+      return;
+    }
+  bool confirmed = now_us < target->confirmed_until_us;
+  if (!needs_opinion (h, now_us, group) || confirmed || may_decide_alone (now_us, target, group))
+    target->unhealthy = true;
+  else
+    verdict->opinion_due = opinion_is_due (target, now_us, group);
+}
+
+static double
+ramp_weight (const health_t *h, int64_t now_us, const health_target_t *target)
+{
+  double elapsed = (double)(now_us - target->slow_start_us) / (double)h->options.slow_start_us;
+  return fmin (1, SMALLEST_WEIGHT + (1 - SMALLEST_WEIGHT) * elapsed);
+}
+
+static bool
+probe_is_due (const health_t *h, int64_t now_us, const health_target_t *target)
+{
+  double missing = 1 - h->options.sensitivity;
+
+  if (!list_is_empty (&target->probes))
+    return false;
+  if (target->readmission.ejected)
+    return readmission_wants_probe (&target->readmission, now_us, target->last_probe_us);
+  if (target->suspect)
+    return now_us - target->last_probe_us
+           >= SUSPECT_PROBE_GAP_US + missing * SUSPECT_PROBE_GAP_INSENSITIVE_US;
+  return list_is_empty (&target->attempts)
+         && now_us - target->last_sample_us
+                >= THIN_TRAFFIC_US + missing * THIN_TRAFFIC_INSENSITIVE_US;
+}
+
+static health_state_t
+state_of (const health_target_t *target)
+{
+  if (target->readmission.ejected)
+    return HEALTH_STATE_EJECTED;
+  if (target->unhealthy)
+    return HEALTH_STATE_UNHEALTHY;
+  return target->suspect ? HEALTH_STATE_SUSPECT : HEALTH_STATE_SERVING;
+}
+
+static void
+judge (health_t *h, int64_t now_us, health_target_t *target, const group_t *group,
+       health_verdict_t *verdict)
+{
+  double score = health_total_score (h, now_us, target);
+
+  *verdict = (health_verdict_t){ .target_id = target->id };
+  if (target->readmission.ejected)
+    verdict->wants_ejection = !readmission_is_ready (&target->readmission, now_us);
+  else
+    {
+      update_unhealthy (h, now_us, target, score, group, verdict);
+      verdict->wants_ejection = target->unhealthy;
+    }
+  verdict->state = state_of (target);
+  verdict->badness = score / h->threshold;
+  verdict->weight = target->readmission.ejected ? SMALLEST_WEIGHT : ramp_weight (h, now_us, target);
+  verdict->probe_due = probe_is_due (h, now_us, target);
+  if (verdict->probe_due)
+    target->last_probe_us = now_us;
+}
+
+size_t
+health_verdicts (health_t *h, int64_t now_us, health_verdict_t *out, size_t max)
+{
+  group_t group = { .peers = has_fresh_peer (h, now_us) };
+
+  for (guint i = 0; i < h->ordered->len; i++)
+    {
+      health_target_t *target = g_ptr_array_index (h->ordered, i);
+      if (target->readmission.ejected)
+        continue;
+      update_suspicion (h, target, health_total_score (h, now_us, target));
+      group.serving++;
+      group.suspect += target->suspect;
+    }
+  size_t stored = MIN (h->ordered->len, max);
+  for (size_t i = 0; i < stored; i++)
+    judge (h, now_us, g_ptr_array_index (h->ordered, i), &group, &out[i]);
+  h->changed = false;
+  return stored;
+}
+
+void
+health_set_opinion (health_t *h, int64_t now_us, uint64_t target_id,
+                    const health_opinion_t *opinion)
+{
+  health_target_t *target = g_hash_table_lookup (h->targets, &target_id);
+
+  if (target == NULL)
+    return;
+  double usual_us = opinion->reference_us > 0 ? (double)opinion->reference_us : exp (h->probe_log);
+  bool slow = (double)opinion->latency_us > CONFIRMING_FACTOR * usual_us;
+  target->opinion_first_us = 0;
+  if (!opinion->answered || slow)
+    {
+      target->confirmed_until_us = now_us + CONFIRMED_US;
+      return;
+    }
+  target->confirmed_until_us = 0;
+  target->suspect = false;
+  health_reset_scores (target);
+  h->link_suspect_until_us = now_us + LINK_SUSPECT_US;
+  h->reference_us = -1;
+}
--- /dev/null
+++ b/src/overload.c
@@ -0,0 +1,30 @@
+#include "overload.h"
+
+void
+overload_init (overload_t *o)
+{
+  *o = (overload_t){ .smallest_wait_us = -1 };
+}
+
+void
+overload_observe (overload_t *o, int64_t now_us, int64_t wait_us, int64_t limit_us)
+{
+  if (now_us - o->interval_start_us >= OVERLOAD_INTERVAL_US)
+    {
+      o->overloaded = o->smallest_wait_us > limit_us;
+      o->interval_start_us = now_us;
+      o->smallest_wait_us = -1;
+    }
+  if (o->smallest_wait_us < 0 || wait_us < o->smallest_wait_us)
+    o->smallest_wait_us = wait_us;
+  if (wait_us <= limit_us)
+    o->overloaded = false;
+}
+
+void
+overload_clear (overload_t *o, int64_t now_us)
+{
+  o->overloaded = false;
+  o->interval_start_us = now_us;
+  o->smallest_wait_us = -1;
+}
--- /dev/null
+++ b/src/overload.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* overload - tells a standing queue from a burst, in the manner of CoDel.
+ *
+ * A burst empties within one interval, so the smallest wait of the interval stays below the limit.
+ * A standing queue does not: the class is overloaded until a whole interval, or an empty queue,
+ * shows a smaller wait. */
+
+#define OVERLOAD_INTERVAL_US 100000
+
+typedef struct
+{
+  int64_t interval_start_us;
+  int64_t smallest_wait_us; /* -1: none in this interval */
+  bool overloaded;
+} overload_t;
+
+void overload_init (overload_t *o);
+
+/* Records the wait of a request that leaves the queue. */
+void overload_observe (overload_t *o, int64_t now_us, int64_t wait_us, int64_t limit_us);
+
+/* Records that the queue is empty. */
+void overload_clear (overload_t *o, int64_t now_us);
--- /dev/null
+++ b/src/readmission.c
@@ -0,0 +1,76 @@
+#include "readmission.h"
+
+#define FIRST_PROBES 3
+#define PROBES_PER_EJECTION 2
+#define MAX_PROBES 15
+
+/* A target forgets one ejection after this many holds in service. */
+#define HOLDS_TO_FORGET 10
+
+static void
+forget_old_ejections (readmission_t *r, int64_t now_us)
+{
+  int64_t in_service_us = now_us - r->readmitted_us;
+
+  while (r->ejections > 0 && in_service_us >= HOLDS_TO_FORGET * r->hold_us)
+    {
+      in_service_us -= HOLDS_TO_FORGET * r->hold_us;
+      r->hold_us /= 2;
+      r->ejections--;
+    }
+}
+
+void
+readmission_eject (readmission_t *r, int64_t now_us)
+{
+  forget_old_ejections (r, now_us);
+  r->hold_us = READMISSION_FIRST_HOLD_US;
+  for (uint32_t i = 0; i < r->ejections && r->hold_us < READMISSION_MAX_HOLD_US; i++)
+    r->hold_us *= 2;
+  if (r->hold_us > READMISSION_MAX_HOLD_US)
+    r->hold_us = READMISSION_MAX_HOLD_US;
+  r->ejections++;
+  r->ejected = true;
+  r->hold_until_us = now_us + r->hold_us;
+  r->good_probes = 0;
+}
+
+void
+readmission_return (readmission_t *r, int64_t now_us)
+{
+  r->ejected = false;
+  r->readmitted_us = now_us;
+}
+
+void
+readmission_probe (readmission_t *r, int64_t now_us, bool good)
+{
+  if (good)
+    {
+      r->good_probes++;
+      return;
+    }
+  r->good_probes = 0;
+  if (r->hold_until_us < now_us + r->hold_us / 2)
+    r->hold_until_us = now_us + r->hold_us / 2;
+}
+
+static uint32_t
+probes_needed (const readmission_t *r)
+{
+  uint32_t needed = FIRST_PROBES + PROBES_PER_EJECTION * (r->ejections - 1);
+  return needed < MAX_PROBES ? needed : MAX_PROBES;
+}
+
+bool
+readmission_wants_probe (const readmission_t *r, int64_t now_us, int64_t last_probe_us)
+{
+  return r->ejected && now_us >= r->hold_until_us
+         && now_us - last_probe_us >= READMISSION_PROBE_GAP_US;
+}
+
+bool
+readmission_is_ready (const readmission_t *r, int64_t now_us)
+{
+  return r->ejected && now_us >= r->hold_until_us && r->good_probes >= probes_needed (r);
+}
--- /dev/null
+++ b/src/scheduler.c
@@ -0,0 +1,483 @@
+#include "scheduler.h"
+
+#include <math.h>
+#include <string.h>
+
+#define DEFAULT_MAX_QUEUED 1024
+#define DEFAULT_SERVICE_US 50000
+
+/* Share of a new sample in the mean service time. */
+#define SERVICE_GAIN 0.02
+
+/* A sample counts for at most this multiple of the mean, so that one slow target does not cause
+ * refusals at the others. */
+#define SERVICE_CLIP 4.0
+
+#define RATE_DECAY_US 1000000.0
+
+/* A standing queue is one that waits longer than this part of the mean service time. Urgent
+ * requests wait at most about half a service time under overload, so that their p99 stays near the
+ * p99 of the service time itself. */
+#define URGENT_WAIT_SHARE 0.5
+#define BACKGROUND_WAIT_SHARE 8.0
+
+/* Time that must be left for a request to be worth a dispatch, in mean service times. Under
+ * overload most requests are dispatched late, and work that misses its deadline is lost. */
+#define TIME_LEFT_SHARE 1.0
+#define TIME_LEFT_SHARE_OVERLOADED 2.0
+
+#define WAIT_UNBOUNDED_US (INT64_MAX / 4)
+
+enum
+{
+  STATE_QUEUED,
+  STATE_PARKED,
+  STATE_DISPATCHED,
+};
+
+void
+scheduler_init (scheduler_t *s, const scheduler_options_t *options)
+{
+  *s = (scheduler_t){ .options = *options };
+  for (size_t i = 0; i < SCHEDULER_CLASSES; i++)
+    {
+      request_queue_init (&s->queues[i]);
+      overload_init (&s->overloads[i]);
+      if (s->options.max_queued[i] == 0)
+        s->options.max_queued[i] = DEFAULT_MAX_QUEUED;
+    }
+  target_choice_init (&s->targets, options->seed);
+  spillover_init (&s->spillover);
+  s->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  s->service_us = (double)(options->initial_service_us > 0 ? options->initial_service_us
+                                                           : DEFAULT_SERVICE_US);
+}
+
+void
+scheduler_destroy (scheduler_t *s)
+{
+  for (size_t i = 0; i < SCHEDULER_CLASSES; i++)
+    request_queue_destroy (&s->queues[i]);
+  target_choice_destroy (&s->targets);
+  spillover_destroy (&s->spillover);
+  g_hash_table_destroy (s->requests);
+}
+
+void
+scheduler_set_target (scheduler_t *s, const target_setting_t *setting)
+{
+  target_choice_set (&s->targets, setting, s->service_us);
+}
+
+void
+scheduler_remove_target (scheduler_t *s, uint64_t target_id)
+{
+  target_choice_remove (&s->targets, target_id);
+}
+
+void
+scheduler_set_peer (scheduler_t *s, const spillover_peer_t *peer)
+{
+  spillover_update (&s->spillover, peer);
+}
+
+void
+scheduler_remove_peer (scheduler_t *s, uint64_t entry_id)
+{
+  spillover_remove (&s->spillover, entry_id);
+}
+
+/* Slots that count as capacity: the normal ones, or all when none is normal. */
+static uint32_t
+capacity_slots (const scheduler_t *s)
+{
+  uint32_t normal = s->targets.slots[TARGET_NORMAL];
+  return normal > 0 ? normal : s->targets.slots[TARGET_LAST_RESORT];
+}
+
+static uint32_t
+free_slots (const scheduler_t *s)
+{
+  if (s->targets.slots[TARGET_NORMAL] > 0)
+    return s->targets.free_slots[TARGET_NORMAL];
+  return s->targets.free_slots[TARGET_LAST_RESORT];
+}
+
+static void
+decay_urgent_rate (scheduler_t *s, int64_t now_us)
+{
+  s->urgent_rate *= exp ((double)(s->urgent_rate_us - now_us) / RATE_DECAY_US);
+  s->urgent_rate_us = now_us;
+}
+
+static int64_t
+wait_limit (const scheduler_t *s, unsigned class_index)
+{
+  double share = class_index == SCHEDULER_URGENT ? URGENT_WAIT_SHARE : BACKGROUND_WAIT_SHARE;
+  return (int64_t)(s->service_us * share);
+}
+
+/* Returns the time until a request with RANK requests of its class before it is dispatched. */
+static int64_t
+estimate_wait (scheduler_t *s, int64_t now_us, unsigned class_index, size_t rank)
+{
+  uint32_t slots = capacity_slots (s);
+  double waiting = (double)rank + 1;
+
+  if (slots == 0)
+    return WAIT_UNBOUNDED_US;
+  if (s->queues[SCHEDULER_URGENT].length + rank < free_slots (s))
+    return 0;
+
+  double per_second = slots * 1e6 / s->service_us;
+  if (class_index == SCHEDULER_URGENT)
+    return (int64_t)(waiting * 1e6 / per_second);
+
+  decay_urgent_rate (s, now_us);
+  double left = fmax (per_second - s->urgent_rate, per_second / SCHEDULER_BACKGROUND_SHARE);
+  double urgent_us = (double)s->queues[SCHEDULER_URGENT].length * 1e6 / per_second;
+  return (int64_t)(urgent_us + waiting * 1e6 / left);
+}
+
+static int64_t
+retry_after (int64_t wait_us)
+{
+  int64_t seconds = (wait_us + 999999) / 1000000;
+  return seconds < 1 ? 1 : seconds > 60 ? 60 : seconds;
+}
+
+static scheduler_result_t
+refuse (scheduler_reason_t reason, int64_t wait_us)
+{
+  return (scheduler_result_t){
+    .decision = SCHEDULER_REFUSED,
+    .reason = reason,
+    .retry_after_s = retry_after (wait_us),
+  };
+}
+
+static scheduler_reason_t
+check_admission (const scheduler_t *s, int64_t now_us, const scheduler_request_t *request,
+                 int64_t wait_us)
+{
+  unsigned class_index = request->class_index;
+
+  if (capacity_slots (s) == 0)
+    return SCHEDULER_REASON_NO_TARGET;
+  if (s->queues[class_index].length >= s->options.max_queued[class_index])
+    return SCHEDULER_REASON_QUEUE_FULL;
+  if (now_us + wait_us + (int64_t)(s->service_us * TIME_LEFT_SHARE) > request->deadline_us)
+    return SCHEDULER_REASON_DEADLINE;
+  if (s->overloads[class_index].overloaded && wait_us > wait_limit (s, class_index))
+    return SCHEDULER_REASON_OVERLOAD;
+  return SCHEDULER_REASON_NONE;
+}
+
+static void
+enqueue (scheduler_t *s, int64_t now_us, const scheduler_request_t *request)
+{
+  queued_request_t *queued = g_new0 (queued_request_t, 1);
+  size_t tried_count = MIN (request->tried_count, REQUEST_MAX_TRIED);
+
+  queued->id = request->id;
+  queued->class_index = (uint8_t)request->class_index;
+  queued->deadline_us = request->deadline_us;
+  queued->enqueued_us = now_us;
+  queued->tried_count = (uint8_t)tried_count;
+  if (tried_count > 0)
+    memcpy (queued->tried, request->tried + request->tried_count - tried_count,
+            tried_count * sizeof (uint64_t));
+  g_hash_table_insert (s->requests, &queued->id, queued);
+  request_queue_push (&s->queues[request->class_index], now_us, queued);
+}
+
+scheduler_result_t
+scheduler_submit (scheduler_t *s, int64_t now_us, const scheduler_request_t *request)
+{
+  unsigned class_index = request->class_index;
+  const request_queue_t *queue = &s->queues[class_index];
+
+  if (g_hash_table_contains (s->requests, &request->id))
+    return refuse (SCHEDULER_REASON_DUPLICATE, 0);
+
+  size_t rank = request_queue_rank (queue, now_us, request->deadline_us);
+  int64_t wait_us = estimate_wait (s, now_us, class_index, rank);
+  scheduler_result_t result = { .decision = SCHEDULER_FORWARD };
+  if (!request->forwarded && wait_us > 0
+      && spillover_decide (&s->spillover, now_us, class_index, wait_us, s->service_us,
+                           &result.entry_id))
+    return result;
+
+  scheduler_reason_t reason = check_admission (s, now_us, request, wait_us);
+  if (reason != SCHEDULER_REASON_NONE)
+    return refuse (reason, wait_us);
+  enqueue (s, now_us, request);
+  return (scheduler_result_t){ .decision = SCHEDULER_QUEUED };
+}
+
+static void
+fill_refusal (scheduler_t *s, int64_t now_us, const queued_request_t *request,
+              scheduler_dispatch_t *out)
+{
+  unsigned class_index = request->class_index;
+  int64_t wait_us = estimate_wait (s, now_us, class_index, s->queues[class_index].length);
+
+  *out = (scheduler_dispatch_t){
+    .refused = true,
+    .request_id = request->id,
+    .waited_us = now_us - request->enqueued_us,
+    .reason = SCHEDULER_REASON_DEADLINE,
+    .retry_after_s = retry_after (wait_us),
+  };
+}
+
+static bool
+is_too_late (const scheduler_t *s, int64_t now_us, const queued_request_t *request)
+{
+  bool overloaded = s->overloads[request->class_index].overloaded;
+  double share = overloaded ? TIME_LEFT_SHARE_OVERLOADED : TIME_LEFT_SHARE;
+  return now_us + (int64_t)(s->service_us * share) > request->deadline_us;
+}
+
+static void
+unpark (scheduler_t *s, size_t index)
+{
+  s->parked_count--;
+  memmove (&s->parked[index], &s->parked[index + 1],
+           (s->parked_count - index) * sizeof (s->parked[0]));
+}
+
+/* Refuses one queued or parked request that is too late, if there is any. */
+static bool
+refuse_late (scheduler_t *s, int64_t now_us, scheduler_dispatch_t *out)
+{
+  for (size_t i = 0; i < s->parked_count; i++)
+    {
+      queued_request_t *request = s->parked[i];
+      if (!is_too_late (s, now_us, request))
+        continue;
+      fill_refusal (s, now_us, request, out);
+      unpark (s, i);
+      g_hash_table_remove (s->requests, &request->id);
+      return true;
+    }
+  for (size_t i = 0; i < SCHEDULER_CLASSES; i++)
+    {
+      queued_request_t *request = request_queue_first (&s->queues[i]);
+      if (request == NULL || !is_too_late (s, now_us, request))
+        continue;
+      fill_refusal (s, now_us, request, out);
+      request_queue_remove (&s->queues[i], request);
+      g_hash_table_remove (s->requests, &request->id);
+      return true;
+    }
+  return false;
+}
+
+/* A last resort is used when no target is normal, or when the queue would take longer than one
+ * service time: until then, waiting for a normal target is the better choice. */
+static bool
+may_use_last_resort (const scheduler_t *s)
+{
+  size_t queued = s->queues[SCHEDULER_URGENT].length + s->queues[SCHEDULER_BACKGROUND].length;
+  return queued >= s->targets.slots[TARGET_NORMAL];
+}
+
+static choice_target_t *
+pick_among_all (scheduler_t *s, int64_t now_us, const uint64_t *tried, size_t tried_count)
+{
+  choice_target_t *target
+      = target_choice_pick (&s->targets, now_us, TARGET_NORMAL, tried, tried_count);
+  if (target == NULL && may_use_last_resort (s))
+    target = target_choice_pick (&s->targets, now_us, TARGET_LAST_RESORT, tried, tried_count);
+  return target;
+}
+
+/* Returns a free target that REQUEST has not tried; one that it has tried if no other target is in
+ * normal service. */
+static choice_target_t *
+pick_target (scheduler_t *s, int64_t now_us, const queued_request_t *request, bool *must_wait)
+{
+  const uint64_t *tried = request->tried;
+  size_t tried_count = request->tried_count;
+  choice_target_t *target = pick_among_all (s, now_us, tried, tried_count);
+
+  *must_wait = false;
+  if (target != NULL || tried_count == 0)
+    return target;
+  target = target_choice_pick (&s->targets, now_us, TARGET_LAST_RESORT, tried, tried_count);
+  if (target != NULL)
+    return target;
+  *must_wait = target_choice_has_other (&s->targets, tried, tried_count);
+  return *must_wait ? NULL : pick_among_all (s, now_us, NULL, 0);
+}
+
+static void
+dispatch (scheduler_t *s, int64_t now_us, queued_request_t *request, choice_target_t *target,
+          scheduler_dispatch_t *out)
+{
+  target_choice_acquire (&s->targets, target);
+  request->state = STATE_DISPATCHED;
+  request->target_id = target->setting.id;
+  request->dispatched_us = now_us;
+  if (request->class_index == SCHEDULER_URGENT)
+    {
+      decay_urgent_rate (s, now_us);
+      s->urgent_rate += 1e6 / RATE_DECAY_US;
+      s->urgent_in_a_row++;
+    }
+  if (request->class_index == SCHEDULER_BACKGROUND || s->queues[SCHEDULER_BACKGROUND].length == 0)
+    s->urgent_in_a_row = 0;
+  *out = (scheduler_dispatch_t){
+    .request_id = request->id,
+    .target_id = target->setting.id,
+    .waited_us = now_us - request->enqueued_us,
+  };
+  overload_observe (&s->overloads[request->class_index], now_us, out->waited_us,
+                    wait_limit (s, request->class_index));
+}
+
+static bool
+dispatch_parked (scheduler_t *s, int64_t now_us, scheduler_dispatch_t *out)
+{
+  for (size_t i = 0; i < s->parked_count; i++)
+    {
+      bool must_wait;
+      choice_target_t *target = pick_target (s, now_us, s->parked[i], &must_wait);
+      if (target == NULL)
+        continue;
+      queued_request_t *request = s->parked[i];
+      unpark (s, i);
+      dispatch (s, now_us, request, target, out);
+      return true;
+    }
+  return false;
+}
+
+static request_queue_t *
+next_queue (scheduler_t *s)
+{
+  request_queue_t *urgent = &s->queues[SCHEDULER_URGENT];
+  request_queue_t *background = &s->queues[SCHEDULER_BACKGROUND];
+
+  if (urgent->length == 0)
+    return background;
+  if (background->length > 0 && s->urgent_in_a_row >= SCHEDULER_BACKGROUND_SHARE - 1)
+    return background;
+  return urgent;
+}
+
+static void
+observe_empty_queues (scheduler_t *s, int64_t now_us)
+{
+  for (size_t i = 0; i < SCHEDULER_CLASSES; i++)
+    {
+      if (s->queues[i].length == 0)
+        overload_clear (&s->overloads[i], now_us);
+    }
+}
+
+bool
+scheduler_next (scheduler_t *s, int64_t now_us, scheduler_dispatch_t *out)
+{
+  if (refuse_late (s, now_us, out) || dispatch_parked (s, now_us, out))
+    return true;
+
+  for (;;)
+    {
+      request_queue_t *queue = next_queue (s);
+      queued_request_t *request = request_queue_first (queue);
+      bool must_wait;
+      if (request == NULL)
+        break;
+      choice_target_t *target = pick_target (s, now_us, request, &must_wait);
+      if (target == NULL && must_wait && s->parked_count < SCHEDULER_MAX_PARKED
+          && free_slots (s) > 0)
+        {
+          request_queue_remove (queue, request);
+          request->state = STATE_PARKED;
+          s->parked[s->parked_count++] = request;
+          continue;
+        }
+      if (target == NULL && must_wait && free_slots (s) > 0)
+        target = pick_among_all (s, now_us, NULL, 0);
+      if (target == NULL)
+        break;
+      request_queue_remove (queue, request);
+      dispatch (s, now_us, request, target, out);
+      return true;
+    }
+  observe_empty_queues (s, now_us);
+  return false;
+}
+
+void
+scheduler_done (scheduler_t *s, int64_t now_us, uint64_t request_id,
+                const scheduler_outcome_t *outcome)
+{
+  queued_request_t *request = g_hash_table_lookup (s->requests, &request_id);
+
+  if (request == NULL || request->state != STATE_DISPATCHED)
+    return;
+  double latency_us = outcome->kind == SCHEDULER_DONE_OK ? (double)outcome->latency_us : -1;
+  target_choice_release (&s->targets, now_us, request->target_id, latency_us,
+                         outcome->kind == SCHEDULER_DONE_SHED);
+  if (latency_us >= 0)
+    s->service_us
+        += SERVICE_GAIN * (fmin (latency_us, SERVICE_CLIP * s->service_us) - s->service_us);
+  g_hash_table_remove (s->requests, &request_id);
+}
+
+scheduler_cancel_t
+scheduler_cancel (scheduler_t *s, uint64_t request_id)
+{
+  queued_request_t *request = g_hash_table_lookup (s->requests, &request_id);
+
+  if (request == NULL)
+    return SCHEDULER_UNKNOWN;
+  if (request->state == STATE_DISPATCHED)
+    return SCHEDULER_IN_FLIGHT;
+  if (request->state == STATE_QUEUED)
+    request_queue_remove (&s->queues[request->class_index], request);
+  for (size_t i = 0; i < s->parked_count; i++)
+    {
+      if (s->parked[i] == request)
+        {
+          unpark (s, i);
+          break;
+        }
+    }
+  g_hash_table_remove (s->requests, &request_id);
+  return SCHEDULER_CANCELLED;
+}
+
+int64_t
+scheduler_wakeup_us (const scheduler_t *s)
+{
+  int64_t earliest_us = INT64_MAX;
+
+  for (size_t i = 0; i < SCHEDULER_CLASSES; i++)
+    {
+      const queued_request_t *request = request_queue_first (&s->queues[i]);
+      if (request != NULL)
+        earliest_us = MIN (earliest_us, request->deadline_us);
+    }
+  for (size_t i = 0; i < s->parked_count; i++)
+    earliest_us = MIN (earliest_us, s->parked[i]->deadline_us);
+  return earliest_us;
+}
+
+void
+scheduler_summary (scheduler_t *s, int64_t now_us, scheduler_summary_t *out)
+{
+  *out = (scheduler_summary_t){
+    .slots = s->targets.slots[TARGET_NORMAL],
+    .free_slots = s->targets.free_slots[TARGET_NORMAL],
+  };
+  for (unsigned i = 0; i < SCHEDULER_CLASSES; i++)
+    {
+      out->queued[i] = s->queues[i].length;
+      out->wait_us[i] = estimate_wait (s, now_us, i, s->queues[i].length);
+      out->overloaded[i] = s->overloads[i].overloaded;
+    }
+}
--- /dev/null
+++ b/src/target_choice.c
@@ -0,0 +1,210 @@
+#include "target_choice.h"
+
+/* Share of a new sample in the expected latency. */
+#define LATENCY_GAIN 0.2
+
+/* How long a target that shed a request gets fewer new ones, and by which factor its expected
+ * latency counts in that time. */
+#define SHED_PAUSE_US 100000
+#define SHED_FACTOR 4.0
+
+#define LOAD_HINT_SHARE 0.25
+#define SMALLEST_WEIGHT 0.05
+
+/* Random draws before a target is looked for in order. */
+#define MAX_DRAWS 8
+
+void
+target_choice_init (target_choice_t *c, uint64_t seed)
+{
+  *c = (target_choice_t){ .by_id
+                          = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free) };
+  c->free_targets[TARGET_NORMAL] = g_ptr_array_new ();
+  c->free_targets[TARGET_LAST_RESORT] = g_ptr_array_new ();
+  rng_init (&c->rng, seed);
+}
+
+void
+target_choice_destroy (target_choice_t *c)
+{
+  g_ptr_array_free (c->free_targets[TARGET_NORMAL], TRUE);
+  g_ptr_array_free (c->free_targets[TARGET_LAST_RESORT], TRUE);
+  g_hash_table_destroy (c->by_id);
+}
+
+static choice_target_t *
+find (const target_choice_t *c, uint64_t id)
+{
+  return g_hash_table_lookup (c->by_id, &id);
+}
+
+static uint32_t
+free_slots_of (const choice_target_t *target)
+{
+  return target->setting.slots > target->in_use ? target->setting.slots - target->in_use : 0;
+}
+
+/* Takes TARGET out of the sums and the free list of its tier. */
+static void
+detach (target_choice_t *c, choice_target_t *target)
+{
+  target_tier_t tier = target->setting.tier;
+
+  if (tier == TARGET_OUT)
+    return;
+  c->targets[tier]--;
+  c->slots[tier] -= target->setting.slots;
+  c->free_slots[tier] -= free_slots_of (target);
+  if (!target->is_free)
+    return;
+  GPtrArray *list = c->free_targets[tier];
+  g_ptr_array_remove_index_fast (list, target->free_index);
+  if (target->free_index < list->len)
+    ((choice_target_t *)g_ptr_array_index (list, target->free_index))->free_index
+        = target->free_index;
+  target->is_free = false;
+}
+
+static void
+attach (target_choice_t *c, choice_target_t *target)
+{
+  target_tier_t tier = target->setting.tier;
+
+  if (tier == TARGET_OUT)
+    return;
+  c->targets[tier]++;
+  c->slots[tier] += target->setting.slots;
+  c->free_slots[tier] += free_slots_of (target);
+  if (free_slots_of (target) == 0)
+    return;
+  target->is_free = true;
+  target->free_index = c->free_targets[tier]->len;
+  g_ptr_array_add (c->free_targets[tier], target);
+}
+
+void
+target_choice_set (target_choice_t *c, const target_setting_t *setting, double latency_us)
+{
+  choice_target_t *target = find (c, setting->id);
+
+  if (target == NULL)
+    {
+      target = g_new0 (choice_target_t, 1);
+      target->setting.id = setting->id;
+      target->latency_us = latency_us;
+      g_hash_table_insert (c->by_id, &target->setting.id, target);
+    }
+  else
+    detach (c, target);
+  target->setting = *setting;
+  target->removed = false;
+  attach (c, target);
+}
+
+void
+target_choice_remove (target_choice_t *c, uint64_t id)
+{
+  choice_target_t *target = find (c, id);
+
+  if (target == NULL)
+    return;
+  detach (c, target);
+  target->setting.tier = TARGET_OUT;
+  target->removed = true;
+  if (target->in_use == 0)
+    g_hash_table_remove (c->by_id, &id);
+}
+
+static bool
+is_among (uint64_t id, const uint64_t *tried, size_t tried_count)
+{
+  for (size_t i = 0; i < tried_count; i++)
+    {
+      if (tried[i] == id)
+        return true;
+    }
+  return false;
+}
+
+static double
+expected_latency (const choice_target_t *target, int64_t now_us)
+{
+  double latency_us = target->latency_us * (1 + LOAD_HINT_SHARE * target->setting.load);
+  return now_us < target->shed_until_us ? latency_us * SHED_FACTOR : latency_us;
+}
+
+static choice_target_t *
+draw (target_choice_t *c, GPtrArray *list, const uint64_t *tried, size_t tried_count)
+{
+  for (int i = 0; i < MAX_DRAWS; i++)
+    {
+      choice_target_t *target = g_ptr_array_index (list, rng_below (&c->rng, list->len));
+      double weight = MAX (target->setting.weight, SMALLEST_WEIGHT);
+      if (rng_unit (&c->rng) < weight && !is_among (target->setting.id, tried, tried_count))
+        return target;
+    }
+  for (guint i = 0; i < list->len; i++)
+    {
+      choice_target_t *target = g_ptr_array_index (list, i);
+      if (!is_among (target->setting.id, tried, tried_count))
+        return target;
+    }
+  return NULL;
+}
+
+choice_target_t *
+target_choice_pick (target_choice_t *c, int64_t now_us, target_tier_t tier, const uint64_t *tried,
+                    size_t tried_count)
+{
+  GPtrArray *list = c->free_targets[tier];
+
+  if (list->len == 0)
+    return NULL;
+  choice_target_t *first = draw (c, list, tried, tried_count);
+  if (first == NULL)
+    return NULL;
+  choice_target_t *second = draw (c, list, tried, tried_count);
+  return expected_latency (second, now_us) < expected_latency (first, now_us) ? second : first;
+}
+
+bool
+target_choice_has_other (const target_choice_t *c, const uint64_t *tried, size_t tried_count)
+{
+  uint32_t tried_here = 0;
+
+  for (size_t i = 0; i < tried_count; i++)
+    {
+      const choice_target_t *target = find (c, tried[i]);
+      if (target != NULL && target->setting.tier == TARGET_NORMAL)
+        tried_here++;
+    }
+  return c->targets[TARGET_NORMAL] > tried_here;
+}
+
+void
+target_choice_acquire (target_choice_t *c, choice_target_t *target)
+{
+  detach (c, target);
+  target->in_use++;
+  attach (c, target);
+}
+
+void
+target_choice_release (target_choice_t *c, int64_t now_us, uint64_t id, double latency_us,
+                       bool shed)
+{
+  choice_target_t *target = find (c, id);
+
+  if (target == NULL)
+    return;
+  detach (c, target);
+  if (target->in_use > 0)
+    target->in_use--;
+  if (latency_us >= 0)
+    target->latency_us += LATENCY_GAIN * (latency_us - target->latency_us);
+  if (shed)
+    target->shed_until_us = now_us + SHED_PAUSE_US;
+  attach (c, target);
+  if (target->removed && target->in_use == 0)
+    g_hash_table_remove (c->by_id, &id);
+}
