--- /dev/null
+++ b/bench/model.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "policy.h"
+
+/* A model of one service in virtual time: targets with slots, service times and faults, one
+ * assigned entry per failure domain, and callers with a Poisson stream of requests. */
+
+constexpr int64_t MODEL_MS = 1000;
+constexpr int64_t MODEL_SECOND = 1000 * MODEL_MS;
+
+enum class FaultKind
+{
+  SLOW,         /* service times times "amount" */
+  ERRORS,       /* share "amount" of the requests fails early */
+  WRONG,        /* share "amount" of the answers is wrong */
+  COLD,         /* the target restarts and is 8 times slower, fading over "period_us" */
+  FALSE_LOAD,   /* the target announces no load, all others nearly full load; no fault itself */
+  BAD_LINK,     /* entry "index": its requests and probes take "amount" us longer */
+  SUMMARY_LOSS, /* entry "index" sends summaries and probe messages that never arrive */
+};
+
+constexpr int EVERY_TARGET = -1;
+
+struct Fault
+{
+  FaultKind kind;
+  int index; /* target, entry, or EVERY_TARGET */
+  double amount = 0;
+  int64_t period_us = 0; /* SLOW: alternates with this half period if not 0 */
+};
+
+struct ModelOptions
+{
+  PolicyOptions policy;
+  int domains = 3;
+  int targets = 15;
+  uint32_t slots = 2;
+  double rate = 50; /* requests per second */
+  double urgent_share = 0.4;
+  double service_median_us = 80000;
+  double service_deviation = 0.5; /* of the logarithm */
+  double pause_interval_s = 120;  /* mean time between pauses of a target */
+  double pause_us = 250000;       /* mean length of a pause, at most 1 s */
+  int64_t distance_us = 5 * MODEL_MS;
+  int64_t urgent_timeout_us = 2 * MODEL_SECOND;
+  int64_t background_timeout_us = 5 * MODEL_SECOND;
+  double retry_share = 0.1;
+  int64_t onset_us = 30 * MODEL_SECOND;
+  int64_t duration_us = 90 * MODEL_SECOND;
+  int64_t rate_change_us = 0; /* 0: never; from then on "changed_rate" */
+  double changed_rate = 0;
+  std::vector<Fault> faults;
+  uint64_t seed = 1;
+};
+
+struct ModelResult
+{
+  /* Per faulty target: from the onset to the last request sent to it before its ejection, or to the
+   * end of the run (missed). */
+  std::vector<int64_t> detection_us;
+  int missed = 0;
+  int64_t ejections = 0;
+  int64_t false_ejections = 0;
+  double target_days = 0;
+  std::vector<int64_t> urgent_us; /* latencies after the onset, of requests that succeeded */
+  std::vector<int64_t> background_us;
+  int64_t requests = 0; /* after the onset */
+  int64_t failed = 0;   /* refused, timed out or without a correct answer */
+  int64_t refused = 0;
+  int64_t crossed = 0;
+  int64_t probes = 0;
+  int64_t opinions = 0;
+  int64_t slot_violations = 0;
+  int64_t floor_violations = 0;
+  std::vector<int64_t> good_by_second; /* successes in each second of the run */
+};
+
+ModelResult run_model (const ModelOptions &options);
+
+/* Quantile of values, which are sorted in place; 0 without values. */
+int64_t model_quantile (std::vector<int64_t> &values, double quantile);
--- /dev/null
+++ b/bench/scenarios.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "model.h"
+
+/* Users and failures of the tables in docs/measurements/decisions.md. */
+
+struct User
+{
+  std::string name;
+  ModelOptions options;
+};
+
+struct Scenario
+{
+  std::string name;
+  std::vector<Fault> faults;
+};
+
+ModelOptions gleisgruen ();
+ModelOptions latta_nord ();
+std::vector<User> bench_users ();
+std::vector<Scenario> bench_scenarios ();
