--- a/src/byte_stream.h
+++ b/src/byte_stream.h
@@ -61,8 +61,8 @@
 bool byte_stream_connect (byte_stream_t *stream, const byte_stream_ops_t *ops, io_loop_t *loop,
                           GSocketAddress *address, anv_error_t *err);
 
-/* Continues a connection as the TLS connection TLS over the same socket. Nothing may have been read or
- * written. */
+/* Continues a connection as the TLS connection TLS over the same socket. Nothing may have been read
+ * or written. */
 void byte_stream_start_tls (byte_stream_t *stream, GIOStream *tls);
 
 ssize_t byte_stream_read (byte_stream_t *stream, char *buffer, size_t size);
--- a/src/link.h
+++ b/src/link.h
@@ -13,9 +13,9 @@
 /* link - one connection between two of the project's own processes.
  *
  * Both sides send HELLO first and HEARTBEAT every LINK_HEARTBEAT_US. A link without input for
- * LINK_SILENCE_US is closed, because a connection can go silent for good while new ones work. A link
- * without messages for LINK_IDLE_US is closed too, so that a process has links only to the peers it
- * talks to. Heartbeats carry time stamps and echoes for link_clock. */
+ * LINK_SILENCE_US is closed, because a connection can go silent for good while new ones work. A
+ * link without messages for LINK_IDLE_US is closed too, so that a process has links only to the
+ * peers it talks to. Heartbeats carry time stamps and echoes for link_clock. */
 
 #define LINK_HEARTBEAT_US INT64_C (500000)
 #define LINK_SILENCE_US INT64_C (2000000)
@@ -77,11 +77,11 @@
   char target[LINK_ADDRESS_SIZE]; /* address that was connected to; "" if accepted */
   link_clock_t clock;
   int64_t opened_us;
-  int64_t received_us;    /* last input */
-  int64_t used_us;        /* last message in either direction */
-  int64_t peer_sent_us;   /* time stamp in the peer's last heartbeat; 0 before */
-  int64_t peer_stamp_us;  /* when it arrived */
-  GByteArray *early;      /* frames queued before the link is open */
+  int64_t received_us;   /* last input */
+  int64_t used_us;       /* last message in either direction */
+  int64_t peer_sent_us;  /* time stamp in the peer's last heartbeat; 0 before */
+  int64_t peer_stamp_us; /* when it arrived */
+  GByteArray *early;     /* frames queued before the link is open */
   bool open;
   bool closed;
 };
@@ -100,6 +100,6 @@
 /* Closes the link and calls closed(). */
 void link_close (link_t *link, const anv_error_t *err);
 
-/* Returns an upper bound of the age of a message that the peer sent at SENT_US of its monotonic clock,
- * or LINK_CLOCK_AGE_UNKNOWN. */
+/* Returns an upper bound of the age of a message that the peer sent at SENT_US of its monotonic
+ * clock, or LINK_CLOCK_AGE_UNKNOWN. */
 int64_t link_message_age (const link_t *link, int64_t sent_us);
--- a/src/peer_network.c
+++ b/src/peer_network.c
@@ -91,8 +91,8 @@
       /* Beyond the limit the connection is closed at once; the peer tries again later. */
       if (!has_room (network))
         continue;
-      link_t *link = link_accept (&link_ops, network, network->options.loop,
-                                  &network->options.self, network->options.tls, socket);
+      link_t *link = link_accept (&link_ops, network, network->options.loop, &network->options.self,
+                                  network->options.tls, socket);
       if (link != NULL)
         add_link (network, link);
     }
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -59,7 +59,8 @@
                         size_t size);
 
 /* Sends on the link NUMBER, if it is still open. Returns whether it was. */
-bool peer_network_reply (peer_network_t *network, uint64_t number, const uint8_t *data, size_t size);
+bool peer_network_reply (peer_network_t *network, uint64_t number, const uint8_t *data,
+                         size_t size);
 
 /* Sends an encoded message and frees WRITER. */
 void peer_network_send_writer (peer_network_t *network, const char *address, wire_writer_t *writer);
