raft: scenario tests and tests of the fault checker

A fault run that finds nothing says little unless the checker is known to see the faults. Each promise now has a test that breaks it through the vtables (syncs that never happen, votes counted although refused, changed entries, early commits, replies that are not there) and expects the checker to name it. Twelve scenario tests cover single faults: one-way links, full and failed disks, a lost disk, learners, refused changes, transfer of leadership.

--- /dev/null
+++ b/tests/state/test_raft.cc
@@ -0,0 +1,280 @@
+#include <gtest/gtest.h>
+
+#include "raft_sim.h"
+
+// A group that has a leader.
+class Group : public RaftSim
+{
+public:
+  explicit Group (int slots, int voters = 0, bool small_snapshots = false)
+      : RaftSim (1, slots, small_snapshots)
+  {
+    boot (voters > 0 ? voters : slots);
+    EXPECT_TRUE (run_until ([&] { return leader () >= 0; }, 5 * SECOND));
+    run_for (SECOND);
+  }
+  raft_t *
+  lead ()
+  {
+    return &node (leader ()).raft;
+  }
+  int
+  follower ()
+  {
+    return (leader () + 1) % slots ();
+  }
+  int
+  other ()
+  {
+    return (leader () + 2) % slots ();
+  }
+
+  void
+  commit (int count)
+  {
+    uint64_t goal = acked + count;
+    for (int i = 0; i < count; i++)
+      propose (leader (), "entry " + std::to_string (i));
+    EXPECT_TRUE (run_until ([&] { return acked >= goal; }, 5 * SECOND));
+  }
+  void
+  isolate (int slot, bool outgoing, bool incoming)
+  {
+    for (int i = 0; i < slots (); i++)
+      {
+        if (outgoing)
+          cuts.insert ({ slot, i });
+        if (incoming)
+          cuts.insert ({ i, slot });
+      }
+  }
+};
+
+// Guards against a single instance that waits for others, and against losing what it acknowledged.
+TEST (Raft, GroupOfOne)
+{
+  Group group (1);
+  group.commit (30);
+  EXPECT_TRUE (group.read (0));
+  group.run_for (50 * MS);
+  EXPECT_EQ (group.reads_ok, 1u);
+  group.crash (0, true);
+  ASSERT_TRUE (group.start (0));
+  group.run_for (100 * MS);
+  EXPECT_EQ (group.leader (), 0);
+  EXPECT_EQ (group.node (0).applied_index, 32u); // behind the members and the begin of the term
+  EXPECT_EQ (group.violation, "");
+}
+
+// Guards against one sync per entry.
+TEST (Raft, ProposalsShareASync)
+{
+  Group group (3);
+  uint64_t before = group.lead ()->log.segments.sync_count;
+  group.commit (200);
+  EXPECT_LE (group.lead ()->log.segments.sync_count - before, 3u);
+}
+
+// Guards against a leader that keeps its role although it hears nobody.
+TEST (Raft, LeaderThatCannotReceiveStepsDown)
+{
+  Group group (3);
+  int old = group.leader ();
+  group.isolate (old, false, true);
+  EXPECT_TRUE (group.run_until (
+      [&] { return group.node (old).raft.role != RAFT_LEADER && group.leader () >= 0; },
+      3 * SECOND));
+  group.commit (3);
+  EXPECT_EQ (group.violation, "");
+}
+
+// Guards against a member that deposes a working leader because it cannot hear it. With the
+// pre-vote replaced by a plain vote request that everyone answers, the leader does change.
+TEST (Raft, MemberThatCannotReceiveDoesNotDeposeTheLeader)
+{
+  for (bool planted : { false, true })
+    {
+      Group group (3);
+      uint64_t before = group.leaders;
+      group.isolate (group.follower (), false, true);
+      uint64_t deaf = group.node (group.follower ()).id;
+      if (planted)
+        group.tamper = [deaf] (raft_message_t &m) {
+          bool request = m.from == deaf && m.type == RAFT_VOTE;
+          m.transfer = m.transfer || request;
+          m.pre_vote = m.pre_vote && !request;
+        };
+      group.run_for (10 * SECOND);
+      EXPECT_EQ (group.leaders == before, !planted);
+    }
+}
+
+// Guards against an old answer from a leader that does not know of its successor, whatever the
+// clocks do: the others run three times as fast. A planted count of replies shows that the checker
+// sees such a read.
+TEST (Raft, DeposedLeaderDoesNotAnswerReads)
+{
+  for (bool planted : { false, true })
+    {
+      Group group (3);
+      int old = group.leader ();
+      if (planted)
+        group.tamper
+            = [] (raft_message_t &m) { m.round += m.type == RAFT_APPEND_REPLY ? 1000000 : 0; };
+      group.commit (1);
+      group.isolate (old, true, true);
+      group.node (group.follower ()).rate = group.node (group.other ()).rate = 3;
+      ASSERT_TRUE (group.run_until ([&] { return group.leader () != old; }, SECOND));
+      group.commit (1);
+      ASSERT_EQ (group.node (old).raft.role, RAFT_LEADER);
+      ASSERT_TRUE (group.read (old));
+      group.run_for (SECOND);
+      EXPECT_EQ (group.reads_ok, planted ? 1u : 0u);
+      EXPECT_EQ (group.violation.find ("read misses") != std::string::npos, planted);
+    }
+}
+
+// Guards against a planned stop that costs an election timeout, or refuses work afterwards.
+TEST (Raft, TransferOfLeadership)
+{
+  Group group (3);
+  int old = group.leader ();
+  int64_t begin = group.time_us;
+  group.propose (old, "before");
+  ASSERT_TRUE (raft_transfer (group.lead (), group.node (old).now (), 0, nullptr));
+  EXPECT_FALSE (group.propose (old, "during"));
+  EXPECT_TRUE (
+      group.run_until ([&] { return group.leader () >= 0 && group.leader () != old; }, SECOND));
+  EXPECT_LT (group.time_us - begin, 200 * MS);
+  group.commit (1);
+  EXPECT_EQ (group.violation, "");
+}
+
+// Guards against two changes at once, and against a removal that leaves no majority.
+TEST (Raft, MembershipChangesAreRefused)
+{
+  Group group (3, 2);
+  uint64_t only_follower = group.node (1 - group.leader ()).id;
+  EXPECT_TRUE (group.add (2));
+  EXPECT_FALSE (group.add (2));
+  EXPECT_FALSE (group.remove (only_follower));
+  EXPECT_TRUE (group.run_until ([&] { return group.is_voter (group.node (2).id); }, SECOND));
+  EXPECT_FALSE (group.remove (group.lead ()->meta.id));
+
+  group.crash (2, true);
+  group.run_for (SECOND);
+  EXPECT_FALSE (group.remove (only_follower)); // the leader and a dead voter would remain
+  EXPECT_TRUE (group.remove (group.node (2).id));
+}
+
+// Guards against a new member that counts before it has the log: while it cannot answer, the two
+// voters go on, and it does not become one.
+TEST (Raft, LearnerCountsOnlyWhenCaughtUp)
+{
+  Group group (3, 2, true);
+  group.commit (100);
+  group.isolate (2, true, false);
+  ASSERT_TRUE (group.add (2));
+  group.run_for (5 * SECOND);
+  EXPECT_TRUE (group.is_member (group.node (2).id));
+  EXPECT_FALSE (group.is_voter (group.node (2).id));
+  group.commit (5);
+  group.cuts.clear ();
+  EXPECT_TRUE (group.run_until ([&] { return group.is_voter (group.node (2).id); }, 2 * SECOND));
+  EXPECT_GT (group.node (2).raft.snapshot.index, 0u); // it came in chunks of 128 bytes
+  EXPECT_EQ (group.violation, "");
+}
+
+// Guards against an instance that votes under its old identity after it has lost its disk.
+TEST (Raft, LostDiskGetsANewIdentity)
+{
+  Group group (3);
+  group.commit (5);
+  int slot = group.follower ();
+  uint64_t old = group.node (slot).id;
+  group.lose_disk (slot);
+  ASSERT_TRUE (group.start (slot));
+  EXPECT_NE (group.node (slot).id, old);
+  group.crash (group.other (), true);
+  EXPECT_FALSE (group.run_until ([&] { return group.leader () < 0; }, 200 * MS));
+  group.run_for (5 * SECOND);
+  EXPECT_EQ (group.leader (), -1); // one voter of three is left
+  for (int i = 0; i < group.slots (); i++)
+    group.start (i);
+  ASSERT_TRUE (group.run_until ([&] { return group.leader () >= 0; }, 5 * SECOND));
+  group.run_for (SECOND);
+  EXPECT_TRUE (group.remove (old));
+  group.run_for (SECOND);
+  EXPECT_TRUE (group.add (slot));
+  group.settle ();
+  EXPECT_TRUE (group.is_voter (group.node (slot).id));
+  EXPECT_EQ (group.violation, "");
+}
+
+// Guards against a leader with a full disk that blocks the group, and against acknowledgements that
+// count its unsynced log.
+TEST (Raft, LeaderWithFullDiskHandsOver)
+{
+  Group group (3);
+  int old = group.leader ();
+  group.node (old).disk.capacity = 0;
+  group.propose (old, "does not fit");
+  EXPECT_TRUE (
+      group.run_until ([&] { return group.leader () >= 0 && group.leader () != old; }, 3 * SECOND));
+  group.commit (5);
+  group.settle ();
+  EXPECT_EQ (group.violation, "");
+}
+
+// Guards against a member that goes on after a failed sync.
+TEST (Raft, FailedSyncStopsTheMember)
+{
+  Group group (3);
+  SimNode &node = group.node (group.leader ());
+  node.disk.fail_syncs = 1;
+  group.propose (node.slot, "lost");
+  raft_flush (&node.raft, node.now ());
+  ASSERT_NE (raft_failure (&node.raft), nullptr);
+  EXPECT_EQ (node.raft.role, RAFT_FOLLOWER);
+  EXPECT_FALSE (group.propose (node.slot, "refused"));
+  EXPECT_FALSE (group.read (node.slot));
+}
+
+// Guards against crashes on damaged messages, and against fields that get lost.
+TEST (RaftWire, RoundTripAndMutations)
+{
+  raft_entry_t entry = { 3, RAFT_ENTRY_DATA, (const uint8_t *)"data", 4 };
+  const raft_entry_t *entries[] = { &entry, &entry };
+  for (int type = RAFT_VOTE; type <= RAFT_TIMEOUT_NOW; type++)
+    {
+      raft_message_t m = { (raft_message_type_t)type, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 };
+      m.ok = m.pre_vote = m.transfer = true;
+      m.entries = entries;
+      m.entry_count = 2;
+      m.data = (const uint8_t *)"chunk";
+      m.size = 5;
+      wire_writer_t first, second;
+      raft_wire_encode (&m, &first);
+      raft_wire_message_t decoded;
+      std::string bytes (first.buffer.data, first.buffer.size);
+      ASSERT_TRUE (
+          raft_wire_decode (&decoded, (const uint8_t *)bytes.data (), bytes.size (), nullptr));
+      EXPECT_EQ (decoded.message.type, type);
+      raft_wire_encode (&decoded.message, &second);
+      EXPECT_EQ (bytes, std::string (second.buffer.data, second.buffer.size));
+      raft_wire_destroy (&decoded);
+      wire_writer_destroy (&first);
+      wire_writer_destroy (&second);
+
+      rng_t rng;
+      rng_init (&rng, 5);
+      for (int round = 0; round < 3000; round++)
+        {
+          std::string damaged = bytes.substr (0, bytes.size () - rng_below (&rng, 3));
+          damaged[rng_below (&rng, damaged.size ())] = (char)rng_next (&rng);
+          if (raft_wire_decode (&decoded, (const uint8_t *)damaged.data (), damaged.size (),
+                                nullptr))
+            raft_wire_destroy (&decoded);
+        }
+    }
+}
--- a/tests/state/test_raft_faults.cc
+++ b/tests/state/test_raft_faults.cc
@@ -30,6 +30,8 @@
   run (int actions)
   {
     sim.boot (pick () == 0 ? 1 : sim.slots ());
+    if (plant)
+      plant (sim);
     for (int i = 0; i < actions && sim.violation.empty (); i++)
       {
         sim.run_for ((int64_t)rng_below (&sim.rng, 150 * MS));
@@ -42,6 +44,7 @@
   }
 
   RaftSim sim;
+  std::function<void (RaftSim &)> plant; // breaks a promise, to test the checker
 
 private:
   int
@@ -190,3 +193,83 @@
   EXPECT_GT (acked, runs * 10);
   EXPECT_GT (reads, runs * 2);
 }
+
+// Returns whether a run with a planted fault ends with a violation that contains TEXT.
+static bool
+is_caught (const std::string &text, const std::function<void (RaftSim &)> &plant)
+{
+  for (uint64_t seed = 1; seed <= 400; seed++)
+    {
+      FaultRun run (seed, 3);
+      run.plant = plant;
+      run.run (150);
+      if (run.sim.violation.find (text) != std::string::npos)
+        return true;
+    }
+  return false;
+}
+
+static std::function<void (RaftSim &)>
+lying_disks (const std::string &name)
+{
+  return [name] (RaftSim &sim) {
+    for (int i = 0; i < sim.slots (); i++)
+      sim.node (i).disk.lying = name;
+  };
+}
+
+static std::function<void (RaftSim &)>
+tampering (const std::function<void (raft_message_t &)> &change)
+{
+  return [change] (RaftSim &sim) { sim.tamper = change; };
+}
+
+// Each of these guards against a checker that cannot see the promise it names being broken. Reads
+// and the pre-vote are tested in the same way in test_raft.cc.
+TEST (RaftChecker, AcknowledgeBeforeSync)
+{
+  EXPECT_TRUE (is_caught ("which was acknowledged", lying_disks ("-log")));
+}
+
+TEST (RaftChecker, VoteThatIsNotDurable)
+{
+  EXPECT_TRUE (is_caught ("two votes by one member", lying_disks ("-meta")));
+}
+
+TEST (RaftChecker, RefusedVotesThatAreCounted)
+{
+  EXPECT_TRUE (is_caught ("two leaders in term", tampering ([] (raft_message_t &m) {
+                            m.ok = m.ok || m.type == RAFT_VOTE_REPLY;
+                          })));
+}
+
+TEST (RaftChecker, CandidateWithAnOldLog)
+{
+  EXPECT_TRUE (is_caught ("lacks committed entry", tampering ([] (raft_message_t &m) {
+                            if (m.type == RAFT_VOTE)
+                              m.log_term += 1000;
+                          })));
+}
+
+TEST (RaftChecker, CommitWithoutMajority)
+{
+  EXPECT_TRUE (is_caught ("committed entry", tampering ([] (raft_message_t &m) {
+                            if (m.type == RAFT_APPEND)
+                              m.commit = m.index + m.entry_count;
+                          })));
+}
+
+TEST (RaftChecker, EntryThatChangesOnTheWay)
+{
+  EXPECT_TRUE (is_caught ("differs from what was committed", tampering ([] (raft_message_t &m) {
+                            static raft_entry_t entry;
+                            static const raft_entry_t *entries[] = { &entry };
+                            if (m.entry_count == 0 || m.entries[0]->type != RAFT_ENTRY_DATA)
+                              return;
+                            entry = *m.entries[0];
+                            entry.data = (const uint8_t *)"changed";
+                            entry.size = 7;
+                            m.entries = entries;
+                            m.entry_count = 1;
+                          })));
+}
