--- /dev/null
+++ b/src/config_edit.c
@@ -0,0 +1,183 @@
+#include "config_edit.h"
+
+#include <string.h>
+
+#include "config_doc.h"
+
+#define EDIT_HEADER_SIZE 12
+
+typedef struct
+{
+  const char *base; /* start of the old text */
+  GByteArray *edits;
+} diff_t;
+
+static void
+add_edit (const diff_t *diff, const char *at, size_t removed, json_slice_t inserted)
+{
+  guint32 header[] = {
+    GUINT32_TO_BE ((guint32)(at - diff->base)),
+    GUINT32_TO_BE ((guint32)removed),
+    GUINT32_TO_BE ((guint32)inserted.size),
+  };
+  g_byte_array_append (diff->edits, (const guint8 *)header, EDIT_HEADER_SIZE);
+  g_byte_array_append (diff->edits, (const guint8 *)inserted.data, (guint)inserted.size);
+}
+
+/* Replaces the part between the common start and the common end. */
+static void
+diff_text (const diff_t *diff, json_slice_t from, json_slice_t to)
+{
+  size_t shorter = MIN (from.size, to.size);
+  size_t start = 0;
+  size_t end = 0;
+  while (start < shorter && from.data[start] == to.data[start])
+    start++;
+  while (end < shorter - start && from.data[from.size - 1 - end] == to.data[to.size - 1 - end])
+    end++;
+  json_slice_t inserted = { to.data + start, to.size - start - end };
+  add_edit (diff, from.data + start, from.size - start - end, inserted);
+}
+
+static void diff_value (const diff_t *diff, json_slice_t from, json_slice_t to);
+
+/* Walk over an object. A member is taken with the separator or brace behind it, so members can be
+ * inserted and removed anywhere. */
+typedef struct
+{
+  json_cursor_t cursor;
+  json_slice_t key;
+  json_slice_t value;
+  bool has_member;
+} walk_t;
+
+static void
+advance (walk_t *walk)
+{
+  walk->has_member = json_cursor_next (&walk->cursor, &walk->key, &walk->value);
+}
+
+static bool
+open_walk (walk_t *walk, json_slice_t object)
+{
+  if (!json_cursor_open (&walk->cursor, object, '{'))
+    return false;
+  advance (walk);
+  return walk->has_member;
+}
+
+/* Returns the current member, from the quote of its key to the separator behind it. */
+static json_slice_t
+member_text (const walk_t *walk)
+{
+  const char *start = walk->key.data - 1;
+  return (json_slice_t){ start, (size_t)(walk->cursor.next - start) + 1 };
+}
+
+static void
+diff_member (const diff_t *diff, const walk_t *from, const walk_t *to)
+{
+  diff_value (diff, from->value, to->value);
+  if (*from->cursor.next != *to->cursor.next)
+    add_edit (diff, from->cursor.next, 1, (json_slice_t){ to->cursor.next, 1 });
+}
+
+static void
+diff_members (const diff_t *diff, walk_t *from, walk_t *to, const char *end)
+{
+  static const json_slice_t nothing = { "", 0 };
+  while (from->has_member || to->has_member)
+    {
+      int order = !from->has_member ? 1 : -1;
+      if (from->has_member && to->has_member)
+        order = json_key_compare (from->key, to->key);
+      if (order < 0)
+        add_edit (diff, from->key.data - 1, member_text (from).size, nothing);
+      else if (order > 0)
+        add_edit (diff, from->has_member ? from->key.data - 1 : end, 0, member_text (to));
+      else
+        diff_member (diff, from, to);
+      if (order <= 0)
+        advance (from);
+      if (order >= 0)
+        advance (to);
+    }
+}
+
+static void
+diff_value (const diff_t *diff, json_slice_t from, json_slice_t to)
+{
+  walk_t left;
+  walk_t right;
+  if (json_slice_equal (from, to))
+    return;
+  if (open_walk (&left, from) && open_walk (&right, to))
+    diff_members (diff, &left, &right, from.data + from.size);
+  else
+    diff_text (diff, from, to);
+}
+
+void
+config_edit_diff (json_slice_t from, json_slice_t to, GByteArray *edits)
+{
+  diff_t diff = { from.data, edits };
+  diff_value (&diff, from, to);
+}
+
+static bool
+edit_error (anv_error_t *err)
+{
+  anv_error_set (err, ANV_ERROR_CONFIG, CONFIG_ERROR_EDIT, "the edits do not fit the document");
+  return false;
+}
+
+/* Reads the next edit and checks it against the old text of SIZE bytes, of which DONE are used. */
+static bool
+read_edit (json_slice_t *edits, size_t done, size_t size, guint32 header[3])
+{
+  if (edits->size < EDIT_HEADER_SIZE)
+    return false;
+  memcpy (header, edits->data, EDIT_HEADER_SIZE);
+  for (size_t i = 0; i < 3; i++)
+    header[i] = GUINT32_FROM_BE (header[i]);
+  edits->data += EDIT_HEADER_SIZE;
+  edits->size -= EDIT_HEADER_SIZE;
+  return header[0] >= done && header[0] <= size && header[1] <= size - header[0]
+         && header[2] <= edits->size;
+}
+
+static bool
+apply_edits (json_slice_t from, json_slice_t edits, GString *out, anv_error_t *err)
+{
+  size_t done = 0;
+  while (edits.size > 0)
+    {
+      guint32 header[3];
+      if (!read_edit (&edits, done, from.size, header))
+        return edit_error (err);
+      g_string_append_len (out, from.data + done, (gssize)(header[0] - done));
+      g_string_append_len (out, edits.data, (gssize)header[2]);
+      edits.data += header[2];
+      edits.size -= header[2];
+      done = header[0] + header[1];
+      if (out->len > CONFIG_MAX_TEXT_SIZE)
+        return edit_error (err);
+    }
+  g_string_append_len (out, from.data + done, (gssize)(from.size - done));
+  return out->len <= CONFIG_MAX_TEXT_SIZE || edit_error (err);
+}
+
+GBytes *
+config_edit_apply (GBytes *from, const uint8_t *edits, size_t size, anv_error_t *err)
+{
+  json_slice_t base = { .data = NULL };
+  base.data = g_bytes_get_data (from, &base.size);
+  GString *out = g_string_sized_new (base.size + 256);
+  bool ok = apply_edits (base, (json_slice_t){ (const char *)edits, size }, out, err);
+  gsize length = out->len;
+  char *text = g_string_free (out, FALSE);
+  if (ok)
+    return g_bytes_new_take (text, length);
+  g_free (text);
+  return NULL;
+}
--- /dev/null
+++ b/src/version_store.c
@@ -0,0 +1,388 @@
+#include "version_store.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "config_field.h"
+#include "config_patch.h"
+#include "deflate.h"
+#include "version_log.h"
+
+#define SNAPSHOT_FIELDS (VERSION_LOG_FIELDS + 1)
+
+struct version_store
+{
+  version_log_t *log;
+  config_doc_t *doc;
+  version_seal_t seal;
+  version_digest_t digest;
+};
+
+/* A command that passed all checks. */
+typedef struct
+{
+  version_record_t *record;
+  version_seal_t seal;
+  config_doc_t *doc;
+} candidate_t;
+
+version_store_t *
+version_store_new (void)
+{
+  version_store_t *store = g_new0 (version_store_t, 1);
+  store->log = version_log_new ();
+  store->doc = config_doc_parse ("{}", 2, CONFIG_SCHEMA, NULL);
+  return store;
+}
+
+void
+version_store_free (version_store_t *store)
+{
+  if (store == NULL)
+    return;
+  version_log_free (store->log);
+  config_doc_unref (store->doc);
+  g_free (store);
+}
+
+static bool
+invalid (version_result_t *result, const char *text)
+{
+  result->outcome = VERSION_INVALID;
+  g_strlcpy (result->text, text, sizeof (result->text));
+  return false;
+}
+
+/* Returns whether C could make a text imitate other lines of a listing or change their direction.
+ * The list is fixed, because members with different libraries must agree on it. */
+static bool
+is_unsafe_character (gunichar c)
+{
+  return c < 0x20 || (c >= 0x7f && c <= 0x9f) || (c >= 0x2028 && c <= 0x202e)
+         || (c >= 0x2066 && c <= 0x2069);
+}
+
+static bool
+is_plain_text (const char *text, size_t limit)
+{
+  size_t size = strlen (text);
+  if (size == 0 || size > limit || !g_utf8_validate (text, (gssize)size, NULL))
+    return false;
+  for (const char *p = text; *p != '\0'; p = g_utf8_next_char (p))
+    {
+      if (is_unsafe_character (g_utf8_get_char (p)))
+        return false;
+    }
+  return true;
+}
+
+static bool
+check_fields (const version_command_t *command, version_result_t *result)
+{
+  char text[128];
+  if (!field_is_name (command->patch_id, strlen (command->patch_id)))
+    return invalid (result, "patch_id: must have 1 to 128 letters, digits or characters of ._-:@");
+  if (!is_plain_text (command->operator_name, VERSION_MAX_OPERATOR_SIZE))
+    {
+      g_snprintf (text, sizeof (text), "operator: must be 1 to %d bytes of printable UTF-8",
+                  VERSION_MAX_OPERATOR_SIZE);
+      return invalid (result, text);
+    }
+  if (!is_plain_text (command->reason, VERSION_MAX_REASON_SIZE))
+    {
+      g_snprintf (text, sizeof (text), "reason: must be 1 to %d bytes of printable UTF-8",
+                  VERSION_MAX_REASON_SIZE);
+      return invalid (result, text);
+    }
+  return true;
+}
+
+static cJSON *
+parse_patch (const version_command_t *command, version_result_t *result)
+{
+  const char *reason = "too large";
+  cJSON *patch = NULL;
+  if (command->patch_size <= CONFIG_MAX_TEXT_SIZE)
+    patch = json_parse (command->patch, command->patch_size, &reason);
+  if (patch != NULL && !cJSON_IsObject (patch))
+    {
+      g_clear_pointer (&patch, cJSON_Delete);
+      reason = "must be an object";
+    }
+  if (patch == NULL)
+    {
+      g_autofree char *text = g_strdup_printf ("patch: %s", reason);
+      invalid (result, text);
+    }
+  return patch;
+}
+
+/* Compares COMMAND with the accepted VERSION that has its patch_id. */
+static void
+compare_repeat (version_store_t *store, const version_command_t *command, const char *patch,
+                uint64_t version, version_result_t *result)
+{
+  const version_record_t *record = version_log_get (store->log, version);
+  bool same = command->base == version - 1 && strcmp (command->reason, record->reason) == 0
+              && strcmp (command->operator_name, record->operator_name) == 0
+              && strcmp (patch, record->patch) == 0;
+  result->outcome = same ? VERSION_REPEATED : VERSION_CONFLICT;
+  result->version = version;
+  result->digest = record->digest;
+  if (!same)
+    g_snprintf (result->text, sizeof (result->text),
+                "patch_id: belongs to version %" G_GUINT64_FORMAT ", which has other content",
+                version);
+}
+
+/* Returns the document that PATCH makes of the current one, or NULL with the broken rule. */
+static config_doc_t *
+make_document (const version_store_t *store, const cJSON *patch, uint32_t schema,
+               version_result_t *result)
+{
+  anv_error_t err = { .domain = ANV_ERROR_NONE };
+  json_slice_t base = { .data = NULL };
+  base.data = g_bytes_get_data (config_doc_text (store->doc), &base.size);
+  GString *text = g_string_sized_new (base.size + 256);
+  bool merged = config_patch_apply_text (base, patch, text);
+  gsize size = text->len;
+  GBytes *bytes = g_bytes_new_take (g_string_free (text, FALSE), size);
+  config_doc_t *doc = merged ? config_doc_new (bytes, schema, &err) : NULL;
+  g_bytes_unref (bytes);
+  if (doc == NULL)
+    invalid (result, merged ? err.text : "$: the current document is damaged");
+  return doc;
+}
+
+static version_record_t *
+make_record (const version_store_t *store, const version_command_t *command, const char *patch,
+             const config_doc_t *doc)
+{
+  gsize size = 0;
+  const char *data = g_bytes_get_data (config_doc_text (doc), &size);
+  version_record_t *record = g_new0 (version_record_t, 1);
+  record->schema = command->schema;
+  record->version = version_store_current (store) + 1;
+  record->wall_ms = command->wall_ms;
+  record->patch_id = g_strdup (command->patch_id);
+  record->operator_name = g_strdup (command->operator_name);
+  record->reason = g_strdup (command->reason);
+  record->patch = g_strdup (patch);
+  record->document = version_text_digest (data, size);
+  return record;
+}
+
+/* Checks COMMAND against the state and fills RESULT. Returns whether it is acceptable, with the new
+ * parts in CANDIDATE. */
+static bool
+check_command (version_store_t *store, const version_command_t *command, cJSON *patch,
+               candidate_t *candidate, version_result_t *result)
+{
+  g_autofree char *canonical = json_canonical (patch);
+  uint64_t version = version_log_find (store->log, command->patch_id);
+  if (version != 0)
+    {
+      compare_repeat (store, command, canonical, version, result);
+      return false;
+    }
+  if (command->base != version_store_current (store))
+    {
+      result->outcome = VERSION_STALE;
+      return false;
+    }
+  candidate->doc = make_document (store, patch, command->schema, result);
+  if (candidate->doc == NULL)
+    return false;
+  candidate->record = make_record (store, command, canonical, candidate->doc);
+  candidate->seal = version_record_seal (candidate->record, &store->digest);
+  candidate->record->digest = version_seal_digest (&candidate->seal);
+  result->outcome = VERSION_ACCEPTED;
+  result->version = candidate->record->version;
+  result->digest = candidate->record->digest;
+  return true;
+}
+
+static bool
+evaluate (version_store_t *store, const version_command_t *command, candidate_t *candidate,
+          version_result_t *result)
+{
+  memset (result, 0, sizeof (*result));
+  result->current = version_store_current (store);
+  if (!check_fields (command, result))
+    return false;
+  cJSON *patch = parse_patch (command, result);
+  if (patch == NULL)
+    return false;
+  bool acceptable = check_command (store, command, patch, candidate, result);
+  cJSON_Delete (patch);
+  return acceptable;
+}
+
+void
+version_store_apply (version_store_t *store, const version_command_t *command,
+                     version_result_t *result)
+{
+  candidate_t candidate = { .record = NULL };
+  if (!evaluate (store, command, &candidate, result))
+    return;
+  config_doc_unref (store->doc);
+  store->doc = candidate.doc;
+  store->seal = candidate.seal;
+  store->digest = candidate.record->digest;
+  version_log_append (store->log, candidate.record, config_doc_text (store->doc));
+  result->current = result->version;
+}
+
+void
+version_store_preview (version_store_t *store, const version_command_t *command,
+                       version_result_t *result)
+{
+  candidate_t candidate = { .record = NULL };
+  if (!evaluate (store, command, &candidate, result))
+    return;
+  config_doc_unref (candidate.doc);
+  version_record_free (candidate.record);
+}
+
+uint64_t
+version_store_current (const version_store_t *store)
+{
+  return store->seal.version;
+}
+
+version_seal_t
+version_store_seal (const version_store_t *store)
+{
+  return store->seal;
+}
+
+version_digest_t
+version_store_digest (const version_store_t *store)
+{
+  return store->digest;
+}
+
+config_doc_t *
+version_store_doc (const version_store_t *store)
+{
+  return store->doc;
+}
+
+const version_record_t *
+version_store_record (version_store_t *store, uint64_t version)
+{
+  return version_log_get (store->log, version);
+}
+
+GBytes *
+version_store_document (version_store_t *store, uint64_t version, anv_error_t *err)
+{
+  if (version == version_store_current (store))
+    return g_bytes_ref (config_doc_text (store->doc));
+  return version_log_document (store->log, version, err);
+}
+
+GBytes *
+version_store_save (version_store_t *store)
+{
+  wire_writer_t writer;
+  gsize size = 0;
+  const void *data = g_bytes_get_data (config_doc_text (store->doc), &size);
+  GBytes *packed = deflate_pack (data, size);
+
+  wire_writer_init (&writer, WIRE_CONFIG_SNAPSHOT, SNAPSHOT_FIELDS);
+  version_log_write (store->log, &writer);
+  data = g_bytes_get_data (packed, &size);
+  wire_write_bytes (&writer, data, size);
+  g_bytes_unref (packed);
+  return version_writer_finish (&writer);
+}
+
+/* Takes over TEXT as the current document if it matches the last record. */
+static bool
+restore_document (version_store_t *store, GBytes *text, anv_error_t *err)
+{
+  uint64_t version = version_log_count (store->log);
+  gsize size = 0;
+  const char *data = g_bytes_get_data (text, &size);
+  version_digest_t digest = version_text_digest (data, size);
+  const version_record_t *record = version_log_get (store->log, version);
+  if (record != NULL && !version_digest_equal (&digest, &record->document))
+    {
+      anv_error_set (err, ANV_ERROR_VERSION, VERSION_ERROR_DIGEST,
+                     "version %" G_GUINT64_FORMAT ": the document does not match its digest",
+                     version);
+      return false;
+    }
+  config_doc_unref (store->doc);
+  store->doc = config_doc_new (text, record != NULL ? record->schema : CONFIG_SCHEMA, err);
+  if (store->doc == NULL)
+    {
+      anv_error_convert (err, ANV_ERROR_VERSION, VERSION_ERROR_FORMAT, "version %" G_GUINT64_FORMAT,
+                         version);
+      return false;
+    }
+  if (record == NULL)
+    return true;
+
+  version_digest_t previous = { { 0 } };
+  version_digest_t last = record->digest;
+  version_record_t *copy = version_record_copy (record);
+  if (version > 1)
+    previous = version_log_get (store->log, version - 1)->digest;
+  store->seal = version_record_seal (copy, &previous);
+  store->digest = last;
+  version_record_free (copy);
+  return true;
+}
+
+static bool
+restore_fields (version_store_t *store, wire_reader_t *reader, anv_error_t *err)
+{
+  version_log_t *log = version_log_read (reader, err);
+  if (log == NULL)
+    return false;
+  version_log_free (store->log);
+  store->log = log;
+
+  size_t size = 0;
+  const uint8_t *data = wire_read_bytes (reader, &size);
+  GBytes *text = deflate_unpack (data, size, CONFIG_MAX_TEXT_SIZE);
+  if (text == NULL)
+    {
+      anv_error_set (err, ANV_ERROR_VERSION, VERSION_ERROR_FORMAT, "damaged current document");
+      return false;
+    }
+  bool ok = restore_document (store, text, err);
+  g_bytes_unref (text);
+  return ok && wire_reader_finish (reader, err);
+}
+
+version_store_t *
+version_store_restore (const uint8_t *data, size_t size, anv_error_t *err)
+{
+  wire_reader_t reader;
+  wire_type_t type;
+  if (!wire_reader_init (&reader, data, size, &type, err))
+    {
+      anv_error_convert (err, ANV_ERROR_VERSION, VERSION_ERROR_FORMAT, "malformed snapshot");
+      return NULL;
+    }
+  version_store_t *store = version_store_new ();
+  bool ok = type == WIRE_CONFIG_SNAPSHOT;
+  if (!ok)
+    anv_error_set (err, ANV_ERROR_VERSION, VERSION_ERROR_FORMAT, "not a snapshot of the store");
+  ok = ok && restore_fields (store, &reader, err);
+  wire_reader_destroy (&reader);
+  if (ok)
+    return store;
+  version_store_free (store);
+  return NULL;
+}
+
+size_t
+version_store_memory (const version_store_t *store)
+{
+  return sizeof (*store) + version_log_memory (store->log)
+         + g_bytes_get_size (config_doc_text (store->doc)) + config_doc_memory (store->doc);
+}
--- /dev/null
+++ b/src/version_store.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "config_doc.h"
+#include "version_codec.h"
+
+/* version_store - state machine of the config group.
+ *
+ * Commands are applied in the order of the replicated log. The result and the state depend on the
+ * commands only, so all members hold the same bytes. A command is accepted as the next version if
+ * its base is the current version, its patch_id is new and the resulting document passes the check.
+ * A patch_id that was accepted once gives the same number for ever, if base, operator, reason and
+ * patch are the same (the time is not compared, because another leader may stamp a resend).
+ * Rejected commands leave no trace. */
+
+typedef struct version_store version_store_t;
+
+/* Returns a store at version 0, the empty document. */
+version_store_t *version_store_new (void);
+void version_store_free (version_store_t *store);
+
+/* Applies COMMAND and fills RESULT. */
+void version_store_apply (version_store_t *store, const version_command_t *command,
+                          version_result_t *result);
+
+/* Fills RESULT as version_store_apply() would, without a change. For an acceptable command the
+ * version and the digest are those it would get. */
+void version_store_preview (version_store_t *store, const version_command_t *command,
+                            version_result_t *result);
+
+/* Returns the current version, 0 at the start. */
+uint64_t version_store_current (const version_store_t *store);
+
+/* Returns the seal of the current version; all zero for version 0. */
+version_seal_t version_store_seal (const version_store_t *store);
+
+/* Returns the digest of the current version; all zero for version 0. */
+version_digest_t version_store_digest (const version_store_t *store);
+
+/* Returns the checked document of the current version; valid until the next command. */
+config_doc_t *version_store_doc (const version_store_t *store);
+
+/* Returns the record of VERSION, or NULL; valid until the next call with STORE. */
+const version_record_t *version_store_record (version_store_t *store, uint64_t version);
+
+/* Returns the canonical document of a past version. Free with g_bytes_unref(). Returns NULL with
+ * ANV_ERROR_VERSION. */
+GBytes *version_store_document (version_store_t *store, uint64_t version, anv_error_t *err);
+
+/* Returns the state as bytes: all records, some full documents and the current one. */
+GBytes *version_store_save (version_store_t *store);
+
+/* Restores a state and verifies it: the chain of digests over all records, the stored documents and
+ * the current document. Returns NULL with ANV_ERROR_VERSION, which names the bad version. */
+version_store_t *version_store_restore (const uint8_t *data, size_t size, anv_error_t *err);
+
+/* Returns the memory of the state in bytes: history, document text, and view of the document. */
+size_t version_store_memory (const version_store_t *store);
