--- /dev/null
+++ b/src/history_verify.c
@@ -0,0 +1,128 @@
+#include "history.h"
+
+#include <string.h>
+
+#include "config_doc.h"
+#include "config_patch.h"
+#include "text_page.h"
+
+/* The state after the versions that were checked. */
+typedef struct
+{
+  GBytes *text;
+  version_digest_t digest;
+} verify_t;
+
+static bool
+verify_error (const version_record_t *record, const char *rule, anv_error_t *err)
+{
+  anv_error_set (err, ANV_ERROR_VERSION, VERSION_ERROR_DIGEST, "version %" G_GUINT64_FORMAT ": %s",
+                 record->version, rule);
+  return false;
+}
+
+static GBytes *
+apply_patch (GBytes *text, const version_record_t *record)
+{
+  json_slice_t base = { .data = NULL };
+  base.data = g_bytes_get_data (text, &base.size);
+  cJSON *patch = json_parse (record->patch, strlen (record->patch), NULL);
+  if (patch == NULL)
+    return NULL;
+  GString *out = g_string_sized_new (base.size + 256);
+  bool ok = config_patch_apply_text (base, patch, out);
+  cJSON_Delete (patch);
+  gsize size = out->len;
+  GBytes *result = g_bytes_new_take (g_string_free (out, FALSE), size);
+  if (ok)
+    return result;
+  g_bytes_unref (result);
+  return NULL;
+}
+
+static bool
+verify_document (verify_t *state, const version_record_t *record, anv_error_t *err)
+{
+  GBytes *text = apply_patch (state->text, record);
+  if (text == NULL)
+    return verify_error (record, "the patch is not JSON", err);
+  g_bytes_unref (state->text);
+  state->text = text;
+
+  gsize size = 0;
+  const char *data = g_bytes_get_data (text, &size);
+  version_digest_t digest = version_text_digest (data, size);
+  if (!version_digest_equal (&digest, &record->document))
+    return verify_error (record, "the document does not match its digest", err);
+  config_doc_t *doc = config_doc_new (text, record->schema, err);
+  if (doc != NULL)
+    {
+      config_doc_unref (doc);
+      return true;
+    }
+  anv_error_convert (err, ANV_ERROR_VERSION, VERSION_ERROR_FORMAT,
+                     "version %" G_GUINT64_FORMAT ": the document breaks a rule", record->version);
+  return false;
+}
+
+static bool
+verify_version (verify_t *state, const version_record_t *record, uint64_t number,
+                uint64_t printed_version, const version_digest_t *printed, anv_error_t *err)
+{
+  if (!version_record_verify (record, number, &state->digest, err)
+      || !verify_document (state, record, err))
+    return false;
+  if (printed != NULL && number == printed_version
+      && !version_digest_equal (printed, &record->digest))
+    return verify_error (record, "the digest differs from the printed one", err);
+  state->digest = record->digest;
+  return true;
+}
+
+static char *
+verdict_text (const history_t *history, const verify_t *state, uint64_t first_bad,
+              const anv_error_t *err)
+{
+  char hex[VERSION_HEX_SIZE];
+  text_page_t page;
+  text_page_init (&page, HISTORY_WIDTH);
+  if (first_bad == 0)
+    {
+      text_page_add (&page, 0, "verified: %zu versions", history->count);
+      text_page_add (&page, 0, "digest of version %zu:", history->count);
+      text_page_add (&page, 2, "%s", version_digest_hex (&state->digest, hex));
+    }
+  else
+    {
+      text_page_add (&page, 0, "first bad version: %" G_GUINT64_FORMAT, first_bad);
+      text_page_add (&page, 2, "%s", err->text);
+      text_page_add (&page, 0, "verified before it: %" G_GUINT64_FORMAT " versions", first_bad - 1);
+    }
+  char *text = text_page_text (&page);
+  text_page_destroy (&page);
+  return text;
+}
+
+history_verdict_t
+history_verify (const history_t *history, uint64_t printed_version, const version_digest_t *printed)
+{
+  anv_error_t err = { .domain = ANV_ERROR_NONE };
+  history_verdict_t verdict = { 0, NULL };
+  verify_t state = { g_bytes_new_static ("{}", 2), { { 0 } } };
+  for (uint64_t number = 1; number <= history->count && verdict.first_bad == 0; number++)
+    {
+      if (!verify_version (&state, history->records[number - 1], number, printed_version, printed,
+                           &err))
+        verdict.first_bad = number;
+    }
+  if (verdict.first_bad == 0 && printed != NULL && printed_version > history->count)
+    {
+      verdict.first_bad = history->count + 1;
+      anv_error_set (&err, ANV_ERROR_VERSION, VERSION_ERROR_MISSING,
+                     "version %" G_GUINT64_FORMAT " was printed, but the history ends before it",
+                     printed_version);
+    }
+  verdict.text = verdict_text (history, &state, verdict.first_bad, &err);
+  g_bytes_unref (state.text);
+  return verdict;
+}
--- a/src/version_codec.c
+++ b/src/version_codec.c
@@ -256,6 +256,8 @@
   version_digest_write (writer, &seal->previous);
   version_digest_write (writer, &seal->record);
   version_digest_write (writer, &seal->document);
+  version_digest_t digest = version_seal_digest (seal);
+  version_digest_write (writer, &digest);
 }
 
 void
@@ -266,4 +268,10 @@
   version_digest_read (reader, &seal->previous);
   version_digest_read (reader, &seal->record);
   version_digest_read (reader, &seal->document);
+
+  version_digest_t digest;
+  version_digest_t expected = version_seal_digest (seal);
+  version_digest_read (reader, &digest);
+  if (!version_digest_equal (&digest, &expected))
+    reader->failed = true;
 }
--- a/src/version_codec.h
+++ b/src/version_codec.h
@@ -76,8 +76,9 @@
 cJSON *version_record_to_json (const version_record_t *record);
 version_record_t *version_record_from_json (const cJSON *object, anv_error_t *err);
 
-/* Five fields of a message: schema, version, and the digests. */
-#define VERSION_SEAL_FIELDS 5
+/* Six fields of a message: schema, version, the digests in the seal, and the digest that follows
+ * from them. The reader fails if the last one does not. */
+#define VERSION_SEAL_FIELDS 6
 void version_seal_write (wire_writer_t *writer, const version_seal_t *seal);
 void version_seal_read (wire_reader_t *reader, version_seal_t *seal);
 
