--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -40,8 +40,10 @@
 merge (ModelResult &sum, const ModelResult &run)
 {
   append (sum.detection_us, run.detection_us);
+  append (sum.ejection_us, run.ejection_us);
   append (sum.urgent_us, run.urgent_us);
   append (sum.background_us, run.background_us);
+  sum.not_ejected += run.not_ejected;
   sum.missed += run.missed;
   sum.ejections += run.ejections;
   sum.false_ejections += run.false_ejections;
@@ -85,13 +87,18 @@
 {
   if (result.detection_us.empty ())
     {
-      printf ("– | – | – |");
+      printf ("– | – | – | – |");
       return;
     }
   size_t count = result.detection_us.size ();
   double p50 = (double)model_quantile (result.detection_us, 0.5) / 1e6;
   double p99 = (double)model_quantile (result.detection_us, 0.99) / 1e6;
-  printf ("%.2f | %.2f | %d of %zu |", p50, p99, result.missed, count);
+  double ejected = (double)model_quantile (result.ejection_us, 0.5) / 1e6;
+  printf ("%.2f | %.2f | %d of %zu | ", p50, p99, result.missed, count);
+  if (2 * (size_t)result.not_ejected < count)
+    printf ("%.2f (%d not) |", ejected, result.not_ejected);
+  else
+    printf ("– (%d not) |", result.not_ejected);
 }
 
 void
@@ -121,9 +128,10 @@
       user.options.targets, user.options.slots, user.options.rate,
       user.options.policy.service.sensitivity, user.options.policy.service.floor_slots, runs,
       (double)user.options.duration_us / 1e6, (double)user.options.onset_us / 1e6, runs);
-  printf ("| failure | policy | detection p50 (s) | p99 (s) | missed | false ejections per "
+  printf ("| failure | policy | detection p50 (s) | p99 (s) | missed | ejected p50 (s) | false "
+          "ejections per "
           "target-day | urgent p99 (ms) | background p99 (ms) | failed | crossed | probes |\n");
-  printf ("|---|---|---|---|---|---|---|---|---|---|---|\n");
+  printf ("|---|---|---|---|---|---|---|---|---|---|---|---|\n");
   for (const Scenario &scenario : bench_scenarios ())
     {
       if (only != nullptr && scenario.name.find (only) == std::string::npos)
--- a/bench/model.cc
+++ b/bench/model.cc
@@ -21,6 +21,7 @@
 constexpr int64_t SUMMARY_PERIOD_US = 500 * MODEL_MS;
 constexpr int64_t ANNOUNCE_PERIOD_US = 800 * MODEL_MS;
 constexpr int64_t AFTER_FAULT_US = 5 * MODEL_SECOND;
+constexpr int64_t QUIET_US = 5 * MODEL_SECOND;
 constexpr double COLD_FACTOR = 8;
 constexpr double ERROR_TIME_SHARE = 0.1;
 constexpr double RETRY_BURST = 10;
@@ -30,8 +31,9 @@
   int domain = 0;
   uint32_t in_use = 0;
   bool ejected = false;
-  bool ever_ejected = false; /* since the onset */
-  int64_t last_dispatch_us = -1;
+  int64_t last_dispatch_us = -1; /* not after quiet_us is set */
+  int64_t ejected_us = -1;       /* first ejection after the onset */
+  bool quiet = false;            /* no work for QUIET_US after last_dispatch_us */
   int64_t pause_start_us = 0;
   int64_t pause_end_us = 0;
 };
@@ -248,7 +250,7 @@
   begin_faults ()
   {
     for (Target &target : targets_)
-      target.ever_ejected = target.ejected;
+      target.ejected_us = target.ejected ? now_ : -1;
     for (const Fault &fault : o_.faults)
       {
         if (fault.kind != FaultKind::COLD)
@@ -343,8 +345,7 @@
     Target &target = targets_[index];
     target.in_use++;
     result_.slot_violations += target.in_use > o_.slots;
-    if (!target.ever_ejected)
-      target.last_dispatch_us = now_;
+    note_dispatch (target);
     request.target = index;
     int attempt = ++request.attempt;
 
@@ -362,6 +363,16 @@
     at (end, [this, id, attempt, outcome] { complete (id, attempt, outcome); });
   }
 
+  /* Remembers the last request before the first QUIET_US without any. */
+  void
+  note_dispatch (Target &target)
+  {
+    int64_t since = std::max (target.last_dispatch_us, o_.onset_us);
+    target.quiet = target.quiet || (now_ >= o_.onset_us && now_ - since >= QUIET_US);
+    if (!target.quiet)
+      target.last_dispatch_us = now_;
+  }
+
   health_result_t
   draw_outcome (int index)
   {
@@ -445,8 +456,8 @@
     target.ejected = true;
     result_.ejections++;
     result_.false_ejections += !is_at_fault (index);
-    if (now_ >= o_.onset_us)
-      target.ever_ejected = true;
+    if (now_ >= o_.onset_us && target.ejected_us < 0)
+      target.ejected_us = now_;
     uint32_t healthy = 0;
     for (const Target &other : targets_)
       healthy += other.ejected ? 0 : o_.slots;
@@ -478,7 +489,7 @@
     at (now_ + o_.distance_us, [this, entry, other, index] {
       probe (other, index, [this, entry, other, index] (health_result_t result, int64_t latency) {
         health_opinion_t opinion = { result == HEALTH_OK, latency - link_us (other, index),
-                                     entries_[other]->probe_reference_us () };
+                                     entries_[other]->probe_reference_us (now_) };
         if (is_cut (other))
           return;
         at (now_ + o_.distance_us, [this, entry, index, opinion] {
@@ -500,9 +511,13 @@
         if (!counts || fault.index == EVERY_TARGET)
           continue;
         const Target &target = targets_[fault.index];
-        result_.missed += !target.ever_ejected;
-        int64_t end = target.ever_ejected ? target.last_dispatch_us : o_.duration_us;
-        result_.detection_us.push_back (std::max<int64_t> (0, end - o_.onset_us));
+        int64_t last = std::max (target.last_dispatch_us, o_.onset_us);
+        bool quiet = target.quiet || o_.duration_us - last >= QUIET_US;
+        result_.missed += !quiet;
+        result_.detection_us.push_back ((quiet ? last : o_.duration_us) - o_.onset_us);
+        result_.not_ejected += target.ejected_us < 0;
+        int64_t ejected = target.ejected_us < 0 ? o_.duration_us : target.ejected_us;
+        result_.ejection_us.push_back (ejected - o_.onset_us);
       }
   }
 
--- a/bench/model.h
+++ b/bench/model.h
@@ -58,10 +58,12 @@
 
 struct ModelResult
 {
-  /* Per faulty target: from the onset to the last request sent to it before its ejection, or to the
-   * end of the run (missed). */
+  /* Per faulty target: from the onset to the last request before the first 5 s without any, or to
+   * the end of the run (missed). */
   std::vector<int64_t> detection_us;
   int missed = 0;
+  std::vector<int64_t> ejection_us; /* from the onset to the ejection, or to the end of the run */
+  int not_ejected = 0;
   int64_t ejections = 0;
   int64_t false_ejections = 0;
   double target_days = 0;
--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -77,9 +77,9 @@
     assigned_service_opinion (&service_, now, target_id, &opinion);
   }
   int64_t
-  probe_reference_us () override
+  probe_reference_us (int64_t now) override
   {
-    return health_probe_reference_us (&service_.health);
+    return health_probe_reference_us (&service_.health, now);
   }
 
 private:
--- a/bench/policy.h
+++ b/bench/policy.h
@@ -57,7 +57,7 @@
   {
   }
   virtual int64_t
-  probe_reference_us ()
+  probe_reference_us (int64_t)
   {
     return 0;
   }
--- a/src/health.c
+++ b/src/health.c
@@ -176,6 +176,16 @@
     }
 }
 
+static void
+score_response (health_t *h, int64_t now_us, health_target_t *target, double residual)
+{
+  double ratios[LATENCY_MODEL_TESTS];
+
+  for (unsigned i = 0; i < LATENCY_MODEL_TESTS; i++)
+    ratios[i] = latency_model_finished (&h->model, i, residual);
+  health_score_latency (h, now_us, target, ratios);
+}
+
 static void
 finish_latency (health_t *h, int64_t now_us, health_target_t *target, int64_t started_us)
 {
@@ -189,7 +199,7 @@
       double residual = latency_log - reference_log;
       if (residual < GOOD_RESIDUAL && started_us > target->last_good_start_us)
         target->last_good_start_us = started_us;
-      health_score_latency (h, now_us, target, latency_model_finished (&h->model, residual));
+      score_response (h, now_us, target, residual);
       if (!target->unhealthy && !target->readmission.ejected)
         latency_model_add (&h->model, residual);
       h->usual_log = h->usual_log == 0 ? reference_log
@@ -210,8 +220,10 @@
   if (started_us < target->last_good_start_us || !health_is_warm (h, now_us, target)
       || !health_reference_log (h, now_us, target, &reference_log))
     return;
-  double ratio = latency_model_pending (&h->model, latency_log - reference_log);
-  health_score_latency (h, now_us, target, ratio);
+  double ratios[LATENCY_MODEL_TESTS];
+  for (unsigned i = 0; i < LATENCY_MODEL_TESTS; i++)
+    ratios[i] = latency_model_pending (&h->model, i, latency_log - reference_log);
+  health_score_latency (h, now_us, target, ratios);
 }
 
 static void
@@ -233,7 +245,8 @@
     return;
   double ratio = PROBE_SLOPE * residual - PROBE_OFFSET;
   ratio = fmax (LATENCY_MODEL_MIN_LLR, fmin (LATENCY_MODEL_MAX_LLR, ratio));
-  health_score_latency (h, now_us, target, ratio);
+  double ratios[LATENCY_MODEL_TESTS] = { ratio, ratio, ratio, ratio };
+  health_score_latency (h, now_us, target, ratios);
   if (!target->unhealthy)
     h->probe_log += latency_log > h->probe_log ? PROBE_STEP : -PROBE_STEP;
 }
@@ -342,7 +355,7 @@
 }
 
 int64_t
-health_probe_reference_us (const health_t *h)
+health_probe_reference_us (health_t *h, int64_t now_us)
 {
-  return (int64_t)exp (h->probe_log);
+  return (int64_t)exp (health_probe_log (h, now_us, NULL));
 }
--- a/src/health.h
+++ b/src/health.h
@@ -142,5 +142,6 @@
 /* Fills all but entry_id, for the summary to the other assigned entries. */
 void health_summary (health_t *h, int64_t now_us, health_peer_t *out);
 
-/* Returns the latency of a probe of a healthy target, for a PROBE_RESULT. */
-int64_t health_probe_reference_us (const health_t *h);
+/* Returns the latency that a probe of a healthy target has now, for a PROBE_RESULT. It is larger
+ * than usual while the whole service is slow. */
+int64_t health_probe_reference_us (health_t *h, int64_t now_us);
--- a/src/health_evidence.c
+++ b/src/health_evidence.c
@@ -7,9 +7,10 @@
 #define CREDIT_BURST 6.0
 #define MAX_PENDING 6.0
 
-/* Time over which the evidence must spread to reach the threshold, for sensitivity 0. It shrinks
- * with the square of what is missing to full sensitivity. */
+/* Time over which the evidence must spread to reach the threshold, for sensitivity 0; it falls
+ * linearly to the shortest for sensitivity 1. A pause of a target that is shorter ejects nobody. */
 #define PERSISTENCE_US 5e6
+#define SHORTEST_PERSISTENCE_US 2e5
 
 /* A score stops growing here, so that a target that recovers is not held by old evidence. */
 #define MAX_SCORE_SHARE 2.0
@@ -42,7 +43,8 @@
 void
 health_reset_scores (health_target_t *target)
 {
-  target->latency_score = 0;
+  for (size_t i = 0; i < LATENCY_MODEL_TESTS; i++)
+    target->latency_score[i] = 0;
   for (size_t i = 0; i < HEALTH_FAILURE_TESTS; i++)
     target->failure_score[i] = 0;
 }
@@ -205,19 +207,17 @@
   return requests > 0 ? failures / requests : 0;
 }
 
-/* Lets CREDIT grow with time and takes at most RATIO out of it. */
-static double
-take_credit (const health_t *h, double *credit, int64_t elapsed_us, double ratio)
+/* Lets both credits grow with the time since the last evidence. */
+static void
+grow_credits (const health_t *h, int64_t now_us, health_target_t *target)
 {
   double missing = 1 - h->options.sensitivity;
-  double spread_us = fmax (PERSISTENCE_US * missing * missing, 1e5);
-
-  *credit = fmin (CREDIT_BURST, *credit + h->threshold * (double)elapsed_us / spread_us);
-  if (ratio <= 0)
-    return ratio;
-  double taken = fmin (ratio, *credit);
-  *credit -= taken;
-  return taken;
+  double spread_us = fmax (PERSISTENCE_US * missing, SHORTEST_PERSISTENCE_US);
+  double grown = h->threshold * (double)(now_us - target->credit_us) / spread_us;
+
+  target->credit_us = now_us;
+  target->latency_credit = fmin (CREDIT_BURST, target->latency_credit + grown);
+  target->failure_credit = fmin (CREDIT_BURST, target->failure_credit + grown);
 }
 
 static double
@@ -226,33 +226,28 @@
   return fmax (0, fmin (score + ratio, MAX_SCORE_SHARE * h->threshold));
 }
 
-static int64_t
-credit_elapsed (health_target_t *target, int64_t now_us)
-{
-  int64_t elapsed_us = now_us - target->credit_us;
-  target->credit_us = now_us;
-  return elapsed_us;
-}
-
 void
-health_score_latency (health_t *h, int64_t now_us, health_target_t *target, double ratio)
+health_score_latency (health_t *h, int64_t now_us, health_target_t *target, const double *ratios)
 {
-  int64_t elapsed_us = credit_elapsed (target, now_us);
+  double largest = 0;
 
-  take_credit (h, &target->failure_credit, elapsed_us, 0);
-  double taken = take_credit (h, &target->latency_credit, elapsed_us, ratio);
-  target->latency_score = add_score (h, target->latency_score, taken);
+  grow_credits (h, now_us, target);
+  for (size_t i = 0; i < LATENCY_MODEL_TESTS; i++)
+    {
+      double ratio = fmin (ratios[i], target->latency_credit);
+      largest = fmax (largest, ratio);
+      target->latency_score[i] = add_score (h, target->latency_score[i], ratio);
+    }
+  target->latency_credit -= largest;
 }
 
 void
 health_score_outcome (health_t *h, int64_t now_us, health_target_t *target, bool failed)
 {
   double base = fmax (SMALLEST_FAILURE_RATE, 1.5 * health_reference_failures (h, now_us, target));
-  int64_t elapsed_us = credit_elapsed (target, now_us);
   double largest = 0;
 
-  take_credit (h, &target->latency_credit, elapsed_us, 0);
-  take_credit (h, &target->failure_credit, elapsed_us, 0);
+  grow_credits (h, now_us, target);
   for (size_t i = 0; i < HEALTH_FAILURE_TESTS; i++)
     {
       double rate = failure_rates[i];
@@ -262,9 +257,7 @@
           continue;
         }
       double ratio = failed ? log (rate / base) : log ((1 - rate) / (1 - base));
-      ratio = fmin (LATENCY_MODEL_MAX_LLR, ratio);
-      if (ratio > target->failure_credit)
-        ratio = target->failure_credit;
+      ratio = fmin (ratio, fmin (LATENCY_MODEL_MAX_LLR, target->failure_credit));
       largest = fmax (largest, ratio);
       target->failure_score[i] = add_score (h, target->failure_score[i], ratio);
     }
@@ -272,7 +265,7 @@
 }
 
 double
-health_pending_score (health_t *h, int64_t now_us, const health_target_t *target)
+health_pending_score (health_t *h, int64_t now_us, const health_target_t *target, unsigned test)
 {
   double score = 0;
   double reference_log;
@@ -289,7 +282,7 @@
          * is long by itself. */
         if (attempt->started_us < target->last_good_start_us || age_us <= 1)
           continue;
-        score += latency_model_pending (&h->model, log (age_us) - reference_log);
+        score += latency_model_pending (&h->model, test, log (age_us) - reference_log);
       }
     }
   LIST_FOREACH (&target->probes, node)
@@ -305,8 +298,10 @@
 double
 health_total_score (health_t *h, int64_t now_us, const health_target_t *target)
 {
-  double score = target->latency_score + health_pending_score (h, now_us, target);
+  double score = 0;
 
+  for (unsigned i = 0; i < LATENCY_MODEL_TESTS; i++)
+    score = fmax (score, target->latency_score[i] + health_pending_score (h, now_us, target, i));
   for (size_t i = 0; i < HEALTH_FAILURE_TESTS; i++)
     score = fmax (score, target->failure_score[i]);
   return score;
--- a/src/health_target.h
+++ b/src/health_target.h
@@ -22,7 +22,7 @@
   bool unhealthy;        /* with hysteresis */
   uint32_t samples;      /* finished responses in latency_log, up to a few */
   double latency_log;    /* moving mean of the logarithm of the latency */
-  double latency_score;
+  double latency_score[LATENCY_MODEL_TESTS];
   double failure_score[HEALTH_FAILURE_TESTS];
   double latency_credit; /* evidence that may still be added now */
   double failure_credit;
@@ -46,13 +46,15 @@
   const health_target_t *target; /* NULL: a peer */
 } health_reference_t;
 
-/* Evidence of one finished response or probe. */
-void health_score_latency (health_t *h, int64_t now_us, health_target_t *target, double ratio);
+/* Evidence of one finished response or probe; RATIOS by test. */
+void health_score_latency (health_t *h, int64_t now_us, health_target_t *target,
+                           const double *ratios);
 void health_score_outcome (health_t *h, int64_t now_us, health_target_t *target, bool failed);
 
-/* Evidence of the requests in flight, bounded: requests that are stuck at the same moment may have
- * one cause. */
-double health_pending_score (health_t *h, int64_t now_us, const health_target_t *target);
+/* Evidence of the requests in flight for one test, bounded: requests that are stuck at the same
+ * moment may have one cause. */
+double health_pending_score (health_t *h, int64_t now_us, const health_target_t *target,
+                             unsigned test);
 
 /* Score with requests in flight, relative to nothing; compare with the threshold. */
 double health_total_score (health_t *h, int64_t now_us, const health_target_t *target);
--- a/src/latency_model.c
+++ b/src/latency_model.c
@@ -17,9 +17,7 @@
 /* Probability of any bin that has not been seen. It bounds what a rare value may say. */
 #define UNSEEN 1e-4
 
-#define SHIFT_COUNT 4
-
-static const int shifts[SHIFT_COUNT] = { 4, 8, 12, 16 };
+static const int shifts[LATENCY_MODEL_TESTS] = { 4, 8, 12, 16 };
 
 static int
 bin_of (double residual)
@@ -41,16 +39,6 @@
     }
 }
 
-/* Returns the probability of BIN under the mixture of slower targets. */
-static double
-slow_probability (const double *healthy, int bin)
-{
-  double sum = 0;
-  for (int i = 0; i < SHIFT_COUNT; i++)
-    sum += bin >= shifts[i] ? healthy[bin - shifts[i]] : 0;
-  return sum / SHIFT_COUNT;
-}
-
 static double
 bounded_ratio (double slow, double healthy)
 {
@@ -67,23 +55,32 @@
 }
 
 static void
-recompute (latency_model_t *m)
+recompute_test (latency_model_t *m, const double *healthy, unsigned test)
 {
-  double healthy[BINS];
+  int shift = shifts[test];
   double healthy_above = 0;
   double slow_above = 0;
 
-  smooth (m, healthy);
-  for (int i = BINS - 1; i >= 0; i--)
+  for (int i = LATENCY_MODEL_BINS - 1; i >= 0; i--)
     {
-      double slow = slow_probability (healthy, i);
-      m->finished[i] = (float)bounded_ratio (slow, healthy[i]);
-      m->pending[i] = (float)fmax (0, bounded_ratio (slow_above, healthy_above));
+      double slow = i >= shift ? healthy[i - shift] : 0;
+      m->finished[test][i] = (float)bounded_ratio (slow, healthy[i]);
+      m->pending[test][i] = (float)fmax (0, bounded_ratio (slow_above, healthy_above));
       healthy_above += healthy[i];
       slow_above += slow;
     }
-  make_monotonic (m->finished);
-  make_monotonic (m->pending);
+  make_monotonic (m->finished[test]);
+  make_monotonic (m->pending[test]);
+}
+
+static void
+recompute (latency_model_t *m)
+{
+  double healthy[BINS];
+
+  smooth (m, healthy);
+  for (unsigned test = 0; test < LATENCY_MODEL_TESTS; test++)
+    recompute_test (m, healthy, test);
   m->stale = 0;
 }
 
@@ -121,13 +118,13 @@
 }
 
 double
-latency_model_finished (const latency_model_t *m, double residual)
+latency_model_finished (const latency_model_t *m, unsigned test, double residual)
 {
-  return m->finished[bin_of (residual)];
+  return m->finished[test][bin_of (residual)];
 }
 
 double
-latency_model_pending (const latency_model_t *m, double residual)
+latency_model_pending (const latency_model_t *m, unsigned test, double residual)
 {
-  return m->pending[bin_of (residual)];
+  return m->pending[test][bin_of (residual)];
 }
