--- a/src/health.c
+++ b/src/health.c
@@ -161,6 +161,8 @@
   list_push_back (probe ? &target->probes : &target->attempts, &attempt->node);
   if (probe)
     target->last_probe_us = now_us;
+  else
+    h->last_request_us = now_us;
 }
 
 /* Requests and failures fade, so that the rate is that of the recent past. */
@@ -247,7 +249,7 @@
   ratio = fmax (LATENCY_MODEL_MIN_LLR, fmin (LATENCY_MODEL_MAX_LLR, ratio));
   double ratios[LATENCY_MODEL_TESTS] = { ratio, ratio, ratio, ratio };
   health_score_latency (h, now_us, target, ratios);
-  if (!target->unhealthy)
+  if (!target->suspect)
     h->probe_log += latency_log > h->probe_log ? PROBE_STEP : -PROBE_STEP;
 }
 
--- a/src/health.h
+++ b/src/health.h
@@ -101,6 +101,7 @@
   double threshold;
   double suspect_threshold;
   int64_t link_suspect_until_us;
+  int64_t last_request_us; /* start of the last request to any target */
   bool changed;
 } health_t;
 
--- a/src/health_evidence.c
+++ b/src/health_evidence.c
@@ -2,10 +2,9 @@
 
 #include "health_target.h"
 
-/* Most evidence of one kind that may be added at one moment, and the evidence of requests in
- * flight: a pause of a target delays all its slots at once, which is one event. */
+/* Most evidence of one kind that may be added at one moment, be it of finished responses or of
+ * requests in flight: a pause of a target delays all its slots at once, which is one event. */
 #define CREDIT_BURST 6.0
-#define MAX_PENDING 6.0
 
 /* Time over which the evidence must spread to reach the threshold, for sensitivity 0; it falls
  * linearly to the shortest for sensitivity 1. A pause of a target that is shorter ejects nobody. */
@@ -169,6 +168,32 @@
   return h->probe_log + fmax (0, reference_log - h->usual_log);
 }
 
+/* Returns the weight of the fresh peers whose median is below VALUE, or of all for INFINITY. */
+static uint32_t
+peer_weight_below (const health_t *h, int64_t now_us, double value)
+{
+  uint32_t weight = 0;
+
+  for (guint i = 0; i < h->peers->len; i++)
+    {
+      const health_peer_t *peer = &g_array_index (h->peers, health_peer_t, i);
+      if (now_us - peer->taken_us <= PEER_MAX_AGE_US && peer->median_latency_us < value)
+        weight += peer->targets;
+    }
+  return weight;
+}
+
+bool
+health_is_slower_than_peers (health_t *h, int64_t now_us, double factor)
+{
+  double own_log;
+
+  if (!health_own_median_log (h, now_us, &own_log))
+    return false;
+  uint32_t all = peer_weight_below (h, now_us, INFINITY);
+  return all > 0 && 2 * peer_weight_below (h, now_us, exp (own_log) / factor) > all;
+}
+
 double
 health_reference_failures (const health_t *h, int64_t now_us, const health_target_t *target)
 {
@@ -292,7 +317,7 @@
     if (age_us > LATE_PROBE_FACTOR * exp (health_probe_log (h, now_us, target)))
       score += LATENCY_MODEL_MAX_LLR / 2;
   }
-  return fmin (score, MAX_PENDING);
+  return fmin (score, target->latency_credit);
 }
 
 double
--- a/src/health_target.h
+++ b/src/health_target.h
@@ -65,6 +65,9 @@
 /* Stores the logarithm of the median latency of the own targets. Returns false without any. */
 bool health_own_median_log (health_t *h, int64_t now_us, double *out);
 
+/* Returns whether the own median is above FACTOR times that of most targets of other entries. */
+bool health_is_slower_than_peers (health_t *h, int64_t now_us, double factor);
+
 /* Returns the logarithm of the expected probe latency, raised while the whole service is slow. */
 double health_probe_log (health_t *h, int64_t now_us, const health_target_t *target);
 
--- a/src/health_verdict.c
+++ b/src/health_verdict.c
@@ -14,9 +14,18 @@
 #define SUSPECT_PROBE_GAP_US 50000.0
 #define SUSPECT_PROBE_GAP_INSENSITIVE_US 450000.0
 
-/* A target without any response for this long is probed. */
-#define THIN_TRAFFIC_US 2000000.0
-#define THIN_TRAFFIC_INSENSITIVE_US 8000000.0
+/* A target without any response for this long is probed: for sensitivity 1, and what sensitivity 0
+ * adds, with the square of what is missing to sensitivity 1. At 3 requests/s to a target, one gap
+ * in 30 is longer than a second. */
+#define THIN_TRAFFIC_US 250000.0
+#define THIN_TRAFFIC_INSENSITIVE_US 5000000.0
+
+/* A service without a request for IDLE_SERVICE_US is probed at this interval. */
+#define IDLE_SERVICE_US 5000000
+#define IDLE_PROBE_GAP_US 5000000
+
+/* Part of the suspect threshold from which a target is probed as if it were suspect. */
+#define WATCH_SHARE 0.5
 
 #define OPINION_REPEAT_US 1000000
 
@@ -27,6 +36,9 @@
 #define CONFIRMED_US 5000000
 #define LINK_SUSPECT_US 10000000
 
+/* The own link stays suspect while all own targets are slower than others by this factor. */
+#define LINK_SLOWER_FACTOR 1.5
+
 /* A probe by another entry confirms a fault from this multiple of its usual latency. */
 #define CONFIRMING_FACTOR 2.0
 
@@ -129,8 +141,18 @@
   return fmin (1, SMALLEST_WEIGHT + (1 - SMALLEST_WEIGHT) * elapsed);
 }
 
+static double
+thin_traffic_gap (const health_t *h, int64_t now_us)
+{
+  double missing = 1 - h->options.sensitivity;
+
+  if (now_us - h->last_request_us >= IDLE_SERVICE_US)
+    return IDLE_PROBE_GAP_US;
+  return THIN_TRAFFIC_US + missing * missing * THIN_TRAFFIC_INSENSITIVE_US;
+}
+
 static bool
-probe_is_due (const health_t *h, int64_t now_us, const health_target_t *target)
+probe_is_due (const health_t *h, int64_t now_us, const health_target_t *target, double score)
 {
   double missing = 1 - h->options.sensitivity;
 
@@ -138,12 +160,11 @@
     return false;
   if (target->readmission.ejected)
     return readmission_wants_probe (&target->readmission, now_us, target->last_probe_us);
-  if (target->suspect)
-    return now_us - target->last_probe_us
+  if (target->suspect || score >= WATCH_SHARE * h->suspect_threshold)
+    return (double)(now_us - target->last_probe_us)
            >= SUSPECT_PROBE_GAP_US + missing * SUSPECT_PROBE_GAP_INSENSITIVE_US;
   return list_is_empty (&target->attempts)
-         && now_us - target->last_sample_us
-                >= THIN_TRAFFIC_US + missing * THIN_TRAFFIC_INSENSITIVE_US;
+         && (double)(now_us - target->last_sample_us) >= thin_traffic_gap (h, now_us);
 }
 
 static health_state_t
@@ -173,7 +194,7 @@
   verdict->state = state_of (target);
   verdict->badness = score / h->threshold;
   verdict->weight = target->readmission.ejected ? SMALLEST_WEIGHT : ramp_weight (h, now_us, target);
-  verdict->probe_due = probe_is_due (h, now_us, target);
+  verdict->probe_due = probe_is_due (h, now_us, target, score);
   if (verdict->probe_due)
     target->last_probe_us = now_us;
 }
@@ -192,6 +213,9 @@
       group.serving++;
       group.suspect += target->suspect;
     }
+  if (now_us < h->link_suspect_until_us
+      && health_is_slower_than_peers (h, now_us, LINK_SLOWER_FACTOR))
+    h->link_suspect_until_us = now_us + LINK_SUSPECT_US;
   size_t stored = MIN (h->ordered->len, max);
   for (size_t i = 0; i < stored; i++)
     judge (h, now_us, g_ptr_array_index (h->ordered, i), &group, &out[i]);
--- a/src/spillover.c
+++ b/src/spillover.c
@@ -1,5 +1,10 @@
 #include "spillover.h"
 
+/* Forwarding also needs a clear difference of the waits: when all entries are overloaded, their
+ * estimates differ by chance, and each forwarded request crosses a costly link for nothing. */
+#define START_FACTOR 2.0
+#define CONTINUE_FACTOR 1.25
+
 typedef struct
 {
   spillover_peer_t summary;
@@ -87,9 +92,12 @@
       spillover_entry_t *entry = &g_array_index (s->peers, spillover_entry_t, i);
       int64_t wait_us = remote_wait (entry, now_us, class_index, service_us);
       int64_t distance_us = entry->summary.distance_us;
-      int64_t margin_us = entry->active[class_index] ? distance_us / 2 : distance_us;
+      bool active = entry->active[class_index];
+      int64_t margin_us = active ? distance_us / 2 : distance_us;
+      double factor = active ? CONTINUE_FACTOR : START_FACTOR;
 
-      entry->active[class_index] = wait_us >= 0 && own_wait_us > wait_us + margin_us;
+      entry->active[class_index] = wait_us >= 0 && own_wait_us > wait_us + margin_us
+                                   && (double)own_wait_us > factor * (double)wait_us;
       if (entry->active[class_index] && wait_us + distance_us < best_cost_us)
         {
           best = entry;
--- a/src/spillover.h
+++ b/src/spillover.h
@@ -7,7 +7,8 @@
 /* spillover - decides whether a request goes one hop to another assigned entry of the service.
  *
  * Forwarding to a peer starts when the own queue wait exceeds the peer's wait plus the distance,
- * and ends when it is below the peer's wait plus half the distance. Requests forwarded since the
+ * and is twice the peer's wait. It ends below the peer's wait plus half the distance, or below 1.25
+ * times the peer's wait. Requests forwarded since the
  * peer's last summary are added to its wait, so that one summary does not draw all the surplus to
  * one peer. A peer whose summary is older than SPILLOVER_SUMMARY_MAX_AGE_US gets none. */
 
