--- a/src/health.h
+++ b/src/health.h
@@ -101,6 +101,7 @@
   double threshold;
   double suspect_threshold;
   int64_t link_suspect_until_us;
+  int64_t last_request_us; /* start of the last request to any target */
   bool changed;
 } health_t;
 
@@ -142,5 +143,6 @@
 /* Fills all but entry_id, for the summary to the other assigned entries. */
 void health_summary (health_t *h, int64_t now_us, health_peer_t *out);
 
-/* Returns the latency of a probe of a healthy target, for a PROBE_RESULT. */
-int64_t health_probe_reference_us (const health_t *h);
+/* Returns the latency that a probe of a healthy target has now, for a PROBE_RESULT. It is larger
+ * than usual while the whole service is slow. */
+int64_t health_probe_reference_us (health_t *h, int64_t now_us);
