swim: drop isolation detection, last check before a death, constant load of seeds

Departures are told at once, because one member suspected a departed one.

The seeds sent 3,538 bytes/s each at 2,048 members, because all members contacted them; only 32 members per turn do now.

--- a/src/swim.c
+++ b/src/swim.c
@@ -11,8 +11,10 @@
 #define PARTITION_CONTACT_INTERVAL_US SWIM_PERIOD_US
 #define PARTITION_SHARE 8
 
-/* One contact in this many goes to a seed. */
+/* One contact in this many goes to a seed, and in a large fleet only those of this many members, so
+ * that the load of the seeds does not grow with the fleet. */
 #define SEED_CONTACTS 6
+#define SEED_MEMBERS 32
 
 /* Comparisons of tables after the start, until two tables are equal. */
 #define JOIN_SYNCS 5
@@ -22,11 +24,9 @@
 void
 swim_options_init (swim_options_t *options)
 {
-  *options = (swim_options_t){ .caller_address = "",
-                               .own_domain_share = 0.75,
-                               .health_limit = 8,
-                               .detect_isolation = true,
-                               .demote_deaths = true };
+  *options = (swim_options_t){
+    .caller_address = "", .own_domain_share = 0.75, .health_limit = 8, .demote_deaths = true
+  };
 }
 
 void
@@ -112,7 +112,9 @@
   bool many_dead = swim->table.dead_count * PARTITION_SHARE > live;
   swim->next_contact_us
       = now_us + (live == 1 || many_dead ? PARTITION_CONTACT_INTERVAL_US : CONTACT_INTERVAL_US);
-  if (live == 1 || swim->contact_count++ % SEED_CONTACTS == 0)
+  bool seed_turn
+      = swim->contact_count++ % SEED_CONTACTS == 0 && rng_below (&swim->rng, live) < SEED_MEMBERS;
+  if (live == 1 || seed_turn)
     contact_seed (swim);
   const swim_member_t *dead = swim_table_random_dead (&swim->table);
   if (dead != NULL && (dead->flags & SWIM_FLAG_LEFT) == 0)
@@ -174,7 +176,7 @@
   if (message->type == WIRE_SWIM_PING)
     swim_receive_ping (swim, source, message);
   else if (message->type == WIRE_SWIM_ACK)
-    swim_receive_ack (swim, now_us, message);
+    swim_receive_ack (swim, message);
   else if (message->type == WIRE_SWIM_PING_REQ)
     swim_receive_ping_req (swim, now_us, source, message);
   else
--- a/src/swim.h
+++ b/src/swim.h
@@ -11,8 +11,6 @@
  *
  * - A report that a member is dead counts as a suspicion only, so each instance waits for its own
  *   timeout, and the view of an instance that was cut off does not spread when it returns.
- * - An instance whose probes all fail assumes for SWIM_ISOLATION_LIMIT_US that it is cut off itself
- *   and suspects nobody.
  * - Each message says what its sender knows of the receiver, so that a member that is suspected,
  *   dead or unknown there can react at once.
  * - Dead members are pinged now and then, which heals partitions.
@@ -26,10 +24,6 @@
 #define SWIM_INDIRECT_PINGS 3
 #define SWIM_RETENTION_US (3600 * INT64_C (1000000))
 #define SWIM_SYNC_INTERVAL_US (30 * INT64_C (1000000))
-#define SWIM_ISOLATION_LIMIT_US (60 * INT64_C (1000000))
-
-/* Failed probes in a row after which an instance suspects itself. */
-#define SWIM_ISOLATION_PROBES 4
 
 /* Largest size in bytes of the updates in a message, so that it fits a datagram of 1,232 bytes. */
 #define SWIM_UPDATE_BYTES 1000
@@ -76,8 +70,7 @@
   uint64_t random_seed;
   double own_domain_share; /* part of the probes that go to the own failure domain, 0 to 1 */
   unsigned health_limit;   /* largest slow-down of the own probes; 0 turns it off */
-  bool detect_isolation;
-  bool demote_deaths; /* take reported deaths as suspicions */
+  bool demote_deaths;      /* take reported deaths as suspicions */
 } swim_options_t;
 
 /* Sets the defaults; id, addresses, failure domain, incarnation and seeds remain to be set. */
@@ -85,8 +78,7 @@
 
 typedef struct
 {
-  char *id;       /* NULL without a probe under way */
-  bool was_alive; /* not suspected at the start */
+  char *id; /* NULL without a probe under way */
   uint32_t seq;
   int64_t indirect_us; /* time of the indirect pings; INT64_MAX once they are sent */
   int64_t end_us;
@@ -127,9 +119,7 @@
   double own_credit;
   swim_probe_t probe;
   GPtrArray *relays;
-  unsigned health;   /* 0 is good */
-  unsigned failures; /* probes of members not suspected that failed in a row */
-  int64_t failing_since_us;
+  unsigned health; /* 0 is good */
   double update_tokens;
   double sync_tokens;
   int64_t next_contact_us;
--- a/src/swim_internal.h
+++ b/src/swim_internal.h
@@ -29,8 +29,6 @@
 /* Changes the own record: FLAGS are added, the incarnation becomes at least INCARNATION. */
 void swim_change_self (swim_t *swim, uint8_t flags, uint64_t incarnation);
 
-bool swim_is_isolated (const swim_t *swim, int64_t now_us);
-
 /* swim_probe: pings and acks */
 
 /* Starts MESSAGE to the instance ID, "" if unknown. */
@@ -48,7 +46,7 @@
 void swim_probe_tick (swim_t *swim, int64_t now_us);
 void swim_probe_abandon (swim_t *swim);
 void swim_receive_ping (swim_t *swim, const char *source, const swim_message_t *message);
-void swim_receive_ack (swim_t *swim, int64_t now_us, const swim_message_t *message);
+void swim_receive_ack (swim_t *swim, const swim_message_t *message);
 void swim_receive_ping_req (swim_t *swim, int64_t now_us, const char *source,
                             const swim_message_t *message);
 void swim_relay_free (void *relay);
--- a/src/swim_probe.c
+++ b/src/swim_probe.c
@@ -96,17 +96,12 @@
   g_clear_pointer (&swim->probe.id, g_free);
 }
 
-/* A probe that succeeds shows that this instance sends and receives. */
+/* Lifeguard's local health: an instance whose probes fail probes more slowly and waits longer,
+ * because the fault may be its own. */
 static void
-probe_succeeded (swim_t *swim, int64_t now_us)
+probe_succeeded (swim_t *swim)
 {
   swim_probe_abandon (swim);
-  if (swim->failures >= SWIM_ISOLATION_PROBES && swim->options.detect_isolation)
-    {
-      swim_extend_suspicions (swim, now_us);
-      swim_sync_soon (swim, now_us, 1);
-    }
-  swim->failures = 0;
   if (swim->health > 0)
     swim->health--;
 }
@@ -117,12 +112,7 @@
   swim_member_t *member = swim_table_find (&swim->table, swim->probe.id);
   swim_probe_abandon (swim);
   swim->health = MIN (swim->health + 1, swim->options.health_limit);
-  /* Further failures of a suspected member say nothing new, least of all about this instance. */
-  if (!swim->probe.was_alive)
-    return;
-  if (swim->failures++ == 0)
-    swim->failing_since_us = now_us;
-  if (member != NULL && member->status == SWIM_ALIVE && !swim_is_isolated (swim, now_us))
+  if (member != NULL && member->status == SWIM_ALIVE)
     swim_suspect (swim, now_us, member, member->incarnation);
 }
 
@@ -146,7 +136,6 @@
   if (target == NULL)
     return;
   swim->probe.id = g_strdup (target->id);
-  swim->probe.was_alive = target->status == SWIM_ALIVE;
   swim->probe.indirect_us = now_us + SWIM_ACK_TIMEOUT_US * scale;
   swim->probe.end_us = swim->next_period_us;
   swim->probe.seq = send_ping (swim, target->id, target->peer_address, false);
@@ -248,13 +237,13 @@
 }
 
 void
-swim_receive_ack (swim_t *swim, int64_t now_us, const swim_message_t *message)
+swim_receive_ack (swim_t *swim, const swim_message_t *message)
 {
   const char *subject = message->subject[0] != '\0' ? message->subject : message->from;
   if (swim->probe.id != NULL && message->seq == swim->probe.seq
       && strcmp (subject, swim->probe.id) == 0)
     {
-      probe_succeeded (swim, now_us);
+      probe_succeeded (swim);
       return;
     }
   for (guint i = 0; i < swim->relays->len; i++)
--- a/src/swim_table.h
+++ b/src/swim_table.h
@@ -64,6 +64,7 @@
   uint8_t flags;
   uint8_t transmits;
   bool in_own_ring;
+  bool checked; /* suspected: pinged a last time before it is declared dead */
   list_node_t bucket_node;
   list_node_t queue_node; /* updates to pass on */
   list_node_t timer_node; /* suspected or dead */
--- a/src/swim_update.c
+++ b/src/swim_update.c
@@ -11,6 +11,11 @@
  * Without them a refutation takes as long to start as the suspicion takes to spread. */
 #define SUSPICION_NOTICES 8
 
+/* A suspected member is pinged once more this long before it is declared dead, because a refutation
+ * reaches the last members late when there are many. */
+#define LAST_CHECK_US SWIM_PERIOD_US
+#define LAST_CHECKS_PER_TICK 4
+
 static int64_t
 suspicion_timeout_us (const swim_t *swim)
 {
@@ -25,13 +30,6 @@
     swim->io->on_member (swim->io, event, member);
 }
 
-bool
-swim_is_isolated (const swim_t *swim, int64_t now_us)
-{
-  return swim->options.detect_isolation && swim->failures >= SWIM_ISOLATION_PROBES
-         && now_us - swim->failing_since_us < SWIM_ISOLATION_LIMIT_US;
-}
-
 void
 swim_change_self (swim_t *swim, uint8_t flags, uint64_t incarnation)
 {
@@ -73,6 +71,7 @@
   swim_table_set (&swim->table, member, &update, now_us + suspicion_timeout_us (swim));
   swim_table_spread (&swim->table, member);
   notify_suspect (swim, member);
+  member->checked = false;
   if (was_dead)
     emit (swim, SWIM_EVENT_JOINED, member);
   emit (swim, SWIM_EVENT_SUSPECTED, member);
@@ -85,6 +84,9 @@
   swim_update_t update = { .status = SWIM_DEAD, .incarnation = incarnation, .flags = flags };
   swim_table_set (&swim->table, member, &update, now_us + SWIM_RETENTION_US);
   swim_table_spread (&swim->table, member);
+  /* Tells of a departure at once, or those who do not know it yet would suspect the member. */
+  if ((flags & SWIM_FLAG_LEFT) != 0)
+    swim_contact_some (swim, false);
   emit (swim, SWIM_EVENT_DEAD, member);
 }
 
@@ -118,8 +120,7 @@
     return;
   if (update->incarnation == member->incarnation && member->status != SWIM_ALIVE)
     return;
-  if (!swim_is_isolated (swim, now_us))
-    swim_suspect (swim, now_us, member, update->incarnation);
+  swim_suspect (swim, now_us, member, update->incarnation);
 }
 
 static void
@@ -167,10 +168,28 @@
   }
 }
 
+static void
+send_last_checks (swim_t *swim, int64_t now_us)
+{
+  int count = 0;
+  LIST_FOREACH (&swim->table.suspects, node)
+  {
+    swim_member_t *member = LIST_ENTRY (node, swim_member_t, timer_node);
+    if (member->timer_us - LAST_CHECK_US > now_us || count == LAST_CHECKS_PER_TICK)
+      return;
+    if (member->checked)
+      continue;
+    member->checked = true;
+    count++;
+    swim_contact (swim, member->id, member->peer_address, false);
+  }
+}
+
 void
 swim_expire_timers (swim_t *swim, int64_t now_us)
 {
-  while (!list_is_empty (&swim->table.suspects) && !swim_is_isolated (swim, now_us))
+  send_last_checks (swim, now_us);
+  while (!list_is_empty (&swim->table.suspects))
     {
       swim_member_t *member
           = LIST_ENTRY (list_first (&swim->table.suspects), swim_member_t, timer_node);
