--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -40,6 +40,7 @@
 note_progress (upstream_conn_t *conn)
 {
   conn->last_progress_us = io_loop_now_us (conn->pool->options.loop);
+  conn->target->last_progress_us = conn->last_progress_us;
 }
 
 static void
@@ -81,13 +82,15 @@
   int64_t now_us = io_loop_now_us (loop);
 
   if (!waits_for_peer (conn))
-    note_progress (conn);
+    conn->last_progress_us = now_us;
   if (now_us - conn->last_progress_us < exchange->stall_us)
     {
       arm_stall_check (conn);
       return;
     }
-  if (!upstream_pool_sibling_progress (conn, conn->last_progress_us))
+  /* Progress only at the start of the silence could come from a target that froze since. */
+  int64_t since_us = MAX (conn->last_progress_us, now_us - exchange->stall_us / 2);
+  if (conn->target->last_progress_us <= since_us)
     {
       io_timer_set (loop, &conn->timer, now_us + exchange->stall_us / 4);
       return;
@@ -112,6 +115,16 @@
     upstream_conn_close (conn);
 }
 
+static void
+make_idle (upstream_conn_t *conn)
+{
+  io_loop_t *loop = conn->pool->options.loop;
+  conn->state = UPSTREAM_IDLE;
+  io_timer_set (loop, &conn->timer, io_loop_now_us (loop) + conn->pool->options.idle_timeout_us);
+  upstream_pool_conn_idle (conn);
+}
+
+/* The connection goes on first, so that another attempt of the exchange can use it. */
 static void
 finish_exchange (upstream_conn_t *conn, bool clean)
 {
@@ -122,16 +135,11 @@
   exchange->conn = NULL;
   conn->exchange = NULL;
   http_codec_reset (&conn->codec);
-  /* The exchange ends first, so that it sees its own response before the connection goes on. */
   if (!reuse)
     upstream_conn_close (conn);
+  else
+    make_idle (conn);
   exchange->ops->complete (exchange);
-  if (!reuse)
-    return;
-  conn->state = UPSTREAM_IDLE;
-  io_loop_t *loop = conn->pool->options.loop;
-  io_timer_set (loop, &conn->timer, io_loop_now_us (loop) + conn->pool->options.idle_timeout_us);
-  upstream_pool_conn_idle (conn);
 }
 
 static void
@@ -325,6 +333,6 @@
   if (conn == NULL || conn->state != UPSTREAM_BUSY || conn->paused == paused)
     return;
   conn->paused = paused;
-  note_progress (conn);
+  conn->last_progress_us = io_loop_now_us (conn->pool->options.loop);
   byte_stream_set_reading (&conn->stream, !paused);
 }
--- a/src/upstream_pool.c
+++ b/src/upstream_pool.c
@@ -173,25 +173,6 @@
   remove_unused_target (target);
 }
 
-static bool
-list_has_progress (const list_t *list, const upstream_conn_t *except, int64_t since_us)
-{
-  LIST_FOREACH (list, node)
-  {
-    const upstream_conn_t *conn = LIST_ENTRY (node, upstream_conn_t, node);
-    if (conn != except && conn->last_progress_us > since_us)
-      return true;
-  }
-  return false;
-}
-
-bool
-upstream_pool_sibling_progress (const upstream_conn_t *conn, int64_t since_us)
-{
-  return list_has_progress (&conn->target->active, conn, since_us)
-         || list_has_progress (&conn->target->idle, conn, since_us);
-}
-
 void
 upstream_pool_retire_siblings (upstream_conn_t *conn)
 {
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -23,9 +23,10 @@
   GSocketAddress *socket_address;
   int max_connections;
   int connections;
-  list_t active;  /* connecting and busy */
-  list_t idle;    /* the last used first */
-  list_t waiting; /* upstream_exchange_t */
+  int64_t last_progress_us; /* of any connection */
+  list_t active;            /* connecting and busy */
+  list_t idle;              /* the last used first */
+  list_t waiting;           /* upstream_exchange_t */
 };
 
 struct upstream_pool
@@ -58,9 +59,5 @@
 void upstream_pool_conn_idle (upstream_conn_t *conn);
 void upstream_pool_conn_closed (upstream_target_t *target);
 
-/* For upstream_conn: returns whether another connection of the target made progress after
- * SINCE_US. */
-bool upstream_pool_sibling_progress (const upstream_conn_t *conn, int64_t since_us);
-
 /* For upstream_conn: closes the idle siblings that are not younger than CONN. */
 void upstream_pool_retire_siblings (upstream_conn_t *conn);
