--- /dev/null
+++ b/src/config_machine.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "config_sync.h"
+#include "replica_group.h"
+#include "version_store.h"
+
+/* config_machine - connects the config group with the version store and with config_sync, which
+ * installs the current version in this process and passes it on to the entries. */
+
+typedef struct
+{
+  state_machine_t machine; /* first member */
+  version_store_t *store;
+  replica_group_t *group;
+  config_sync_t *sync;
+  io_loop_t *loop;
+  io_deferred_t install;
+} config_machine_t;
+
+/* Called with the result of a command, or NULL if its outcome is unknown. */
+typedef void (*config_done_t) (void *data, const version_result_t *result);
+
+void config_machine_init (config_machine_t *machine, replica_group_t *group, config_sync_t *sync,
+                          io_loop_t *loop);
+void config_machine_destroy (config_machine_t *machine);
+
+/* Handler for replica_group_options_t; DATA is the config_machine_t. */
+void config_machine_reset (void *data);
+
+/* Proposes COMMAND; the time and the schema are set here. Returns false with ANV_ERROR_RAFT if this
+ * member does not lead; DONE is not called then. */
+bool config_machine_propose (config_machine_t *machine, const version_command_t *command,
+                             config_done_t done, void *data, anv_error_t *err);
--- /dev/null
+++ b/src/control_options.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "option.h"
+
+/* control_options - settings of anvillb-control. */
+
+typedef struct
+{
+  char *data_dir;
+  char *peer_listen;
+  char *peer_advertise;
+  char *operator_listen;
+  char *operator_advertise;
+  char *token_file;
+  char *instance;
+  char *domain;
+  GPtrArray *groups;
+  GPtrArray *seeds;
+  char *tls_cert;
+  char *tls_key;
+  char *tls_ca;
+  bool insecure_listen;
+  bool found_alone;
+  int64_t max_claims;
+  int64_t max_answer_bytes;
+  int64_t log_level;
+} control_options_t;
+
+extern control_options_t control_options;
+extern const option_table_t control_option_table;
+
+/* Checks what concerns several settings. Returns false with ANV_ERROR_OPTION. */
+bool control_options_check (anv_error_t *err);
+
+/* Returns whether this process hosts the group NAME. */
+bool control_options_hosts (const char *name);
--- /dev/null
+++ b/src/control_tasks.c
@@ -0,0 +1,280 @@
+#include "control_tasks.h"
+
+#include <string.h>
+
+#define LOG_MODULE "control_tasks"
+#include "control_options.h"
+#include "group_api.h"
+#include "log.h"
+#include "raft_wire.h"
+
+#define MAX_LINKS 1024
+#define MIN_TOKEN_SIZE 16
+
+static void
+receive_raft (control_tasks_t *tasks, link_t *link, const uint8_t *data, size_t size)
+{
+  raft_wire_message_t decoded;
+  anv_error_t err = { 0 };
+  if (!raft_wire_decode (&decoded, data, size, &err))
+    {
+      LOG_WARNING ("malformed message peer=%s error=\"%s\"", link->peer.id, err.text);
+      return;
+    }
+  for (replica_group_t **group = tasks->groups; *group != NULL; group++)
+    {
+      if ((*group)->options.number == decoded.message.group)
+        replica_group_receive (*group, link, &decoded.message);
+    }
+  raft_wire_destroy (&decoded);
+}
+
+static void
+on_message (void *data, link_t *link, const uint8_t *message, size_t size)
+{
+  control_tasks_t *tasks = data;
+  wire_reader_t reader;
+  wire_type_t type;
+  anv_error_t err = { 0 };
+
+  if (!wire_reader_init (&reader, message, size, &type, &err))
+    {
+      LOG_WARNING ("malformed message peer=%s error=\"%s\"", link->peer.id, err.text);
+      return;
+    }
+  if (raft_wire_is_type (type))
+    receive_raft (tasks, link, message, size);
+  else if (type == WIRE_CLAIM_REQUEST && control_options_hosts ("claims"))
+    claim_machine_receive (&tasks->claim_machine, link, &reader);
+  else if (!config_sync_receive (&tasks->sync, link, type, message, size))
+    membership_task_receive (&tasks->membership, link, type, &reader);
+  wire_reader_destroy (&reader);
+}
+
+static void
+on_version (void *data, const swim_member_t *member, uint64_t version, uint64_t digest)
+{
+  control_tasks_t *tasks = data;
+  /* An instance of the config group installs what its own log has applied. */
+  if (!control_options_hosts ("config"))
+    config_sync_announced (&tasks->sync, member, version, digest);
+}
+
+static void
+handle_call (void *data, operator_call_t *call, const operator_request_t *request)
+{
+  control_tasks_t *tasks = data;
+  if (group_api_handle (tasks->groups, call, request))
+    return;
+  operator_call_respond (call, 404, "application/json", "{\"error\":\"no such path\"}\n");
+}
+
+static void
+on_give_up (void *data, const anv_error_t *err)
+{
+  control_tasks_t *tasks = data;
+  tasks->failed = true;
+  g_main_loop_quit (tasks->main_loop);
+}
+
+static bool
+load_token (control_tasks_t *tasks, anv_error_t *err)
+{
+  g_autoptr (GError) error = NULL;
+  if (!g_file_get_contents (control_options.token_file, &tasks->token, NULL, &error))
+    {
+      anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_VALUE, "--token-file: %s", error->message);
+      return false;
+    }
+  g_strstrip (tasks->token);
+  if (strlen (tasks->token) >= MIN_TOKEN_SIZE)
+    return true;
+  anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_VALUE,
+                 "--token-file: the credential must have at least %d characters", MIN_TOKEN_SIZE);
+  return false;
+}
+
+static bool
+load_files (control_tasks_t *tasks, anv_error_t *err)
+{
+  if (!load_token (tasks, err))
+    return false;
+  if (control_options.tls_cert != NULL
+      && !tls_config_load (&tasks->tls, control_options.tls_cert, control_options.tls_key,
+                           control_options.tls_ca, err))
+    return false;
+  tasks->files_open = file_posix_init (&tasks->files, control_options.data_dir, err);
+  return tasks->files_open;
+}
+
+static void
+init_network (control_tasks_t *tasks)
+{
+  peer_network_options_t options = {
+    .loop = tasks->loop,
+    .listen = control_options.peer_listen,
+    .tls = tasks->tls.certificate != NULL ? &tasks->tls : NULL,
+    .max_links = MAX_LINKS,
+    .counters = &tasks->counters,
+    .handler = { .received = on_message, .data = tasks },
+  };
+  const char *address = control_options.peer_advertise != NULL ? control_options.peer_advertise
+                                                               : control_options.peer_listen;
+  g_strlcpy (options.self.id, control_options.instance, sizeof (options.self.id));
+  g_strlcpy (options.self.domain, control_options.domain, sizeof (options.self.domain));
+  g_strlcpy (options.self.address, address, sizeof (options.self.address));
+  options.self.incarnation = (uint64_t)(g_get_real_time () / 1000);
+  peer_network_init (&tasks->network, &options, NULL);
+
+  const char *operator_address = control_options.operator_advertise != NULL
+                                     ? control_options.operator_advertise
+                                     : control_options.operator_listen;
+  tasks->member_name = g_strdup_printf ("%s/%s", address, operator_address);
+}
+
+static void
+init_membership (control_tasks_t *tasks)
+{
+  membership_options_t options = {
+    .loop = tasks->loop,
+    .network = &tasks->network,
+    .id = control_options.instance,
+    .domain = control_options.domain,
+    .caller_address = "",
+    .seeds = control_options.seeds,
+    .counters = &tasks->counters,
+    .on_version = on_version,
+    .data = tasks,
+  };
+  membership_task_init (&tasks->membership, &options, NULL);
+  config_sync_options_t sync_options = {
+    .loop = tasks->loop,
+    .network = &tasks->network,
+    .membership = &tasks->membership,
+    .counters = &tasks->counters,
+  };
+  config_sync_init (&tasks->sync, &sync_options);
+}
+
+static replica_group_options_t
+group_options (control_tasks_t *tasks, const char *name, uint32_t number, state_machine_t *machine)
+{
+  return (replica_group_options_t){
+    .loop = tasks->loop,
+    .network = &tasks->network,
+    .store = &tasks->files.store,
+    .machine = machine,
+    .name = name,
+    .number = number,
+    .member_name = tasks->member_name,
+    .found_alone = control_options.found_alone,
+    .counters = &tasks->counters,
+    .data = machine,
+  };
+}
+
+static void
+init_groups (control_tasks_t *tasks)
+{
+  size_t count = 0;
+  config_machine_init (&tasks->config_machine, &tasks->config_group, &tasks->sync, tasks->loop);
+  claim_machine_options_t claim_options = {
+    .group = &tasks->claims_group,
+    .network = &tasks->network,
+    .loop = tasks->loop,
+    .max_records = (size_t)control_options.max_claims,
+    .max_answer_bytes = (size_t)control_options.max_answer_bytes,
+    .counters = &tasks->counters,
+  };
+  claim_machine_init (&tasks->claim_machine, &claim_options);
+  if (control_options_hosts ("config"))
+    {
+      replica_group_options_t options = group_options (tasks, "config", CONTROL_GROUP_CONFIG,
+                                                       &tasks->config_machine.machine);
+      options.reset = config_machine_reset;
+      replica_group_init (&tasks->config_group, &options, NULL);
+      tasks->groups[count++] = &tasks->config_group;
+    }
+  if (control_options_hosts ("claims"))
+    {
+      replica_group_options_t options = group_options (tasks, "claims", CONTROL_GROUP_CLAIMS,
+                                                       &tasks->claim_machine.machine);
+      options.reset = claim_machine_reset;
+      options.on_leadership = claim_machine_leadership;
+      replica_group_init (&tasks->claims_group, &options, NULL);
+      tasks->groups[count++] = &tasks->claims_group;
+    }
+}
+
+static void
+init_supervisor (control_tasks_t *tasks)
+{
+  supervisor_options_t options = {
+    .max_restarts = 5,
+    .window_us = 60 * G_USEC_PER_SEC,
+    .min_delay_us = G_USEC_PER_SEC / 10,
+    .max_delay_us = 5 * G_USEC_PER_SEC,
+    .on_give_up = on_give_up,
+    .data = tasks,
+  };
+  operator_server_options_t operator_options = {
+    .listen = control_options.operator_listen,
+    .certificate = tasks->tls.certificate,
+    .token = tasks->token,
+    .counters = &tasks->counters,
+    .handle = handle_call,
+    .data = tasks,
+  };
+  operator_server_init (&tasks->operators, &operator_options, NULL);
+  supervisor_init (&tasks->supervisor, &options);
+  supervisor_add (&tasks->supervisor, &tasks->network.task);
+  supervisor_add (&tasks->supervisor, &tasks->membership.task);
+  for (replica_group_t **group = tasks->groups; *group != NULL; group++)
+    supervisor_add (&tasks->supervisor, &(*group)->task);
+  supervisor_add (&tasks->supervisor, &tasks->operators.task);
+}
+
+bool
+control_tasks_start (control_tasks_t *tasks, anv_error_t *err)
+{
+  *tasks = (control_tasks_t){ 0 };
+  tasks->main_loop = g_main_loop_new (NULL, FALSE);
+  tasks->loop = io_loop_new (NULL);
+  counter_registry_init (&tasks->counters);
+  if (!load_files (tasks, err))
+    return false;
+  init_network (tasks);
+  init_membership (tasks);
+  init_groups (tasks);
+  init_supervisor (tasks);
+  tasks->initialised = true;
+  return supervisor_start (&tasks->supervisor, err);
+}
+
+static void
+destroy_tasks (control_tasks_t *tasks)
+{
+  supervisor_destroy (&tasks->supervisor);
+  operator_server_destroy (&tasks->operators);
+  for (replica_group_t **group = tasks->groups; *group != NULL; group++)
+    replica_group_destroy (*group);
+  config_machine_destroy (&tasks->config_machine);
+  claim_machine_destroy (&tasks->claim_machine);
+  config_sync_destroy (&tasks->sync);
+  membership_task_destroy (&tasks->membership);
+  peer_network_destroy (&tasks->network);
+}
+
+void
+control_tasks_stop (control_tasks_t *tasks)
+{
+  if (tasks->initialised)
+    destroy_tasks (tasks);
+  if (tasks->files_open)
+    file_posix_destroy (&tasks->files);
+  tls_config_destroy (&tasks->tls);
+  g_free (tasks->token);
+  g_free (tasks->member_name);
+  io_loop_free (tasks->loop);
+  g_main_loop_unref (tasks->main_loop);
+}
--- /dev/null
+++ b/src/replica_group.c
@@ -0,0 +1,342 @@
+#include "replica_group.h"
+
+#include <string.h>
+
+#define LOG_MODULE "replica_group"
+#include "log.h"
+#include "raft_wire.h"
+
+#define TICK_US INT64_C (20000)
+
+typedef struct
+{
+  uint64_t index; /* key in the table of proposals */
+  uint64_t term;
+  proposal_done_t done;
+  void *data;
+} proposal_t;
+
+static int64_t
+now_us (const replica_group_t *group)
+{
+  return io_loop_now_us (group->options.loop);
+}
+
+static const raft_member_t *
+find_member (const raft_status_t *status, uint64_t id)
+{
+  for (size_t i = 0; i < status->peer_count; i++)
+    {
+      if (status->peers[i].member.id == id)
+        return &status->peers[i].member;
+    }
+  return NULL;
+}
+
+void
+replica_group_split_name (const char *name, char *peer_address, char *operator_address)
+{
+  const char *slash = strchr (name, '/');
+  size_t length = slash != NULL ? (size_t)(slash - name) : strlen (name);
+  g_strlcpy (peer_address, name, MIN (length + 1, LINK_ADDRESS_SIZE));
+  g_strlcpy (operator_address, slash != NULL ? slash + 1 : "", LINK_ADDRESS_SIZE);
+}
+
+static void
+send_message (raft_io_t *io, const raft_message_t *message)
+{
+  replica_group_t *group = LIST_ENTRY (io, replica_group_t, io);
+  raft_status_t status;
+  wire_writer_t writer;
+  char peer_address[LINK_ADDRESS_SIZE];
+  char operator_address[LINK_ADDRESS_SIZE];
+
+  raft_status (&group->raft, &status);
+  const raft_member_t *member = find_member (&status, message->to);
+  const uint64_t *number = g_hash_table_lookup (group->links, &message->to);
+  raft_wire_encode (message, &writer);
+  if (member != NULL)
+    {
+      replica_group_split_name (member->name, peer_address, operator_address);
+      peer_network_send_writer (group->options.network, peer_address, &writer);
+    }
+  else if (number != NULL)
+    /* A new member does not know the others before their first entries have arrived. */
+    peer_network_reply_writer (group->options.network, *number, &writer);
+  else
+    wire_writer_destroy (&writer);
+}
+
+static void
+lose_proposals (replica_group_t *group)
+{
+  GHashTable *lost = group->proposals;
+  group->proposals = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, lost);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      proposal_t *proposal = value;
+      proposal->done (proposal->data, NULL);
+    }
+  g_hash_table_unref (lost);
+}
+
+static void
+on_role_changed (raft_io_t *io, raft_role_t role, uint64_t term, uint64_t leader)
+{
+  replica_group_t *group = LIST_ENTRY (io, replica_group_t, io);
+  bool leading = role == RAFT_LEADER;
+
+  LOG_NOTICE ("role group=%s role=%s term=%" G_GUINT64_FORMAT " leader=%016" G_GINT64_MODIFIER "x",
+              group->options.name, raft_role_name (role), term, leader);
+  group->term = term;
+  if (leading == group->leading)
+    return;
+  group->leading = leading;
+  counter_set (&group->is_leader, leading);
+  counter_inc (&group->leader_changes);
+  if (!leading)
+    lose_proposals (group);
+  if (group->options.on_leadership != NULL)
+    group->options.on_leadership (group->options.data, leading);
+}
+
+static const raft_io_ops_t io_ops = {
+  .send = send_message,
+  .role_changed = on_role_changed,
+};
+
+/* Returns whether the member still works; otherwise its supervisor restarts it from its files. */
+static bool
+check_failure (replica_group_t *group)
+{
+  const anv_error_t *failure = raft_failure (&group->raft);
+  if (failure == NULL)
+    return true;
+  task_fail (&group->task, failure);
+  return false;
+}
+
+static void
+on_flush (io_deferred_t *deferred)
+{
+  replica_group_t *group = LIST_ENTRY (deferred, replica_group_t, flush);
+  if (!group->started)
+    return;
+  raft_flush (&group->raft, now_us (group));
+  check_failure (group);
+}
+
+static void
+on_timer (io_timer_t *timer)
+{
+  replica_group_t *group = LIST_ENTRY (timer, replica_group_t, timer);
+  raft_tick (&group->raft, now_us (group));
+  if (check_failure (group))
+    io_timer_set (group->options.loop, timer, now_us (group) + TICK_US);
+}
+
+static uint64_t
+random_id (void)
+{
+  uint64_t id = 0;
+  while (id == 0)
+    id = (uint64_t)g_random_int () << 32 | g_random_int ();
+  return id;
+}
+
+static bool
+found_alone (replica_group_t *group, anv_error_t *err)
+{
+  raft_status_t status;
+  raft_status (&group->raft, &status);
+  if (!group->options.found_alone || status.peer_count > 0 || status.last_index > 0)
+    return true;
+  raft_member_t self = { .id = status.id, .voter = true };
+  g_strlcpy (self.name, group->options.member_name, sizeof (self.name));
+  return raft_bootstrap (&group->raft, now_us (group), &self, 1, err);
+}
+
+static bool
+start (task_t *task, anv_error_t *err)
+{
+  replica_group_t *group = (replica_group_t *)task;
+  raft_options_t options = RAFT_OPTIONS_DEFAULT;
+
+  group->options.reset (group->options.data);
+  options.name = group->options.name;
+  options.group = group->options.number;
+  options.new_id = random_id ();
+  options.seed = options.new_id;
+  if (!raft_init (&group->raft, &options, &group->io, now_us (group), err))
+    return false;
+  group->started = true;
+  if (!found_alone (group, err))
+    return false;
+  raft_status_t status;
+  raft_status (&group->raft, &status);
+  LOG_NOTICE ("member group=%s id=%016" G_GINT64_MODIFIER "x applied=%" G_GUINT64_FORMAT
+              " last=%" G_GUINT64_FORMAT,
+              group->options.name, status.id, status.applied, status.last_index);
+  io_timer_set (group->options.loop, &group->timer, now_us (group));
+  return true;
+}
+
+static void
+receive (task_t *task, const message_t *message)
+{
+}
+
+static void
+stop (task_t *task)
+{
+  replica_group_t *group = (replica_group_t *)task;
+  if (!group->started)
+    return;
+  group->started = false;
+  group->leading = false;
+  counter_set (&group->is_leader, 0);
+  io_timer_cancel (&group->timer);
+  io_deferred_cancel (&group->flush);
+  lose_proposals (group);
+  raft_destroy (&group->raft);
+}
+
+static const task_ops_t group_ops = {
+  .name = "replica_group",
+  .start = start,
+  .receive = receive,
+  .stop = stop,
+};
+
+void
+replica_group_init (replica_group_t *group, const replica_group_options_t *options,
+                    GMainContext *context)
+{
+  *group = (replica_group_t){ .options = *options };
+  group->io = (raft_io_t){ .ops = &io_ops, .store = options->store, .machine = options->machine };
+  group->proposals = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  group->links = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  io_timer_init (&group->timer, on_timer);
+  io_deferred_init (&group->flush, on_flush);
+  task_init (&group->task, &group_ops, context);
+  g_snprintf (group->labels, sizeof (group->labels), "group=\"%s\"", options->name);
+  counter_register (options->counters, &group->is_leader, COUNTER_KIND_GAUGE,
+                    "anvillb_group_is_leader", group->labels, "Whether this member leads.");
+  counter_register (options->counters, &group->leader_changes, COUNTER_KIND_COUNTER,
+                    "anvillb_group_leader_changes_total", group->labels,
+                    "Times this member became or ceased to be leader.");
+  counter_register (options->counters, &group->proposed, COUNTER_KIND_COUNTER,
+                    "anvillb_group_proposals_total", group->labels, "Entries proposed here.");
+  counter_register (options->counters, &group->applied, COUNTER_KIND_COUNTER,
+                    "anvillb_group_applied_total", group->labels, "Entries applied.");
+}
+
+void
+replica_group_destroy (replica_group_t *group)
+{
+  task_destroy (&group->task);
+  g_clear_pointer (&group->proposals, g_hash_table_unref);
+  g_clear_pointer (&group->links, g_hash_table_unref);
+}
+
+static void
+remember_link (replica_group_t *group, uint64_t from, uint64_t number)
+{
+  uint64_t *known = g_hash_table_lookup (group->links, &from);
+  if (known != NULL)
+    {
+      *known = number;
+      return;
+    }
+  if (g_hash_table_size (group->links) >= RAFT_MAX_MEMBERS)
+    g_hash_table_remove_all (group->links);
+  g_hash_table_insert (group->links, g_memdup2 (&from, sizeof (from)),
+                       g_memdup2 (&number, sizeof (number)));
+}
+
+void
+replica_group_receive (replica_group_t *group, const link_t *link, const raft_message_t *message)
+{
+  if (!group->started)
+    return;
+  remember_link (group, message->from, link->number);
+  raft_receive (&group->raft, now_us (group), message);
+  io_loop_defer (group->options.loop, &group->flush);
+}
+
+bool
+replica_group_propose (replica_group_t *group, const uint8_t *data, size_t size,
+                       proposal_done_t done, void *data_for_done, anv_error_t *err)
+{
+  uint64_t index = 0;
+  if (!group->started)
+    {
+      anv_error_set (err, ANV_ERROR_RAFT, RAFT_ERROR_NOT_LEADER, "the group is stopped");
+      return false;
+    }
+  if (!raft_propose (&group->raft, now_us (group), data, size, &index, err))
+    return false;
+
+  proposal_t *proposal = g_new0 (proposal_t, 1);
+  proposal->index = index;
+  proposal->term = group->term;
+  proposal->done = done;
+  proposal->data = data_for_done;
+  g_hash_table_insert (group->proposals, &proposal->index, proposal);
+  counter_inc (&group->proposed);
+  io_loop_defer (group->options.loop, &group->flush);
+  return true;
+}
+
+void
+replica_group_applied (replica_group_t *group, uint64_t index, uint64_t term, const void *result)
+{
+  counter_inc (&group->applied);
+  proposal_t *proposal = g_hash_table_lookup (group->proposals, &index);
+  if (proposal == NULL)
+    return;
+  proposal_done_t done = proposal->done;
+  void *data = proposal->data;
+  bool same = proposal->term == term;
+  g_hash_table_remove (group->proposals, &index);
+  done (data, same ? result : NULL);
+}
+
+bool
+replica_group_found (replica_group_t *group, const raft_member_t *members, size_t count,
+                     anv_error_t *err)
+{
+  return raft_bootstrap (&group->raft, now_us (group), members, count, err);
+}
+
+bool
+replica_group_add (replica_group_t *group, const raft_member_t *member, anv_error_t *err)
+{
+  bool added = raft_add_member (&group->raft, now_us (group), member, err);
+  io_loop_defer (group->options.loop, &group->flush);
+  return added;
+}
+
+bool
+replica_group_remove (replica_group_t *group, uint64_t id, anv_error_t *err)
+{
+  bool removed = raft_remove_member (&group->raft, now_us (group), id, err);
+  io_loop_defer (group->options.loop, &group->flush);
+  return removed;
+}
+
+void
+replica_group_leader (const replica_group_t *group, char name[RAFT_NAME_SIZE])
+{
+  raft_status_t status;
+  name[0] = '\0';
+  if (!group->started)
+    return;
+  raft_status (&group->raft, &status);
+  const raft_member_t *leader = find_member (&status, status.leader);
+  if (leader != NULL)
+    g_strlcpy (name, leader->name, RAFT_NAME_SIZE);
+}
