--- a/src/claim_machine.c
+++ b/src/claim_machine.c
@@ -173,9 +173,8 @@
 
   command->advance_ms = take_advance_ms (machine);
   claim_request_encode (&writer, 0, 0, command);
-  bool proposed
-      = replica_group_propose (machine->group, (const uint8_t *)writer.buffer.data,
-                               writer.buffer.size, on_applied, pending, &err);
+  bool proposed = replica_group_propose (machine->group, (const uint8_t *)writer.buffer.data,
+                                         writer.buffer.size, on_applied, pending, &err);
   wire_writer_destroy (&writer);
   if (proposed)
     return;
--- a/src/claim_machine.h
+++ b/src/claim_machine.h
@@ -16,7 +16,7 @@
   replica_group_t *group;
   peer_network_t *network;
   io_loop_t *loop;
-  size_t max_records;       /* new claims are refused above it */
+  size_t max_records; /* new claims are refused above it */
   size_t max_answer_bytes;
   int64_t last_proposal_us; /* for the time in the store */
   counter_t requests[4];    /* by command type */
--- a/src/config_sync.c
+++ b/src/config_sync.c
@@ -35,14 +35,15 @@
   config_cache_options_t cache_options = { 0 };
   *sync = (config_sync_t){ .options = *options };
   sync->cache = config_cache_new (&cache_options);
-  counter_register (options->counters, &sync->version, COUNTER_KIND_GAUGE,
-                    "anvillb_config_version", NULL, "Configuration version in force.");
+  counter_register (options->counters, &sync->version, COUNTER_KIND_GAUGE, "anvillb_config_version",
+                    NULL, "Configuration version in force.");
   counter_register (options->counters, &sync->fetches, COUNTER_KIND_COUNTER,
                     "anvillb_config_fetches_total", NULL, "Requests for a configuration.");
   counter_register (options->counters, &sync->installs, COUNTER_KIND_COUNTER,
                     "anvillb_config_installs_total", NULL, "Configurations installed.");
   counter_register (options->counters, &sync->rejected, COUNTER_KIND_COUNTER,
-                    "anvillb_config_rejected_total", NULL, "Received configurations not installed.");
+                    "anvillb_config_rejected_total", NULL,
+                    "Received configurations not installed.");
 }
 
 void
--- a/src/control_tasks.c
+++ b/src/control_tasks.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #define LOG_MODULE "control_tasks"
+#include "config_api.h"
 #include "control_options.h"
 #include "group_api.h"
 #include "log.h"
@@ -66,6 +67,8 @@
   control_tasks_t *tasks = data;
   if (group_api_handle (tasks->groups, call, request))
     return;
+  if (control_options_hosts ("config") && config_api_handle (&tasks->config_machine, call, request))
+    return;
   operator_call_respond (call, 404, "application/json", "{\"error\":\"no such path\"}\n");
 }
 
@@ -189,16 +192,16 @@
   claim_machine_init (&tasks->claim_machine, &claim_options);
   if (control_options_hosts ("config"))
     {
-      replica_group_options_t options = group_options (tasks, "config", CONTROL_GROUP_CONFIG,
-                                                       &tasks->config_machine.machine);
+      replica_group_options_t options
+          = group_options (tasks, "config", CONTROL_GROUP_CONFIG, &tasks->config_machine.machine);
       options.reset = config_machine_reset;
       replica_group_init (&tasks->config_group, &options, NULL);
       tasks->groups[count++] = &tasks->config_group;
     }
   if (control_options_hosts ("claims"))
     {
-      replica_group_options_t options = group_options (tasks, "claims", CONTROL_GROUP_CLAIMS,
-                                                       &tasks->claim_machine.machine);
+      replica_group_options_t options
+          = group_options (tasks, "claims", CONTROL_GROUP_CLAIMS, &tasks->claim_machine.machine);
       options.reset = claim_machine_reset;
       options.on_leadership = claim_machine_leadership;
       replica_group_init (&tasks->claims_group, &options, NULL);
--- /dev/null
+++ b/src/entry_claims.c
@@ -0,0 +1,238 @@
+#include "entry_claims.h"
+
+#include <string.h>
+
+#define LOG_MODULE "entry_claims"
+#include "log.h"
+
+#define ATTEMPT_TIMEOUT_US INT64_C (250000)
+#define GRANT_VALIDITY_US INT64_C (5000000)
+#define MAX_INTERVAL_US INT64_C (5000000)
+#define MAX_BACKGROUND 10000
+#define RELAY_LIFETIME_US INT64_C (5000000)
+#define MAX_RELAYS 1000
+/* Request ids of relayed claims have this bit, so that they cannot be those of own calls. */
+#define RELAY_BIT (UINT64_C (1) << 63)
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t link_number;
+  uint64_t request_id; /* of the entry that asked */
+  int64_t expires_us;
+  bool hint_followed;
+  claim_command_t command;
+} relay_t;
+
+static void
+free_relay (gpointer data)
+{
+  relay_t *relay = data;
+  claim_command_clear (&relay->command);
+  g_free (relay);
+}
+
+static void
+send_member (claim_client_io_t *io, const char *address, const uint8_t *data, size_t size)
+{
+  entry_core_t *core = LIST_ENTRY (io, entry_core_t, claim_io);
+  peer_network_send (core->options.network, address, data, size);
+}
+
+typedef struct
+{
+  const entry_core_t *core;
+  size_t wanted;
+  size_t count;
+  const char *address;
+} relay_choice_t;
+
+static void
+visit_member (void *data, const swim_member_t *member)
+{
+  relay_choice_t *choice = data;
+  bool is_entry = member->caller_address != NULL && member->caller_address[0] != '\0';
+  if (!is_entry || member->status != SWIM_ALIVE
+      || strcmp (member->id, choice->core->options.instance) == 0)
+    return;
+  if (choice->count++ == choice->wanted)
+    choice->address = member->peer_address;
+}
+
+static size_t
+relay_count (claim_client_io_t *io)
+{
+  entry_core_t *core = LIST_ENTRY (io, entry_core_t, claim_io);
+  relay_choice_t choice = { .core = core, .wanted = SIZE_MAX };
+  swim_foreach (&core->options.membership->swim, visit_member, &choice);
+  return choice.count;
+}
+
+static void
+send_relay (claim_client_io_t *io, size_t relay, const uint8_t *data, size_t size)
+{
+  entry_core_t *core = LIST_ENTRY (io, entry_core_t, claim_io);
+  relay_choice_t choice = { .core = core, .wanted = relay };
+  swim_foreach (&core->options.membership->swim, visit_member, &choice);
+  if (choice.address != NULL)
+    peer_network_send (core->options.network, choice.address, data, size);
+}
+
+static const claim_client_io_ops_t io_ops = {
+  .send_member = send_member,
+  .send_relay = send_relay,
+  .relay_count = relay_count,
+};
+
+static gboolean
+relay_is_old (gpointer key, gpointer value, gpointer data)
+{
+  return ((const relay_t *)value)->expires_us <= *(const int64_t *)data;
+}
+
+static void
+on_timer (io_timer_t *timer)
+{
+  entry_claims_update (LIST_ENTRY (timer, entry_core_t, claim_timer));
+}
+
+void
+entry_claims_init (entry_core_t *core)
+{
+  core->claim_io.ops = &io_ops;
+  core->relays = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_relay);
+  claim_client_options_t options = {
+    .members = (const char *const *)core->options.claim_members->pdata,
+    .attempt_timeout_us = ATTEMPT_TIMEOUT_US,
+    .grant_validity_us = GRANT_VALIDITY_US,
+    .max_interval_us = MAX_INTERVAL_US,
+    .max_background = MAX_BACKGROUND,
+    .retention_ms = core->options.claim_retention_ms,
+    .io = &core->claim_io,
+  };
+  claim_client_init (&core->claims, &options);
+  io_timer_init (&core->claim_timer, on_timer);
+}
+
+void
+entry_claims_destroy (entry_core_t *core)
+{
+  io_timer_cancel (&core->claim_timer);
+  claim_client_destroy (&core->claims);
+  g_clear_pointer (&core->relays, g_hash_table_unref);
+}
+
+bool
+entry_claims_available (const entry_core_t *core)
+{
+  return core->claims.member_count > 0;
+}
+
+void
+entry_claims_nonce (entry_core_t *core, uint8_t nonce[CLAIM_NONCE_SIZE])
+{
+  uint64_t parts[2] = { core->nonce_prefix ^ core->entry_id, ++core->next_request };
+  memcpy (nonce, parts, CLAIM_NONCE_SIZE);
+}
+
+void
+entry_claims_update (entry_core_t *core)
+{
+  int64_t now_us = entry_core_now (core);
+  int64_t next_us = claim_client_tick (&core->claims, now_us);
+  g_hash_table_foreach_remove (core->relays, relay_is_old, &now_us);
+  if (g_hash_table_size (core->relays) > 0)
+    next_us = MIN (next_us, now_us + RELAY_LIFETIME_US);
+  if (next_us != INT64_MAX)
+    io_timer_set (core->options.loop, &core->claim_timer, next_us);
+}
+
+static void
+send_for_relay (entry_core_t *core, const relay_t *relay, const char *address)
+{
+  wire_writer_t writer;
+  claim_request_encode (&writer, relay->id, 0, &relay->command);
+  peer_network_send_writer (core->options.network, address, &writer);
+}
+
+static void
+take_request (entry_core_t *core, const link_t *link, wire_reader_t *reader)
+{
+  uint64_t request_id = 0;
+  uint32_t relays_left = 0;
+  claim_command_t command;
+  anv_error_t err = { 0 };
+
+  if (!claim_request_decode (reader, &request_id, &relays_left, &command, &err))
+    {
+      LOG_WARNING ("malformed claim peer=%s error=\"%s\"", link->peer.id, err.text);
+      return;
+    }
+  if (relays_left == 0 || !entry_claims_available (core)
+      || g_hash_table_size (core->relays) >= MAX_RELAYS)
+    {
+      claim_command_clear (&command);
+      return;
+    }
+  relay_t *relay = g_new0 (relay_t, 1);
+  relay->id = ++core->next_relay | RELAY_BIT;
+  relay->link_number = link->number;
+  relay->request_id = request_id;
+  relay->expires_us = entry_core_now (core) + RELAY_LIFETIME_US;
+  relay->command = command;
+  g_hash_table_insert (core->relays, &relay->id, relay);
+  send_for_relay (core, relay, core->claims.options.members[core->claims.preferred]);
+  entry_claims_update (core);
+}
+
+static void
+pass_back (entry_core_t *core, relay_t *relay, const claim_result_t *result)
+{
+  wire_writer_t writer;
+  bool has_hint = result->type == CLAIM_RESULT_NOT_LEADER && result->leader_address[0] != '\0';
+  if (has_hint && !relay->hint_followed)
+    {
+      relay->hint_followed = true;
+      send_for_relay (core, relay, result->leader_address);
+      return;
+    }
+  claim_reply_encode (&writer, relay->request_id, result);
+  peer_network_reply_writer (core->options.network, relay->link_number, &writer);
+  g_hash_table_remove (core->relays, &relay->id);
+}
+
+static void
+take_reply (entry_core_t *core, const link_t *link, wire_reader_t *reader)
+{
+  uint64_t request_id = 0;
+  claim_result_t result;
+  anv_error_t err = { 0 };
+
+  if (!claim_reply_decode (reader, &request_id, &result, &err))
+    {
+      LOG_WARNING ("malformed claim reply peer=%s error=\"%s\"", link->peer.id, err.text);
+      return;
+    }
+  relay_t *relay = g_hash_table_lookup (core->relays, &request_id);
+  if (relay != NULL)
+    pass_back (core, relay, &result);
+  else
+    {
+      claim_client_reply (&core->claims, entry_core_now (core), request_id, &result);
+      entry_claims_update (core);
+    }
+  claim_result_clear (&result);
+}
+
+bool
+entry_claims_receive (entry_core_t *core, const link_t *link, wire_type_t type,
+                      wire_reader_t *reader)
+{
+  if (type == WIRE_CLAIM_REQUEST)
+    take_request (core, link, reader);
+  else if (type == WIRE_CLAIM_REPLY)
+    take_reply (core, link, reader);
+  else
+    return false;
+  return true;
+}
--- /dev/null
+++ b/src/entry_core.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "claim_client.h"
+#include "config_sync.h"
+#include "membership_task.h"
+#include "placement.h"
+#include "route_table.h"
+#include "target_table.h"
+#include "upstream_pool.h"
+
+/* entry_core - state that the decision parts of anvillb-entry share.
+ *
+ * Owns the placement, the leases of targets, the services this entry is assigned to, and the
+ * claims. entry_policy carries requests through it, entry_peers exchanges messages with other
+ * entries. */
+
+typedef struct entry_service entry_service_t;
+
+typedef struct
+{
+  io_loop_t *loop;
+  peer_network_t *network;
+  membership_task_t *membership;
+  config_sync_t *sync;
+  upstream_pool_t *pool;
+  counter_registry_t *counters;
+  rng_t *rng;
+  const char *instance;
+  const char *domain;
+  const char *caller_address; /* that resolve returns for this entry */
+  int64_t domain_distance_us; /* latency between failure domains, one way */
+  bool require_echo;          /* see target_table_options_t */
+  const char *probe_path;
+  const GPtrArray *claim_members; /* peer addresses of the claims group; ends with NULL */
+  uint64_t claim_retention_ms;
+  bool single_unnamed; /* run a request without a key once, with a generated key */
+  int64_t resolve_ttl_ms;
+} entry_core_options_t;
+
+typedef struct
+{
+  entry_core_options_t options;
+  uint64_t entry_id;
+  placement_t *placement;
+  target_table_t targets;
+  GHashTable *services; /* name -> entry_service_t */
+  config_doc_t *doc;    /* in force; NULL before the first one */
+  route_table_t *routes;
+  claim_client_t claims;
+  claim_client_io_t claim_io;
+  GHashTable *relays; /* request id -> claim passed on for another entry */
+  uint64_t next_relay;
+  uint64_t nonce_prefix; /* of this process */
+  uint64_t next_request;
+  io_timer_t tick_timer;
+  io_timer_t claim_timer;
+  int64_t next_summary_us;
+  int64_t ready_after_us; /* 0 before the first configuration */
+  bool leaving;
+  counter_t announcements;
+  counter_t announcements_forwarded;
+  counter_t targets_known;
+} entry_core_t;
+
+void entry_core_init (entry_core_t *core, const entry_core_options_t *options);
+void entry_core_destroy (entry_core_t *core);
+
+/* Starts the periodic work; the peer network and the membership run already. */
+void entry_core_start (entry_core_t *core);
+void entry_core_stop (entry_core_t *core);
+
+int64_t entry_core_now (const entry_core_t *core);
+
+/* Handlers for membership_options_t and config_sync_options_t; DATA is the entry_core_t. */
+void entry_core_on_member (void *data, swim_event_t event, const swim_member_t *member);
+void entry_core_on_install (void *data, uint64_t version, config_doc_t *doc);
+
+/* Returns whether callers may be sent to this entry. */
+bool entry_core_is_ready (const entry_core_t *core);
+
+/* Starts to drain: resolve no longer names this entry, and its targets go to other entries. */
+void entry_core_leave (entry_core_t *core);
+
+/* Returns the service NAME of the configuration in force, created when it is first needed, or NULL
+ * if there is no such service. */
+entry_service_t *entry_core_service (entry_core_t *core, const char *name);
+
+/* Returns whether this entry is assigned to the service. */
+bool entry_core_is_assigned (entry_core_t *core, const char *service);
+
+/* Number of assigned entries per failure domain of SERVICE. */
+unsigned entry_core_per_domain (const entry_core_t *core, const char *service);
+
+/* Returns the peer address of a live member, or NULL. */
+const char *entry_core_peer_address (const entry_core_t *core, const char *id);
+
+/* Takes an announcement whose age is known, or passes it on to the owner. RELAYED tells that it
+ * came from another entry; such an announcement is not passed on again. */
+target_result_t entry_core_announce (entry_core_t *core, const target_announcement_t *announcement,
+                                     bool relayed);
+
+/* Returns a 64-bit id of a name, the same in every process. */
+uint64_t entry_hash_id (const char *name);
--- a/src/entry_options.c
+++ b/src/entry_options.c
@@ -1,11 +1,15 @@
 #include "entry_options.h"
 
+#include "listen_check.h"
+
 #include "log.h"
 
 entry_options_t entry_options;
 
 static const char *const log_levels[] = { "error", "warning", "notice", "info", "debug", NULL };
 
+static const char *const unnamed_choices[] = { "reject", "single", NULL };
+
 #define MS_PER_DAY 86400000.0
 #define MAX_BYTES 1e12
 
@@ -20,6 +24,28 @@
     "Instance id" },
   { "domain", OPTION_STRING, &entry_options.domain, "default", 0, 0, NULL, false, "NAME",
     "Failure domain of this instance" },
+  { "peer-listen", OPTION_ADDRESS, &entry_options.peer_listen, "127.0.0.1:8082", 0, 0, NULL, false,
+    "ADDRESS", "Address of the port for other processes of the fleet" },
+  { "peer-advertise", OPTION_ADDRESS, &entry_options.peer_advertise, NULL, 0, 0, NULL, false,
+    "ADDRESS", "Address that other processes use; the listening address if not given" },
+  { "seed", OPTION_ADDRESS_LIST, &entry_options.seeds, NULL, 0, 0, NULL, false, "ADDRESS",
+    "Peer address of another process of the fleet; may be repeated" },
+  { "claim-member", OPTION_ADDRESS_LIST, &entry_options.claim_members, NULL, 0, 0, NULL, false,
+    "ADDRESS", "Peer address of a member of the claims group; may be repeated" },
+  { "claim-retention-ms", OPTION_INTEGER, &entry_options.claim_retention_ms, "2592000000", 60000,
+    3650 * MS_PER_DAY, NULL, false, "MS", "Time for which claims and their answers are kept" },
+  { "unnamed-requests", OPTION_ENUM, &entry_options.unnamed_requests, "reject", 0, 0,
+    unnamed_choices, false, "ACTION",
+    "Requests without Idempotency-Key on a route that needs one: reject, or single attempt" },
+  { "domain-distance-ms", OPTION_INTEGER, &entry_options.domain_distance_ms, "5", 0, 10000, NULL,
+    false, "MS", "Latency between two failure domains, one way" },
+  { "trust-first-announcement", OPTION_BOOL, &entry_options.trust_first_announcement, "false", 0, 0,
+    NULL, false, NULL,
+    "Accept announcements without an echo; a delayed one can then prolong a lease" },
+  { "probe-path", OPTION_STRING, &entry_options.probe_path, "/health", 0, 0, NULL, false, "PATH",
+    "Path of probes to backend servers" },
+  { "tls-ca", OPTION_STRING, &entry_options.tls_ca, NULL, 0, 0, NULL, false, "FILE",
+    "Authority that signs the certificates of the fleet, in PEM format, for links" },
   { "tls-cert", OPTION_STRING, &entry_options.tls_cert, NULL, 0, 0, NULL, false, "FILE",
     "Certificate in PEM format" },
   { "tls-key", OPTION_STRING, &entry_options.tls_key, NULL, 0, 0, NULL, false, "FILE",
@@ -61,28 +87,26 @@
   .options = options,
 };
 
-static bool
-check_listen (const char *name, const char *address, anv_error_t *err)
-{
-  bool tls = entry_options.tls_cert != NULL;
-  if (tls || entry_options.insecure_listen || option_address_is_loopback (address))
-    return true;
-  anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_VALUE,
-                 "--%s: value '%s' is not allowed: an address other than loopback needs --tls-cert "
-                 "or --insecure-listen",
-                 name, address);
-  return false;
-}
-
 bool
 entry_options_check (anv_error_t *err)
 {
-  if ((entry_options.tls_cert == NULL) != (entry_options.tls_key == NULL))
+  bool tls = entry_options.tls_cert != NULL;
+  bool insecure = entry_options.insecure_listen;
+  bool links_tls = entry_options.tls_ca != NULL;
+  if (tls != (entry_options.tls_key != NULL) || (links_tls && !tls))
     {
       anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_MISSING,
-                     "--tls-cert and --tls-key belong together");
+                     "--tls-cert and --tls-key belong together, and --tls-ca needs both");
+      return false;
+    }
+  if (entry_options.probe_path[0] != '/')
+    {
+      anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_VALUE,
+                     "--probe-path: value '%s' is not allowed: expected a path that starts with /",
+                     entry_options.probe_path);
       return false;
     }
-  return check_listen ("listen", entry_options.listen, err)
-         && check_listen ("admin-listen", entry_options.admin_listen, err);
+  return listen_check ("listen", entry_options.listen, tls, insecure, err)
+         && listen_check ("admin-listen", entry_options.admin_listen, tls, insecure, err)
+         && listen_check ("peer-listen", entry_options.peer_listen, links_tls, insecure, err);
 }
--- a/src/entry_options.h
+++ b/src/entry_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -14,6 +15,16 @@
   char *admin_listen;
   char *instance;
   char *domain;
+  char *peer_listen;
+  char *peer_advertise;
+  GPtrArray *seeds;
+  GPtrArray *claim_members;
+  int64_t claim_retention_ms;
+  int64_t unnamed_requests;
+  int64_t domain_distance_ms;
+  bool trust_first_announcement;
+  char *probe_path;
+  char *tls_ca;
   char *tls_cert;
   char *tls_key;
   bool insecure_listen;
@@ -32,6 +43,13 @@
   int64_t log_level;
 } entry_options_t;
 
+/* Values of unnamed_requests. */
+enum
+{
+  UNNAMED_REJECT,
+  UNNAMED_SINGLE,
+};
+
 extern entry_options_t entry_options;
 extern const option_table_t entry_option_table;
 
--- /dev/null
+++ b/src/entry_peers.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "entry_service.h"
+
+/* entry_peers - messages between the entries that are assigned to a service.
+ *
+ *   SERVICE_SUMMARY [service, sent_us, own_slots, settled_slots, ejected_slots, slots, free_slots,
+ *                    wait_us urgent, wait_us background, targets, median_latency_us, failure_rate]
+ *   TEAM_USAGE      see limiter_wire
+ *   PROBE_REQUEST   [service, address, target_id]
+ *   PROBE_RESULT    [service, target_id, answered, latency_us, reference_us]
+ *   TARGET_LEASE    see entry_announce */
+
+#define ENTRY_SUMMARY_PERIOD_US INT64_C (500000)
+
+/* Takes a message of these types. Returns whether TYPE is one of them. */
+bool entry_peers_receive (entry_core_t *core, link_t *link, wire_type_t type,
+                          wire_reader_t *reader);
+
+/* Sends the summary of SERVICE to the other assigned entries. */
+void entry_peers_send_summary (entry_service_t *service);
+
+/* Sends the consumption of teams to the other assigned entries. */
+void entry_peers_send_usage (entry_service_t *service);
+
+/* Asks another assigned entry to probe the target. */
+void entry_peers_ask_opinion (entry_service_t *service, uint64_t target_id, const char *address);
+
+/* Answers a PROBE_REQUEST from the link NUMBER. */
+void entry_peers_send_opinion (entry_service_t *service, uint64_t number, uint64_t target_id,
+                               const health_opinion_t *opinion);
--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -2,309 +2,456 @@
 
 #include <string.h>
 
-#include "json_util.h"
+#define LOG_MODULE "entry_policy"
+#include "deadline.h"
+#include "entry_request.h"
+#include "log.h"
 
-#define ANNOUNCE_PATH "/.anvillb/v1/announce"
-#define RESOLVE_PATH "/.anvillb/v1/resolve"
 #define OWN_PREFIX "/.anvillb/"
-#define LEASE_DURATION_US 2500000
-#define MAX_ANNOUNCEMENT_BYTES 4096
-#define MAX_ATTEMPTS 3
-/* Largest number of entries that may connect to a target at once; see docs/design.md, 2.1. */
-#define CONNECTION_SHARES 48
-
-typedef struct
-{
-  char *service;
-  char *address;
-  int max_connections;
-  int64_t incarnation;
-  int64_t seq;
-  int64_t expires_us; /* 0 if the target takes no new work */
-  int in_flight;
-  bool listed;
-} target_t;
-
-typedef struct
-{
-  target_t *target;   /* of the current attempt; NULL between attempts */
-  target_t *previous; /* compared only */
-  int attempts;
-} request_data_t;
-
-static void
-release_target (target_t *target)
-{
-  if (target->listed || target->in_flight > 0)
-    return;
-  g_free (target->service);
-  g_free (target->address);
-  g_free (target);
-}
-
-static void
-unlist_target (gpointer data)
+#define HOP_HEADER "Anvillb-Hop"
+#define TEAM_HEADER "Anvillb-Team"
+#define US_PER_MS 1000
+#define US_PER_S 1000000
+/* Connections to another entry for forwarded requests. */
+#define ENTRY_CONNECTIONS 64
+#define MAX_TEAM_SIZE 128
+
+static const struct
 {
-  target_t *target = data;
-  target->listed = false;
-  release_target (target);
-}
+  route_result_t result;
+  int status;
+} route_statuses[] = {
+  { ROUTE_NO_SERVICE, 404 }, { ROUTE_NO_ROUTE, 404 },       { ROUTE_NO_METHOD, 405 },
+  { ROUTE_BAD_PATH, 400 },   { ROUTE_AMBIGUOUS_PATH, 400 }, { ROUTE_PATH_TOO_LONG, 414 },
+};
 
-static void
-respond_text (proxy_request_t *request, int status, const char *text, bool not_run)
+static int
+route_status (route_result_t result)
 {
-  request_response_t response = {
-    .status = status,
-    .body = text,
-    .body_size = strlen (text),
-    .not_run = not_run,
-  };
-  proxy_request_respond (request, &response);
+  for (size_t i = 0; i < G_N_ELEMENTS (route_statuses); i++)
+    {
+      if (route_statuses[i].result == result)
+        return route_statuses[i].status;
+    }
+  return 500;
 }
 
-static size_t
-host_size (const char *host)
+static const char *
+team_of (const entry_request_t *r)
 {
-  return host == NULL ? 0 : strcspn (host, ":");
+  const char *team = http_headers_get (proxy_request_head (r->request)->headers, TEAM_HEADER);
+  return team != NULL && strlen (team) <= MAX_TEAM_SIZE ? team : "";
 }
 
-static target_t *
-choose_target (entry_policy_t *policy, const request_head_t *head, const target_t *previous)
+/* Returns an entry that is assigned to the service and is not this one, the own failure domain
+ * first, or NULL. ENTRY_ID selects one of them; 0 takes the first. */
+static const placement_member_t *
+choose_entry (const entry_request_t *r, uint64_t entry_id)
 {
-  int64_t now_us = io_loop_now_us (policy->options.loop);
-  size_t size = host_size (head->host);
-  target_t *best = NULL;
-  GHashTableIter iter;
-  gpointer value = NULL;
-
-  g_hash_table_iter_init (&iter, policy->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  const placement_member_t *members[PLACEMENT_RESOLVE_MAX];
+  entry_core_t *core = r->core;
+  const char *service = r->match.service->name;
+  size_t count = placement_resolve (core->placement, service, entry_core_per_domain (core, service),
+                                    core->options.domain, members, G_N_ELEMENTS (members));
+  size_t skip = entry_id == 0 ? r->attempts : 0;
+  for (size_t i = 0; i < count; i++)
     {
-      target_t *target = value;
-      if (target->expires_us < now_us || strlen (target->service) != size
-          || strncmp (target->service, head->host, size) != 0)
+      if (strcmp (members[i]->id, core->options.instance) == 0)
         continue;
-      if (best == NULL || best == previous
-          || (target != previous && target->in_flight < best->in_flight))
-        best = target;
+      if (entry_id != 0 ? entry_hash_id (members[i]->id) == entry_id : skip-- == 0)
+        return members[i];
     }
-  return best;
-}
-
-static bool
-is_idempotent (const char *method)
-{
-  return strcmp (method, "GET") == 0 || strcmp (method, "HEAD") == 0
-         || strcmp (method, "OPTIONS") == 0;
+  return NULL;
 }
 
 static void
-dispatch (entry_policy_t *policy, proxy_request_t *request)
+forward (entry_request_t *r, uint64_t entry_id)
 {
-  const request_head_t *head = proxy_request_head (request);
-  request_data_t *data = proxy_request_data (request);
-  target_t *target = choose_target (policy, head, data->previous);
+  const placement_member_t *member = choose_entry (r, entry_id);
+  http_headers_t extra;
 
-  if (target == NULL)
+  if (member == NULL)
     {
-      respond_text (request, 503, "no target\n", true);
+      entry_request_refuse (r, 503, "no entry serves this service", 1);
       return;
     }
-  data->target = target;
-  data->attempts++;
-  target->in_flight++;
-  request_dispatch_t options = {
-    .address = target->address,
-    .max_connections = target->max_connections,
-    .deadline_us = head->received_us + policy->options.request_timeout_us,
-    .stall_us = policy->options.stall_us,
-    .may_retry = is_idempotent (head->method),
-    .max_body_bytes = policy->options.max_body_bytes,
+  http_headers_init (&extra);
+  http_headers_append (&extra, HOP_HEADER, "1");
+  request_dispatch_t dispatch = {
+    .address = member->address,
+    .max_connections = ENTRY_CONNECTIONS,
+    .deadline_us = r->deadline_us,
+    .may_retry = true,
+    .target_is_entry = true,
+    .max_body_bytes = r->match.route->max_body_bytes,
+    .extra_headers = &extra,
   };
-  proxy_request_dispatch (request, &options);
+  r->attempts++;
+  r->state = ENTRY_REQUEST_FORWARDED;
+  if (r->service != NULL)
+    counter_inc (&r->service->forwarded);
+  proxy_request_dispatch (r->request, &dispatch);
+  http_headers_destroy (&extra);
 }
 
 static void
-add_address (cJSON *array, const char *address, const char *domain)
+on_dispatch (service_waiter_t *waiter, uint64_t target_id, const char *address, int max_connections)
 {
-  cJSON *item = cJSON_CreateObject ();
-  cJSON_AddStringToObject (item, "address", address);
-  cJSON_AddStringToObject (item, "domain", domain);
-  cJSON_AddItemToArray (array, item);
+  entry_request_t *r = (entry_request_t *)waiter;
+  bool claimed = r->holds_claim;
+  request_dispatch_t dispatch = {
+    .address = address,
+    .max_connections = max_connections,
+    .deadline_us = r->deadline_us,
+    .stall_us = (int64_t)r->match.service->stall_ms * US_PER_MS,
+    .may_retry = true,
+    .max_body_bytes = r->match.route->max_body_bytes,
+    .capture_bytes = claimed ? CLAIM_MAX_ANSWER_SIZE : 0,
+  };
+  r->tried[r->attempts++] = target_id;
+  r->state = ENTRY_REQUEST_DISPATCHED;
+  r->wrong = false;
+  proxy_request_dispatch (r->request, &dispatch);
 }
 
-/* Returns the value of KEY in the query of TARGET; free with g_free(). */
-static char *
-query_value (const char *target, const char *key)
+static const char *
+reason_text (scheduler_reason_t reason)
 {
-  const char *query = strchr (target, '?');
-  if (query == NULL)
-    return NULL;
-  g_autoptr (GHashTable) values = g_uri_parse_params (query + 1, -1, "&", 0, NULL);
-  return values == NULL ? NULL : g_strdup (g_hash_table_lookup (values, key));
+  switch (reason)
+    {
+    case SCHEDULER_REASON_DEADLINE:
+      return "the deadline cannot be met";
+    case SCHEDULER_REASON_OVERLOAD:
+    case SCHEDULER_REASON_QUEUE_FULL:
+      return "overloaded";
+    default:
+      return "no backend server is available";
+    }
 }
 
 static void
-answer_resolve (entry_policy_t *policy, proxy_request_t *request, const request_head_t *head)
+on_refuse (service_waiter_t *waiter, scheduler_reason_t reason, int64_t retry_after_s)
 {
-  g_autofree char *service = query_value (head->target, "service");
-  if (service == NULL)
+  entry_request_t *r = (entry_request_t *)waiter;
+  entry_request_claim_end (r);
+  if (r->attempts > 0)
     {
-      respond_text (request, 400, "parameter service is missing\n", true);
+      r->state = ENTRY_REQUEST_ENDED;
+      proxy_request_fail (r->request);
       return;
     }
-  cJSON *root = cJSON_CreateObject ();
-  cJSON_AddStringToObject (root, "service", service);
-  cJSON_AddNumberToObject (root, "ttl_ms", (double)policy->options.resolve_ttl_ms);
-  cJSON *addresses = cJSON_AddArrayToObject (root, "addresses");
-  if (!policy->draining)
-    add_address (addresses, policy->options.address, policy->options.domain);
-  char *text = cJSON_PrintUnformatted (root);
-  respond_text (request, 200, text, false);
-  cJSON_free (text);
-  cJSON_Delete (root);
+  entry_request_refuse (r, 503, reason_text (reason), MAX (retry_after_s, 1));
 }
 
+/* Returns whether the team is within its limit; otherwise the request is answered. */
 static bool
-path_is (const request_head_t *head, const char *path)
+check_limit (entry_request_t *r)
 {
-  return head->path_size == strlen (path) && strncmp (head->target, path, head->path_size) == 0;
+  int64_t retry_after_us = 0;
+  const char *team = team_of (r);
+  if (r->limited || *team == '\0')
+    return true;
+  r->limited = true;
+  if (entry_service_admit (r->service, team, &retry_after_us))
+    return true;
+  entry_service_cancel (r->service, r->waiter.id);
+  entry_request_claim_end (r);
+  entry_request_refuse (r, 429, "over the limit of the team",
+                        (retry_after_us + US_PER_S - 1) / US_PER_S);
+  return false;
 }
 
-static void
-begin (request_policy_t *base, proxy_request_t *request, const request_head_t *head)
+void
+entry_request_enqueue (entry_request_t *r)
 {
-  entry_policy_t *policy = (entry_policy_t *)base;
+  bool urgent = r->match.route->request_class == CONFIG_CLASS_URGENT;
+  scheduler_request_t request = {
+    .id = r->waiter.id,
+    .class_index = urgent ? SCHEDULER_URGENT : SCHEDULER_BACKGROUND,
+    .deadline_us = r->deadline_us,
+    .forwarded = r->hop || r->attempts > 0 || r->holds_claim,
+    .tried = r->tried,
+    .tried_count = r->attempts,
+  };
+  entry_service_t *service = r->service;
+  scheduler_result_t result = entry_service_submit (service, &r->waiter, &request);
 
-  proxy_request_set_data (request, g_new0 (request_data_t, 1));
-  if (!g_str_has_prefix (head->target, OWN_PREFIX))
-    dispatch (policy, request);
-  else if (path_is (head, ANNOUNCE_PATH) && strcmp (head->method, "POST") == 0)
-    proxy_request_read_body (request, MAX_ANNOUNCEMENT_BYTES);
-  else if (path_is (head, RESOLVE_PATH) && strcmp (head->method, "GET") == 0)
-    answer_resolve (policy, request, head);
-  else
-    respond_text (request, 404, "not found\n", true);
+  counter_inc (&service->requests[request.class_index]);
+  if (r->attempts == 0)
+    retry_budget_first (&service->budget, entry_core_now (r->core));
+  switch (result.decision)
+    {
+    case SCHEDULER_QUEUED:
+      r->state = ENTRY_REQUEST_QUEUED;
+      if (check_limit (r))
+        entry_service_pump (service);
+      break;
+    case SCHEDULER_FORWARD:
+      forward (r, result.entry_id);
+      break;
+    case SCHEDULER_REFUSED:
+      counter_inc (&service->refused_queue);
+      on_refuse (&r->waiter, result.reason, result.retry_after_s);
+      break;
+    }
 }
 
-static target_t *
-get_target (entry_policy_t *policy, const char *service, const char *address)
+/* Finds the route. Returns false if the request was answered. */
+static bool
+match_route (entry_request_t *r, const request_head_t *head)
 {
-  g_autofree char *key = g_strconcat (service, " ", address, NULL);
-  target_t *target = g_hash_table_lookup (policy->targets, key);
-  if (target != NULL)
-    return target;
-  target = g_new0 (target_t, 1);
-  target->service = g_strdup (service);
-  target->address = g_strdup (address);
-  target->listed = true;
-  g_hash_table_insert (policy->targets, g_steal_pointer (&key), target);
-  return target;
+  entry_core_t *core = r->core;
+  if (core->doc == NULL)
+    {
+      entry_request_refuse (r, 503, "no configuration", 1);
+      return false;
+    }
+  route_result_t result = route_table_lookup (
+      core->routes, head->method, head->host != NULL ? head->host : "", head->target, &r->match);
+  if (result != ROUTE_FOUND)
+    {
+      entry_request_refuse (r, route_status (result), route_result_text (result), 0);
+      return false;
+    }
+  r->doc = config_doc_ref (core->doc);
+  return true;
 }
 
-/* Returns the reason why the announcement is refused, or NULL. */
-static const char *
-apply_announcement (entry_policy_t *policy, const cJSON *json)
+static void
+begin_route (entry_request_t *r, const request_head_t *head)
 {
-  const char *service = json_string (json, "service", NULL);
-  const char *address = json_string (json, "address", NULL);
-  const char *state = json_string (json, "state", "up");
-  int64_t incarnation = (int64_t)json_number (json, "incarnation", 0);
-  int64_t seq = (int64_t)json_number (json, "seq", 0);
-
-  if (service == NULL || address == NULL)
-    return "service and address are required\n";
-  target_t *target = get_target (policy, service, address);
-  if (incarnation < target->incarnation
-      || (incarnation == target->incarnation && seq < target->seq))
-    return NULL;
-  target->incarnation = incarnation;
-  target->seq = seq;
-  int connections = (int)json_number (json, "connections", CONNECTION_SHARES);
-  target->max_connections = MAX (connections / CONNECTION_SHARES, 1);
-  bool up = strcmp (state, "up") == 0;
-  target->expires_us = up ? io_loop_now_us (policy->options.loop) + LEASE_DURATION_US : 0;
-  return NULL;
+  entry_core_t *core = r->core;
+  const char *service = r->match.service->name;
+  const char *deadline = http_headers_get (head->headers, "Anvillb-Deadline-Ms");
+
+  r->deadline_us = deadline_start (head->received_us, r->match.route->timeout_ms, deadline);
+  r->hop = http_headers_get (head->headers, HOP_HEADER) != NULL;
+  proxy_request_set_deadline (r->request, r->deadline_us);
+  if (!r->hop && !entry_core_is_assigned (core, service))
+    {
+      forward (r, 0);
+      return;
+    }
+  r->service = entry_core_service (core, service);
+  if (!entry_request_needs_claim (r))
+    {
+      entry_request_enqueue (r);
+      return;
+    }
+  r->state = ENTRY_REQUEST_READING;
+  proxy_request_read_body (r->request, r->match.route->max_body_bytes);
 }
 
 static void
-body (request_policy_t *base, proxy_request_t *request, const char *text, size_t size)
+begin (request_policy_t *base, proxy_request_t *request, const request_head_t *head)
 {
   entry_policy_t *policy = (entry_policy_t *)base;
-  const char *reason = NULL;
-  cJSON *json = json_parse (text, size, &reason);
+  entry_request_t *r = g_new0 (entry_request_t, 1);
+
+  r->waiter.id = ++policy->next_id;
+  r->waiter.dispatch = on_dispatch;
+  r->waiter.refuse = on_refuse;
+  r->policy = policy;
+  r->core = policy->core;
+  r->request = request;
+  proxy_request_set_data (request, r);
+  if (g_str_has_prefix (head->target, OWN_PREFIX))
+    entry_request_own_path (r, head);
+  else if (match_route (r, head))
+    begin_route (r, head);
+}
 
-  if (json != NULL)
-    reason = apply_announcement (policy, json);
-  if (json == NULL || reason != NULL)
-    respond_text (request, 400, reason, true);
+static void
+on_body (request_policy_t *base, proxy_request_t *request, const char *body, size_t size)
+{
+  entry_request_t *r = proxy_request_data (request);
+  if (r->state == ENTRY_REQUEST_OWN)
+    entry_request_own_body (r, body, size);
   else
-    respond_text (request, 204, "", false);
-  cJSON_Delete (json);
+    entry_request_claim (r, body, size);
+}
+
+/* Leaves the queue and gives the claim back. */
+static void
+withdraw (entry_request_t *r)
+{
+  if (r->state == ENTRY_REQUEST_QUEUED || r->state == ENTRY_REQUEST_DISPATCHED)
+    entry_service_cancel (r->service, r->waiter.id);
+  r->state = ENTRY_REQUEST_ENDED;
+  entry_request_claim_end (r);
 }
 
 static void
 cancelled (request_policy_t *base, proxy_request_t *request, cancel_reason_t reason)
 {
+  withdraw (proxy_request_data (request));
 }
 
 static void
 first_byte (request_policy_t *base, proxy_request_t *request)
 {
+  entry_request_t *r = proxy_request_data (request);
+  r->sent = true;
+}
+
+static bool
+is_wrong (const entry_request_t *r, int status, const http_headers_t *headers)
+{
+  const config_service_t *service = r->match.service;
+  for (size_t i = 0; i < service->wrong_status_count; i++)
+    {
+      if (service->wrong_statuses[i] == status)
+        return true;
+    }
+  return service->wrong_require_header != NULL && status / 100 == 2
+         && http_headers_get (headers, service->wrong_require_header) == NULL;
 }
 
+/* Takes one retry from the budget if the request may be sent again at all. */
 static bool
-response (request_policy_t *base, proxy_request_t *request, int status,
-          const http_headers_t *headers)
+take_retry (entry_request_t *r)
 {
+  int64_t now_us = entry_core_now (r->core);
+  if (r->attempts >= ENTRY_MAX_ATTEMPTS || deadline_left_us (r->deadline_us, now_us) == 0)
+    return false;
+  if (!retry_budget_take (&r->service->budget, now_us))
+    {
+      counter_inc (&r->service->retries_denied);
+      return false;
+    }
+  counter_inc (&r->service->retries);
   return true;
 }
 
-static void
-ended (request_policy_t *base, proxy_request_t *request, const attempt_result_t *result)
+static bool
+on_response (request_policy_t *base, proxy_request_t *request, int status,
+             const http_headers_t *headers)
 {
-  entry_policy_t *policy = (entry_policy_t *)base;
-  request_data_t *data = proxy_request_data (request);
+  entry_request_t *r = proxy_request_data (request);
+  if (r->state != ENTRY_REQUEST_DISPATCHED)
+    return true;
+  r->status = (uint32_t)status;
+  r->wrong = is_wrong (r, status, headers);
+  entry_request_claim_response (r, status, headers);
+  if (r->wrong && r->match.route->idempotent && take_retry (r))
+    {
+      r->retry_taken = true;
+      return false;
+    }
+  return true;
+}
+
+static health_result_t
+health_of (const entry_request_t *r, const attempt_result_t *result)
+{
+  switch (result->end)
+    {
+    case ATTEMPT_COMPLETE:
+    case ATTEMPT_DISCARDED:
+      if (r->wrong)
+        return HEALTH_WRONG;
+      return result->status >= 500 ? HEALTH_ERROR : HEALTH_OK;
+    case ATTEMPT_SHED:
+      return HEALTH_SHED;
+    case ATTEMPT_CONNECT_FAILED:
+      return HEALTH_CONNECT_FAILED;
+    case ATTEMPT_CLOSED_REUSED:
+    case ATTEMPT_STALLED:
+      return HEALTH_SILENT_CONNECTION;
+    case ATTEMPT_TIMED_OUT:
+    case ATTEMPT_CALLER_GONE:
+    case ATTEMPT_CALLER_ERROR:
+      return HEALTH_ABANDONED;
+    default:
+      return HEALTH_ERROR;
+    }
+}
+
+static bool
+may_try_again (entry_request_t *r, const attempt_result_t *result)
+{
+  bool not_run = !result->wrote_bytes || result->end == ATTEMPT_SHED;
+  if (!result->can_repeat || !(not_run || r->match.route->idempotent))
+    return false;
+  bool taken = r->retry_taken || take_retry (r);
+  r->retry_taken = false;
+  return taken;
+}
 
-  data->target->in_flight--;
-  data->previous = data->target;
-  release_target (data->target);
-  data->target = NULL;
+static void
+end_dispatched (entry_request_t *r, const attempt_result_t *result)
+{
+  if (!result->wrote_bytes || result->end == ATTEMPT_SHED)
+    r->sent = false;
+  entry_service_done (r->service, r->waiter.id, health_of (r, result));
+  if (result->end == ATTEMPT_COMPLETE)
+    entry_request_claim_complete (r, result->body, result->body_size);
+  if (!result->final && may_try_again (r, result))
+    {
+      entry_request_enqueue (r);
+      return;
+    }
+  r->state = ENTRY_REQUEST_ENDED;
+  entry_service_pump (r->service);
   if (result->final)
     return;
-  bool not_run = !result->wrote_bytes || result->end == ATTEMPT_SHED;
-  bool repeatable = not_run || is_idempotent (proxy_request_head (request)->method);
-  if (repeatable && result->can_repeat && data->attempts < MAX_ATTEMPTS)
-    dispatch (policy, request);
+  entry_request_claim_end (r);
+  proxy_request_fail (r->request);
+}
+
+static void
+end_forwarded (entry_request_t *r, const attempt_result_t *result)
+{
+  if (result->final)
+    {
+      r->state = ENTRY_REQUEST_ENDED;
+      return;
+    }
+  bool may_repeat = !result->wrote_bytes || r->match.route->idempotent;
+  if (may_repeat && result->can_repeat && r->attempts < ENTRY_MAX_ATTEMPTS
+      && choose_entry (r, 0) != NULL)
+    {
+      forward (r, 0);
+      return;
+    }
+  r->state = ENTRY_REQUEST_ENDED;
+  proxy_request_fail (r->request);
+}
+
+static void
+ended (request_policy_t *base, proxy_request_t *request, const attempt_result_t *result)
+{
+  entry_request_t *r = proxy_request_data (request);
+  if (r->state == ENTRY_REQUEST_FORWARDED)
+    end_forwarded (r, result);
   else
-    proxy_request_fail (request);
+    end_dispatched (r, result);
 }
 
 static void
 finished (request_policy_t *base, proxy_request_t *request)
 {
-  g_free (proxy_request_data (request));
+  entry_request_t *r = proxy_request_data (request);
+  withdraw (r);
+  if (r->record_headers != NULL)
+    g_string_free (r->record_headers, TRUE);
+  if (r->doc != NULL)
+    config_doc_unref (r->doc);
+  g_free (r);
 }
 
 static const request_policy_ops_t policy_ops = {
   .begin = begin,
-  .body = body,
+  .body = on_body,
   .cancelled = cancelled,
   .first_byte = first_byte,
-  .response = response,
+  .response = on_response,
   .ended = ended,
   .finished = finished,
 };
 
 void
-entry_policy_init (entry_policy_t *policy, const entry_policy_options_t *options)
-{
-  *policy = (entry_policy_t){ .policy.ops = &policy_ops, .options = *options };
-  policy->targets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, unlist_target);
-}
-
-void
-entry_policy_destroy (entry_policy_t *policy)
+entry_policy_init (entry_policy_t *policy, entry_core_t *core)
 {
-  g_clear_pointer (&policy->targets, g_hash_table_unref);
+  *policy = (entry_policy_t){ .policy.ops = &policy_ops, .core = core };
 }
--- a/src/entry_policy.h
+++ b/src/entry_policy.h
@@ -1,32 +1,19 @@
 #pragma once
 
-#include "io_loop.h"
+#include "entry_core.h"
 #include "request_policy.h"
 
-/* entry_policy - request policy that sends requests to the announced target with the fewest
- * requests in flight.
+/* entry_policy - request policy of anvillb-entry.
  *
- * Host names the service. POST /.anvillb/v1/announce adds or removes targets, which leave when
- * their lease expires; GET /.anvillb/v1/resolve returns the address of this entry. */
-
-typedef struct
-{
-  io_loop_t *loop;
-  const char *address; /* that resolve returns */
-  const char *domain;
-  int64_t resolve_ttl_ms;
-  int64_t request_timeout_us;
-  int64_t stall_us;
-  size_t max_body_bytes;
-} entry_policy_options_t;
+ * A request passes these steps: route, forwarding to an assigned entry if this one is not, body and
+ * claim on a route that is not idempotent, queue of the service, limit of the team, dispatch,
+ * further attempts within the retry budget. Paths under /.anvillb/v1/ are answered here. */
 
 typedef struct
 {
   request_policy_t policy; /* first member */
-  entry_policy_options_t options;
-  GHashTable *targets; /* "SERVICE ADDRESS" to target */
-  bool draining;       /* resolve returns no address */
+  entry_core_t *core;
+  uint64_t next_id;
 } entry_policy_t;
 
-void entry_policy_init (entry_policy_t *policy, const entry_policy_options_t *options);
-void entry_policy_destroy (entry_policy_t *policy);
+void entry_policy_init (entry_policy_t *policy, entry_core_t *core);
--- /dev/null
+++ b/src/entry_service.c
@@ -0,0 +1,382 @@
+#include "entry_service.h"
+
+#include <string.h>
+
+#define LOG_MODULE "entry_service"
+#include "entry_peers.h"
+#include "entry_probe.h"
+#include "log.h"
+
+#define RETRY_MINIMUM_RATE 1.0
+#define MAX_TEAMS 100000
+/* Teams in one usage message; 200 teams are about 2 KB each 250 ms at most. */
+#define MAX_REPORTED_TEAMS 200
+#define US_PER_MS 1000
+
+typedef struct
+{
+  uint64_t id;
+  char *address;
+  int max_connections;
+} service_target_t;
+
+static void
+free_target (gpointer data)
+{
+  service_target_t *target = data;
+  g_free (target->address);
+  g_free (target);
+}
+
+static limiter_limit_t
+to_limit (const config_limit_t *limit)
+{
+  return (limiter_limit_t){ .rate = limit->rate, .burst = limit->burst };
+}
+
+/* The limiter knows teams by id only. A team that has sent no request here, and is known from the
+ * usage of another entry, gets the default limit until its first request. */
+static limiter_limit_t
+team_limit (void *data, uint64_t team)
+{
+  const entry_service_t *service = data;
+  const limiter_limit_t *limit = g_hash_table_lookup (service->team_limits, &team);
+  return limit != NULL ? *limit : to_limit (config_doc_team_default (service->core->doc));
+}
+
+static void
+remember_limit (entry_service_t *service, uint64_t team, const config_limit_t *config)
+{
+  limiter_limit_t limit = to_limit (config);
+  if (g_hash_table_size (service->team_limits) >= MAX_TEAMS)
+    g_hash_table_remove_all (service->team_limits);
+  g_hash_table_replace (service->team_limits, g_memdup2 (&team, sizeof (team)),
+                        g_memdup2 (&limit, sizeof (limit)));
+}
+
+bool
+entry_service_admit (entry_service_t *service, const char *team_name, int64_t *retry_after_us)
+{
+  uint64_t team = limiter_team_id (team_name);
+  remember_limit (service, team, config_doc_team_limit (service->core->doc, team_name));
+  bool admitted
+      = limiter_admit (&service->limiter, entry_core_now (service->core), team, retry_after_us);
+  if (!admitted)
+    counter_inc (&service->refused_limit);
+  return admitted;
+}
+
+static void
+register_counters (entry_service_t *service)
+{
+  counter_registry_t *registry = service->core->options.counters;
+  const struct
+  {
+    counter_t *counter;
+    counter_kind_t kind;
+    const char *name;
+    const char *labels;
+    const char *help;
+  } table[] = {
+    { &service->requests[SCHEDULER_URGENT], COUNTER_KIND_COUNTER, "anvillb_service_requests_total",
+      service->urgent_labels, "Requests submitted to the queue of a service." },
+    { &service->requests[SCHEDULER_BACKGROUND], COUNTER_KIND_COUNTER,
+      "anvillb_service_requests_total", service->background_labels,
+      "Requests submitted to the queue of a service." },
+    { &service->refused_limit, COUNTER_KIND_COUNTER, "anvillb_service_limited_total",
+      service->labels, "Requests over the limit of their team." },
+    { &service->refused_queue, COUNTER_KIND_COUNTER, "anvillb_service_refused_total",
+      service->labels, "Requests refused by the scheduler." },
+    { &service->forwarded, COUNTER_KIND_COUNTER, "anvillb_service_forwarded_total", service->labels,
+      "Requests sent on to another entry." },
+    { &service->retries, COUNTER_KIND_COUNTER, "anvillb_service_retries_total", service->labels,
+      "Further attempts." },
+    { &service->retries_denied, COUNTER_KIND_COUNTER, "anvillb_service_retries_denied_total",
+      service->labels, "Further attempts that the retry budget did not allow." },
+    { &service->ejections, COUNTER_KIND_COUNTER, "anvillb_service_ejections_total", service->labels,
+      "Targets ejected." },
+    { &service->readmissions, COUNTER_KIND_COUNTER, "anvillb_service_readmissions_total",
+      service->labels, "Targets readmitted." },
+    { &service->ejected_slots, COUNTER_KIND_GAUGE, "anvillb_service_ejected_slots", service->labels,
+      "Slots of ejected targets." },
+    { &service->own_slots, COUNTER_KIND_GAUGE, "anvillb_service_own_slots", service->labels,
+      "Slots of the targets this entry owns." },
+    { &service->held_slots, COUNTER_KIND_GAUGE, "anvillb_service_held_slots", service->labels,
+      "Slots of unhealthy targets kept in service by the floor." },
+    { &service->queue_wait, COUNTER_KIND_HISTOGRAM, "anvillb_service_queue_wait_ms",
+      service->labels, "Time in the queue of dispatched requests." },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (table); i++)
+    counter_register (registry, table[i].counter, table[i].kind, table[i].name, table[i].labels,
+                      table[i].help);
+}
+
+static void
+unregister_counters (entry_service_t *service)
+{
+  counter_t *const counters[] = {
+    &service->requests[0],    &service->requests[1], &service->refused_limit,
+    &service->refused_queue,  &service->forwarded,   &service->retries,
+    &service->retries_denied, &service->ejections,   &service->readmissions,
+    &service->ejected_slots,  &service->own_slots,   &service->held_slots,
+    &service->queue_wait,
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (counters); i++)
+    counter_unregister (counters[i]);
+}
+
+entry_service_t *
+entry_service_new (entry_core_t *core, const char *name)
+{
+  entry_service_t *service = g_new0 (entry_service_t, 1);
+  service->core = core;
+  service->name = g_strdup (name);
+  service->id = entry_hash_id (name);
+  list_init (&service->probes);
+  service->targets = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_target);
+  service->waiters = g_hash_table_new (g_int64_hash, g_int64_equal);
+  service->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  service->team_limits = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  g_snprintf (service->labels, sizeof (service->labels), "service=\"%s\"", name);
+  g_snprintf (service->urgent_labels, sizeof (service->urgent_labels),
+              "service=\"%s\",class=\"urgent\"", name);
+  g_snprintf (service->background_labels, sizeof (service->background_labels),
+              "service=\"%s\",class=\"background\"", name);
+
+  assigned_service_options_t options = { .seed = rng_next (core->options.rng) };
+  assigned_service_init (&service->decisions, &options);
+  limiter_options_t limiter_options = {
+    .limit = team_limit,
+    .data = service,
+    .max_teams = MAX_TEAMS,
+    .max_reported = MAX_REPORTED_TEAMS,
+    .epoch = core->nonce_prefix,
+  };
+  limiter_init (&service->limiter, &limiter_options);
+  register_counters (service);
+  return service;
+}
+
+void
+entry_service_free (entry_service_t *service)
+{
+  unregister_counters (service);
+  entry_probe_forget (service);
+  assigned_service_destroy (&service->decisions);
+  limiter_destroy (&service->limiter);
+  g_hash_table_unref (service->targets);
+  g_hash_table_unref (service->waiters);
+  g_hash_table_unref (service->peers);
+  g_hash_table_unref (service->team_limits);
+  g_free (service->name);
+  g_free (service);
+}
+
+void
+entry_service_configure (entry_service_t *service, const config_service_t *config)
+{
+  assigned_service_options_t options = {
+    .floor_slots = config->min_healthy_slots,
+    .sensitivity = config->sensitivity,
+    .slow_start_us = (int64_t)config->slow_start_ms * US_PER_MS,
+    .max_queued = { config->max_queue, config->max_queue },
+  };
+  retry_budget_options_t budget = {
+    .share = config->retry_share,
+    .minimum_rate = RETRY_MINIMUM_RATE,
+  };
+  service->entries_per_domain = config->entries_per_domain;
+  assigned_service_configure (&service->decisions, entry_core_now (service->core), &options);
+  retry_budget_init (&service->budget, &budget);
+  service->placement_version = 0;
+  entry_service_update_peers (service);
+}
+
+void
+entry_service_target (entry_service_t *service, target_event_t event, const target_t *target)
+{
+  int64_t now_us = entry_core_now (service->core);
+  uint64_t id = entry_hash_id (target->address);
+  service_target_t *known = g_hash_table_lookup (service->targets, &id);
+
+  if (event == TARGET_EVENT_GONE)
+    {
+      LOG_INFO ("target gone service=%s address=%s", service->name, target->address);
+      assigned_service_remove_target (&service->decisions, now_us, id);
+      g_hash_table_remove (service->targets, &id);
+      return;
+    }
+  if (known == NULL)
+    {
+      LOG_INFO ("target added service=%s address=%s domain=%s slots=%u", service->name,
+                target->address, target->domain, target->slots);
+      known = g_new0 (service_target_t, 1);
+      known->id = id;
+      known->address = g_strdup (target->address);
+      g_hash_table_insert (service->targets, &known->id, known);
+    }
+  known->max_connections = (int)target->connection_cap;
+  assigned_service_set_target (&service->decisions, now_us, id, target->slots, target->load);
+}
+
+scheduler_result_t
+entry_service_submit (entry_service_t *service, service_waiter_t *waiter,
+                      const scheduler_request_t *request)
+{
+  scheduler_result_t result
+      = assigned_service_submit (&service->decisions, entry_core_now (service->core), request);
+  if (result.decision == SCHEDULER_QUEUED)
+    g_hash_table_insert (service->waiters, &waiter->id, waiter);
+  return result;
+}
+
+void
+entry_service_done (entry_service_t *service, uint64_t request_id, health_result_t result)
+{
+  assigned_service_done (&service->decisions, entry_core_now (service->core), request_id, result);
+}
+
+void
+entry_service_cancel (entry_service_t *service, uint64_t request_id)
+{
+  g_hash_table_remove (service->waiters, &request_id);
+  if (assigned_service_cancel (&service->decisions, request_id) == SCHEDULER_IN_FLIGHT)
+    entry_service_done (service, request_id, HEALTH_ABANDONED);
+}
+
+static void
+deliver (entry_service_t *service, const scheduler_dispatch_t *dispatch)
+{
+  service_waiter_t *waiter = g_hash_table_lookup (service->waiters, &dispatch->request_id);
+  service_target_t *target = g_hash_table_lookup (service->targets, &dispatch->target_id);
+
+  if (waiter == NULL)
+    {
+      if (!dispatch->refused)
+        entry_service_done (service, dispatch->request_id, HEALTH_ABANDONED);
+      return;
+    }
+  g_hash_table_remove (service->waiters, &dispatch->request_id);
+  if (dispatch->refused)
+    {
+      counter_inc (&service->refused_queue);
+      waiter->refuse (waiter, dispatch->reason, dispatch->retry_after_s);
+      return;
+    }
+  counter_observe_ms (&service->queue_wait, (double)dispatch->waited_us / US_PER_MS);
+  g_assert (target != NULL);
+  waiter->dispatch (waiter, target->id, target->address, target->max_connections);
+}
+
+void
+entry_service_pump (entry_service_t *service)
+{
+  scheduler_dispatch_t dispatch;
+  /* A dispatch can end at once and call this function again; the outer loop goes on then. */
+  if (service->pumping)
+    return;
+  service->pumping = true;
+  while (assigned_service_next (&service->decisions, entry_core_now (service->core), &dispatch))
+    deliver (service, &dispatch);
+  service->pumping = false;
+}
+
+static void
+log_change (entry_service_t *service, const service_action_t *action, const char *what)
+{
+  const service_target_t *target = g_hash_table_lookup (service->targets, &action->target_id);
+  LOG_NOTICE ("target %s service=%s address=%s badness=%.2f", what, service->name,
+              target != NULL ? target->address : "unknown", action->badness);
+}
+
+static void
+carry_out (entry_service_t *service, const service_action_t *action)
+{
+  const service_target_t *target = g_hash_table_lookup (service->targets, &action->target_id);
+  switch (action->kind)
+    {
+    case SERVICE_ACTION_PROBE:
+      if (target != NULL)
+        entry_probe_start (service, target->id, target->address, target->max_connections);
+      break;
+    case SERVICE_ACTION_ASK_OPINION:
+      if (target != NULL)
+        entry_peers_ask_opinion (service, target->id, target->address);
+      break;
+    case SERVICE_ACTION_EJECTED:
+      counter_inc (&service->ejections);
+      log_change (service, action, "ejected");
+      break;
+    case SERVICE_ACTION_READMITTED:
+      counter_inc (&service->readmissions);
+      log_change (service, action, "readmitted");
+      break;
+    }
+}
+
+void
+entry_service_tick (entry_service_t *service)
+{
+  int64_t now_us = entry_core_now (service->core);
+  service_action_t action;
+
+  entry_service_update_peers (service);
+  assigned_service_tick (&service->decisions, now_us);
+  while (assigned_service_next_action (&service->decisions, &action))
+    carry_out (service, &action);
+  counter_set (&service->own_slots, service->decisions.last.own_slots);
+  counter_set (&service->ejected_slots, service->decisions.last.ejected_slots);
+  counter_set (&service->held_slots, service->decisions.last.held_slots);
+  if (limiter_tick (&service->limiter, now_us))
+    entry_peers_send_usage (service);
+  entry_service_pump (service);
+}
+
+static void
+drop_old_peers (entry_service_t *service, GHashTable *current)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+  g_hash_table_iter_init (&iter, service->peers);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      if (!g_hash_table_contains (current, key))
+        assigned_service_remove_peer (&service->decisions, entry_core_now (service->core),
+                                      *(uint64_t *)key);
+    }
+}
+
+void
+entry_service_update_peers (entry_service_t *service)
+{
+  entry_core_t *core = service->core;
+  const placement_member_t *assigned[LIMITER_MAX_PEERS + 1];
+  const char *ids[LIMITER_MAX_PEERS];
+  size_t id_count = 0;
+  uint64_t version = placement_version (core->placement) + 1;
+
+  if (version == service->placement_version)
+    return;
+  service->placement_version = version;
+  GHashTable *current = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  size_t count = placement_assigned (core->placement, service->name, service->entries_per_domain,
+                                     assigned, G_N_ELEMENTS (assigned));
+  for (size_t i = 0; i < count && id_count < LIMITER_MAX_PEERS; i++)
+    {
+      if (strcmp (assigned[i]->id, core->options.instance) == 0)
+        continue;
+      uint64_t id = entry_hash_id (assigned[i]->id);
+      g_hash_table_replace (current, g_memdup2 (&id, sizeof (id)), g_strdup (assigned[i]->id));
+      ids[id_count++] = assigned[i]->id;
+    }
+  drop_old_peers (service, current);
+  g_hash_table_unref (service->peers);
+  service->peers = current;
+  limiter_set_peers (&service->limiter, entry_core_now (core), ids, id_count);
+}
+
+const char *
+entry_service_peer (const entry_service_t *service, uint64_t entry_id)
+{
+  return g_hash_table_lookup (service->peers, &entry_id);
+}
--- a/src/entry_tasks.c
+++ b/src/entry_tasks.c
@@ -4,18 +4,25 @@
 #include <unistd.h>
 
 #define LOG_MODULE "entry_tasks"
+#include "entry_claims.h"
 #include "entry_options.h"
+#include "entry_peers.h"
 #include "log.h"
 
 #define US_PER_MS 1000
 /* Time beyond the resolve TTL for which connections are still accepted. */
 #define ACCEPT_GRACE_US 1000000
 #define DRAIN_CHECK_US 50000
+/* Time for outcomes of claims to be recorded after the last request. */
+#define CLAIMS_GRACE_US (10 * G_USEC_PER_SEC)
+#define MAX_LINKS 4096
 
 static void
 check_drained (entry_tasks_t *tasks)
 {
-  if (caller_listener_open (&tasks->listener) == 0)
+  bool claims_recorded = claim_client_pending (&tasks->core.claims) == 0
+                         || io_loop_now_us (tasks->loop) >= tasks->claims_until_us;
+  if (caller_listener_open (&tasks->listener) == 0 && claims_recorded)
     {
       LOG_NOTICE ("shutdown complete");
       g_main_loop_quit (tasks->main_loop);
@@ -32,6 +39,7 @@
     {
       tasks->stopped_accepting = true;
       tasks->proxy.draining = true;
+      tasks->claims_until_us = io_loop_now_us (tasks->loop) + CLAIMS_GRACE_US;
       caller_listener_drain (&tasks->listener);
       LOG_NOTICE ("no longer accepting connections=%zu in_flight=%zu",
                   caller_listener_open (&tasks->listener), proxy_in_flight (&tasks->proxy));
@@ -54,7 +62,7 @@
   if (tasks->leaving)
     return;
   tasks->leaving = true;
-  tasks->policy.draining = true;
+  entry_core_leave (&tasks->core);
   LOG_NOTICE ("shutting down");
   io_timer_set (tasks->loop, &tasks->drain_timer,
                 now_us + entry_options.resolve_ttl_ms * US_PER_MS + ACCEPT_GRACE_US);
@@ -67,7 +75,7 @@
 is_ready (void *data)
 {
   const entry_tasks_t *tasks = data;
-  return !tasks->leaving;
+  return !tasks->leaving && entry_core_is_ready (&tasks->core);
 }
 
 static void
@@ -100,6 +108,14 @@
   return tasks->certificate != NULL;
 }
 
+static bool
+load_peer_tls (entry_tasks_t *tasks, anv_error_t *err)
+{
+  return entry_options.tls_ca == NULL
+         || tls_config_load (&tasks->peer_tls, entry_options.tls_cert, entry_options.tls_key,
+                             entry_options.tls_ca, err);
+}
+
 static bool
 open_trace (entry_tasks_t *tasks, anv_error_t *err)
 {
@@ -131,20 +147,117 @@
 }
 
 static void
-init_proxy (entry_tasks_t *tasks)
+on_message (void *data, link_t *link, const uint8_t *message, size_t size)
 {
+  entry_tasks_t *tasks = data;
+  wire_reader_t reader;
+  wire_type_t type;
+  anv_error_t err = { 0 };
+
+  if (!wire_reader_init (&reader, message, size, &type, &err))
+    {
+      LOG_WARNING ("malformed message peer=%s error=\"%s\"", link->peer.id, err.text);
+      return;
+    }
+  bool handled = entry_peers_receive (&tasks->core, link, type, &reader)
+                 || entry_claims_receive (&tasks->core, link, type, &reader)
+                 || config_sync_receive (&tasks->sync, link, type, message, size)
+                 || membership_task_receive (&tasks->membership, link, type, &reader);
+  if (!handled)
+    LOG_DEBUG ("unexpected message peer=%s type=%d", link->peer.id, (int)type);
+  wire_reader_destroy (&reader);
+}
+
+static void
+on_version (void *data, const swim_member_t *member, uint64_t version, uint64_t digest)
+{
+  entry_tasks_t *tasks = data;
+  config_sync_announced (&tasks->sync, member, version, digest);
+}
+
+static void
+on_member (void *data, swim_event_t event, const swim_member_t *member)
+{
+  entry_tasks_t *tasks = data;
+  entry_core_on_member (&tasks->core, event, member);
+}
+
+static void
+init_network (entry_tasks_t *tasks)
+{
+  peer_network_options_t options = {
+    .loop = tasks->loop,
+    .listen = entry_options.peer_listen,
+    .tls = entry_options.tls_ca != NULL ? &tasks->peer_tls : NULL,
+    .max_links = MAX_LINKS,
+    .counters = &tasks->counters,
+    .handler = { .received = on_message, .data = tasks },
+  };
+  const char *address = entry_options.peer_advertise != NULL ? entry_options.peer_advertise
+                                                             : entry_options.peer_listen;
+  g_strlcpy (options.self.id, entry_options.instance, sizeof (options.self.id));
+  g_strlcpy (options.self.domain, entry_options.domain, sizeof (options.self.domain));
+  g_strlcpy (options.self.address, address, sizeof (options.self.address));
+  options.self.incarnation = (uint64_t)(g_get_real_time () / 1000);
+  peer_network_init (&tasks->network, &options, NULL);
+
   tasks->advertise
       = g_strdup (entry_options.advertise != NULL ? entry_options.advertise : entry_options.listen);
-  entry_policy_options_t policy_options = {
+  membership_options_t membership_options = {
+    .loop = tasks->loop,
+    .network = &tasks->network,
+    .id = entry_options.instance,
+    .domain = entry_options.domain,
+    .caller_address = tasks->advertise,
+    .seeds = entry_options.seeds,
+    .counters = &tasks->counters,
+    .on_member = on_member,
+    .on_version = on_version,
+    .data = tasks,
+  };
+  membership_task_init (&tasks->membership, &membership_options, NULL);
+  config_sync_options_t sync_options = {
+    .loop = tasks->loop,
+    .network = &tasks->network,
+    .membership = &tasks->membership,
+    .counters = &tasks->counters,
+    .on_install = entry_core_on_install,
+    .data = &tasks->core,
+  };
+  config_sync_init (&tasks->sync, &sync_options);
+}
+
+static void
+init_core (entry_tasks_t *tasks)
+{
+  /* The claim client reads the list up to a NULL. */
+  g_ptr_array_add (entry_options.claim_members, NULL);
+  entry_core_options_t options = {
     .loop = tasks->loop,
-    .address = tasks->advertise,
+    .network = &tasks->network,
+    .membership = &tasks->membership,
+    .sync = &tasks->sync,
+    .pool = &tasks->pool,
+    .counters = &tasks->counters,
+    .rng = &tasks->rng,
+    .instance = entry_options.instance,
     .domain = entry_options.domain,
+    .caller_address = tasks->advertise,
+    .domain_distance_us = entry_options.domain_distance_ms * US_PER_MS,
+    .require_echo = !entry_options.trust_first_announcement,
+    .probe_path = entry_options.probe_path,
+    .claim_members = entry_options.claim_members,
+    .claim_retention_ms = (uint64_t)entry_options.claim_retention_ms,
+    .single_unnamed = entry_options.unnamed_requests == UNNAMED_SINGLE,
     .resolve_ttl_ms = entry_options.resolve_ttl_ms,
-    .request_timeout_us = entry_options.request_timeout_ms * US_PER_MS,
-    .stall_us = entry_options.stall_ms * US_PER_MS,
-    .max_body_bytes = (size_t)entry_options.max_body_bytes,
   };
-  entry_policy_init (&tasks->policy, &policy_options);
+  entry_core_init (&tasks->core, &options);
+}
+
+static void
+init_proxy (entry_tasks_t *tasks)
+{
+  entry_policy_init (&tasks->policy, &tasks->core);
   proxy_options_t options = {
     .loop = tasks->loop,
     .pool = &tasks->pool,
@@ -199,6 +312,8 @@
     .data = tasks,
   };
   supervisor_init (&tasks->supervisor, &options);
+  supervisor_add (&tasks->supervisor, &tasks->network.task);
+  supervisor_add (&tasks->supervisor, &tasks->membership.task);
   supervisor_add (&tasks->supervisor, &tasks->listener.task);
   supervisor_add (&tasks->supervisor, &tasks->admin.task);
 }
@@ -212,12 +327,18 @@
   rng_init (&tasks->rng, (uint64_t)g_get_real_time () ^ (uint64_t)getpid () << 48);
   io_timer_init (&tasks->drain_timer, on_drain_timer);
   io_timer_init (&tasks->limit_timer, on_limit_timer);
-  bool loaded = load_certificate (tasks, err) && open_trace (tasks, err);
+  bool loaded
+      = load_certificate (tasks, err) && load_peer_tls (tasks, err) && open_trace (tasks, err);
+  init_network (tasks);
   init_pool (tasks);
+  init_core (tasks);
   init_proxy (tasks);
   init_servers (tasks);
   init_supervisor (tasks);
-  return loaded && supervisor_start (&tasks->supervisor, err);
+  if (!loaded || !supervisor_start (&tasks->supervisor, err))
+    return false;
+  entry_core_start (&tasks->core);
+  return true;
 }
 
 void
@@ -227,12 +348,16 @@
   admin_server_destroy (&tasks->admin);
   caller_listener_destroy (&tasks->listener);
   proxy_destroy (&tasks->proxy);
+  entry_core_destroy (&tasks->core);
+  config_sync_destroy (&tasks->sync);
+  membership_task_destroy (&tasks->membership);
+  peer_network_destroy (&tasks->network);
   upstream_pool_destroy (&tasks->pool);
   io_timer_cancel (&tasks->drain_timer);
   io_timer_cancel (&tasks->limit_timer);
   io_loop_free (tasks->loop);
-  entry_policy_destroy (&tasks->policy);
   g_clear_object (&tasks->certificate);
+  tls_config_destroy (&tasks->peer_tls);
   g_free (tasks->advertise);
   if (tasks->trace != NULL)
     fclose (tasks->trace);
--- a/src/entry_tasks.h
+++ b/src/entry_tasks.h
@@ -19,6 +19,11 @@
   GTlsCertificate *certificate;
   FILE *trace;
   char *advertise;
+  tls_config_t peer_tls;
+  peer_network_t network;
+  membership_task_t membership;
+  config_sync_t sync;
+  entry_core_t core;
   upstream_pool_t pool;
   entry_policy_t policy;
   proxy_t proxy;
@@ -27,6 +32,7 @@
   supervisor_t supervisor;
   io_timer_t drain_timer;
   io_timer_t limit_timer;
+  int64_t claims_until_us;
   bool leaving;
   bool stopped_accepting;
   bool failed;
--- a/src/membership_task.c
+++ b/src/membership_task.c
@@ -4,7 +4,7 @@
 #include "log.h"
 
 static const char *const event_names[] = {
-  [SWIM_EVENT_JOINED] = "joined", [SWIM_EVENT_UPDATED] = "updated",
+  [SWIM_EVENT_JOINED] = "joined",       [SWIM_EVENT_UPDATED] = "updated",
   [SWIM_EVENT_SUSPECTED] = "suspected", [SWIM_EVENT_DEAD] = "dead",
   [SWIM_EVENT_REMOVED] = "removed",
 };
@@ -149,7 +149,8 @@
   membership->version = version;
   membership->digest = digest;
   if (membership->started)
-    swim_set_version (&membership->swim, io_loop_now_us (membership->options.loop), version, digest);
+    swim_set_version (&membership->swim, io_loop_now_us (membership->options.loop), version,
+                      digest);
 }
 
 void
--- a/src/membership_task.h
+++ b/src/membership_task.h
@@ -11,8 +11,8 @@
   peer_network_t *network; /* must start first */
   const char *id;
   const char *domain;
-  const char *caller_address;   /* "" if the instance is no entry */
-  const GPtrArray *seeds;       /* peer addresses */
+  const char *caller_address; /* "" if the instance is no entry */
+  const GPtrArray *seeds;     /* peer addresses */
   counter_registry_t *counters;
   void (*on_member) (void *data, swim_event_t event, const swim_member_t *member);
   /* MEMBER has a higher configuration version; see swim_io_t. */
@@ -22,7 +22,7 @@
 
 typedef struct
 {
-  task_t task;   /* first member */
+  task_t task; /* first member */
   swim_io_t io;
   membership_options_t options;
   swim_t swim;
--- a/src/operator_server.h
+++ b/src/operator_server.h
@@ -7,8 +7,8 @@
 
 /* operator_server - task that serves the operators' API with libsoup.
  *
- * Each call must carry "Authorization: Bearer TOKEN". Bodies are JSON. A call may be answered later;
- * it is forgotten when the operator's connection is closed before. */
+ * Each call must carry "Authorization: Bearer TOKEN". Bodies are JSON. A call may be answered
+ * later; it is forgotten when the operator's connection is closed before. */
 
 /* Largest request body; a document with 62,000 routes and 440,000 teams fits. */
 #define OPERATOR_MAX_BODY_BYTES (32U * 1024 * 1024)
--- a/src/replica_group.h
+++ b/src/replica_group.h
@@ -7,8 +7,8 @@
 /* replica_group - task that runs one member of a replicated log over the peer network.
  *
  * The name of a member is "PEER_ADDRESS/OPERATOR_ADDRESS". Proposals that are made in one turn of
- * the main loop share one sync. The state machine calls replica_group_applied() for each entry it has
- * applied, which completes the proposal. */
+ * the main loop share one sync. The state machine calls replica_group_applied() for each entry it
+ * has applied, which completes the proposal. */
 
 typedef struct replica_group replica_group_t;
 
--- a/tests/fakes/fake_announce.c
+++ b/tests/fakes/fake_announce.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "fake_backend.h"
+#include "json_util.h"
 
 #define TIMEOUT_US 2000000
 
@@ -10,18 +11,34 @@
   fake_backend_t *backend;
   io_timer_t timer;
   char *text;
+  GString *answer;
   int status;
 } announcement_t;
 
+/* Keeps the echo for the next announcement; see src/entry_announce.h. */
+static void
+keep_echo (fake_backend_t *backend, const GString *answer)
+{
+  cJSON *json = json_parse (answer->str, answer->len, NULL);
+  g_free (backend->echo);
+  backend->echo = g_strdup (json_string (json, "echo", ""));
+  backend->echo_us = g_get_monotonic_time ();
+  cJSON_Delete (json);
+}
+
 static void
 finish (announcement_t *announcement)
 {
   fake_backend_t *backend = announcement->backend;
   if (announcement->status / 100 == 2)
-    backend->stats.announced++;
+    {
+      backend->stats.announced++;
+      keep_echo (backend, announcement->answer);
+    }
   else
     backend->next_entry++;
   io_timer_cancel (&announcement->timer);
+  g_string_free (announcement->answer, TRUE);
   g_free (announcement->text);
   g_free (announcement);
 }
@@ -57,6 +74,7 @@
 static void
 on_body (upstream_exchange_t *exchange, const char *bytes, size_t size)
 {
+  g_string_append_len (((announcement_t *)exchange)->answer, bytes, (gssize)size);
 }
 
 static void
@@ -90,10 +108,12 @@
   g_autofree char *body = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"domain\":\"%s\",\"slots\":%d,"
       "\"connections\":%d,\"load\":%.2f,\"state\":\"%s\",\"incarnation\":%" G_GINT64_FORMAT
-      ",\"seq\":%" G_GINT64_FORMAT ",\"sent_ms\":%" G_GINT64_FORMAT "}",
+      ",\"seq\":%" G_GINT64_FORMAT ",\"sent_ms\":%" G_GINT64_FORMAT
+      ",\"echo\":\"%s\",\"held_ms\":%" G_GINT64_FORMAT "}",
       options->service, backend->port, options->domain, (int)options->slots,
       (int)options->connections, MIN (load, 1), states[backend->state], backend->incarnation,
-      ++backend->seq, g_get_monotonic_time () / 1000);
+      ++backend->seq, g_get_monotonic_time () / 1000, backend->echo != NULL ? backend->echo : "",
+      (g_get_monotonic_time () - backend->echo_us) / 1000);
   return g_strdup_printf ("POST /.anvillb/v1/announce HTTP/1.1\r\nHost: %s\r\n"
                           "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
                           entry, strlen (body), body);
@@ -108,6 +128,7 @@
   const char *entry = g_ptr_array_index (entries, backend->next_entry % entries->len);
   announcement_t *announcement = g_new0 (announcement_t, 1);
   announcement->backend = backend;
+  announcement->answer = g_string_new (NULL);
   announcement->text = build_announcement (backend, entry);
   announcement->exchange.ops = &exchange_ops;
   list_node_init (&announcement->exchange.node);
--- a/tests/fakes/fake_backend.h
+++ b/tests/fakes/fake_backend.h
@@ -80,6 +80,8 @@
   int64_t incarnation;
   int64_t seq;
   guint next_entry;
+  char *echo; /* of the last answer to an announcement */
+  int64_t echo_us;
 } fake_backend_t;
 
 typedef struct
