raft: faults in the middle of an operation, and tests for rare orders

The operator of the fault runs no longer takes the view of a deposed leader for the state of the group; two runs had lost a majority of the disks that way.

--- a/tests/state/fake_disk.cc
+++ b/tests/state/fake_disk.cc
@@ -46,6 +46,8 @@
 FakeDisk::crash ()
 {
   handles_.clear ();
+  power_off = false;
+  power_fails_in = 0;
   size_t kept = rng_below (&rng_, pending_dir_.size () + 1);
   for (size_t i = 0; i < kept && !lies (pending_dir_[i].remove + pending_dir_[i].add); i++)
     apply_dir (durable_names_, pending_dir_[i]);
@@ -109,9 +111,18 @@
   return total;
 }
 
+bool
+FakeDisk::has_power (anv_error_t *err)
+{
+  power_off = power_off || (power_fails_in > 0 && --power_fails_in == 0);
+  return !power_off || fail (err, STORAGE_ERROR_IO, "power is off");
+}
+
 bool
 FakeDisk::append (int handle, const uint8_t *data, size_t size, anv_error_t *err)
 {
+  if (!has_power (err))
+    return false;
   Link &inode = handles_.at (handle);
   uint64_t in_use = used ();
   size_t fits = capacity > in_use ? std::min<uint64_t> (size, capacity - in_use) : 0;
@@ -127,10 +138,11 @@
 {
   Link &inode = handles_.at (handle);
   syncs++;
-  if (fail_syncs > 0)
+  if (!has_power (err))
+    return false;
+  if (fail_sync_in > 0 && --fail_sync_in == 0)
     {
       // The pages become clean without having been written: a later sync does not write them.
-      fail_syncs--;
       for (Op &op : inode->pending)
         op.data.assign (op.data.size (), '\0');
       return fail (err, STORAGE_ERROR_IO, "sync failed");
@@ -147,7 +159,9 @@
 FakeDisk::sync_dir (anv_error_t *err)
 {
   syncs++;
-  if (fail_syncs > 0 && fail_syncs--)
+  if (!has_power (err))
+    return false;
+  if (fail_sync_in > 0 && --fail_sync_in == 0)
     return fail (err, STORAGE_ERROR_IO, "directory sync failed");
   std::vector<DirOp> unsynced;
   for (const DirOp &op : pending_dir_)
@@ -191,7 +205,9 @@
     data.copy ((char *)buffer, *got, std::min (offset, data.size ()));
     return true;
   },
-  [] (file_store_t *store, int handle, uint64_t size, anv_error_t *) {
+  [] (file_store_t *store, int handle, uint64_t size, anv_error_t *err) {
+    if (!from (store)->has_power (err))
+      return false;
     Link &inode = from (store)->handles_.at (handle);
     inode->cache.resize (std::min (inode->cache.size (), size));
     inode->pending.push_back ({ true, size, "" });
@@ -200,6 +216,8 @@
   [] (file_store_t *store, const char *old_name, const char *new_name, anv_error_t *err) {
     FakeDisk *disk = from (store);
     auto found = disk->names_.find (old_name);
+    if (!disk->has_power (err))
+      return false;
     if (found == disk->names_.end ())
       return fail (err, STORAGE_ERROR_NOT_FOUND, "no such file");
     disk->change_dir (old_name, new_name, Link (found->second));
@@ -207,6 +225,8 @@
   },
   [] (file_store_t *store, const char *name, anv_error_t *err) {
     FakeDisk *disk = from (store);
+    if (!disk->has_power (err))
+      return false;
     if (disk->names_.count (name) == 0)
       return fail (err, STORAGE_ERROR_NOT_FOUND, "no such file");
     disk->change_dir (name, "", nullptr);
--- a/tests/state/fake_disk.h
+++ b/tests/state/fake_disk.h
@@ -46,8 +46,10 @@
   void flip_bit (const std::string &name, size_t offset, unsigned bit);
 
   uint64_t capacity = UINT64_MAX; // bytes over all files; appends beyond write a part and fail
-  int fail_syncs = 0;             // the next syncs that fail
+  int fail_sync_in = 0;           // the sync that fails, counted from the next one; 0: none
+  int power_fails_in = 0;         // the same for any change; all that follow fail until crash()
   std::string lying;              // names containing this report syncs that never happen
+  bool power_off = false;
   uint64_t syncs = 0;
   uint64_t bytes_appended = 0;
 
@@ -86,6 +88,7 @@
   void change_dir (const std::string &remove, const std::string &add, const Link &inode);
   static void apply_dir (std::map<std::string, Link> &names, const DirOp &op);
   uint64_t used () const;
+  bool has_power (anv_error_t *err);
   bool append (int handle, const uint8_t *data, size_t size, anv_error_t *err);
   bool sync (int handle, anv_error_t *err);
   bool sync_dir (anv_error_t *err);
--- a/tests/state/raft_sim.cc
+++ b/tests/state/raft_sim.cc
@@ -103,7 +103,7 @@
   node.damaged = !node.up && strstr (err.text, " at byte ") != nullptr;
   if (!node.up)
     {
-      node.disk.close_handles ();
+      crash (slot, node.disk.power_off);
       return false;
     }
   node.id = node.raft.meta.id;
@@ -152,6 +152,14 @@
 RaftSim::after (SimNode &node)
 {
   const anv_error_t *failure = node.up ? raft_failure (&node.raft) : nullptr;
+  if (node.up && (node.disk.power_off || node.restart_now))
+    {
+      crash (node.slot, true);
+      if (node.restart_now)
+        start (node.slot);
+      node.restart_now = false;
+      return;
+    }
   if (failure == nullptr)
     return;
   if (failure->domain == ANV_ERROR_RAFT)
@@ -166,7 +174,10 @@
   if (m.type == RAFT_VOTE && !m.pre_vote)
     check_vote (from.id, m.term, from.id);
   if (m.type == RAFT_VOTE_REPLY && !m.pre_vote && m.ok)
-    check_vote (from.id, m.term, m.to);
+    {
+      check_vote (from.id, m.term, m.to);
+      from.restart_now = rng_unit (&rng) < crashes_after_vote;
+    }
   if (tamper)
     tamper (m);
   auto to = slot_of_id_.find (m.to);
@@ -323,18 +334,24 @@
   return best;
 }
 
-bool
-RaftSim::is_member (uint64_t id) const
+static bool
+has_member (const raft_t &raft, uint64_t id)
 {
-  int at = leader ();
-  for (size_t i = 0; at >= 0 && i < nodes_[at]->raft.peer_count; i++)
+  for (size_t i = 0; i < raft.peer_count; i++)
     {
-      if (nodes_[at]->raft.peers[i].member.id == id)
+      if (raft.peers[i].member.id == id)
         return true;
     }
   return false;
 }
 
+bool
+RaftSim::is_member (uint64_t id) const
+{
+  int at = leader ();
+  return at >= 0 && has_member (nodes_[at]->raft, id);
+}
+
 bool
 RaftSim::is_voter (uint64_t id) const
 {
@@ -351,6 +368,33 @@
   return false;
 }
 
+bool
+RaftSim::knows_all_voters (int slot) const
+{
+  raft_status_t status;
+  if (!nodes_[slot]->up)
+    return false;
+  raft_status (&nodes_[slot]->raft, &status);
+  bool known = !status.change_pending && status.peer_count == nodes_.size ();
+  for (size_t i = 0; i < status.peer_count && known; i++)
+    {
+      const raft_member_t &member = status.peers[i].member;
+      known = member.voter && nodes_[slot_of_id_.at (member.id)]->id == member.id;
+    }
+  return known;
+}
+
+bool
+RaftSim::is_gone (uint64_t id) const
+{
+  for (auto &node : nodes_)
+    {
+      if (!node->up || has_member (node->raft, id))
+        return false;
+    }
+  return true;
+}
+
 bool
 RaftSim::converged () const
 {
@@ -372,11 +416,12 @@
 RaftSim::heal ()
 {
   cuts.clear ();
-  loss = duplicates = slow = 0;
+  loss = duplicates = slow = crashes_after_vote = 0;
   for (auto &node : nodes_)
     {
       node->disk.capacity = UINT64_MAX;
-      node->disk.fail_syncs = 0;
+      node->disk.fail_sync_in = 0;
+      node->disk.power_fails_in = 0;
     }
 }
 
--- a/tests/state/raft_sim.h
+++ b/tests/state/raft_sim.h
@@ -39,6 +39,7 @@
   raft_t raft;
   uint64_t id = 0;
   bool up = false;
+  bool restart_now = false;
   bool damaged = false; // the last start was refused because of corruption
   double rate = 1;
   uint64_t applied_index = 0; // state: the last applied index and a hash over all data
@@ -78,6 +79,10 @@
   bool is_member (uint64_t id) const;
   // Whether ID is a voter by a committed configuration.
   bool is_voter (uint64_t id) const;
+  // Whether slot runs and has committed that the voters are all running instances, and no others.
+  bool knows_all_voters (int slot) const;
+  // Whether no running instance has ID as a member.
+  bool is_gone (uint64_t id) const;
   // Whether all members of the leader's view run and have applied everything that is committed.
   bool converged () const;
   // Ends all faults and checks that the group works: one entry is committed and applied everywhere.
@@ -100,6 +105,7 @@
   std::function<void (raft_message_t &)> tamper; // changes messages before they are sent
   std::set<std::pair<int, int> > cuts;           // one-way: from slot, to slot
   double loss = 0, duplicates = 0, slow = 0;     // probabilities per message
+  double crashes_after_vote = 0;                 // probability that a voter restarts at once
   double link_us = 1000;                         // mean delay above the minimum of 200 us
   int64_t time_us = 0;
   rng_t rng;
--- a/tests/state/test_raft.cc
+++ b/tests/state/test_raft.cc
@@ -109,6 +109,74 @@
     }
 }
 
+// Guards against a member that cannot hear the leader, but the others, and has itself elected.
+TEST (Raft, MemberCutOffFromTheLeaderOnlyDoesNotDeposeIt)
+{
+  Group group (3);
+  uint64_t before = group.leaders;
+  group.cuts.insert ({ group.leader (), group.follower () });
+  group.run_for (10 * SECOND);
+  EXPECT_EQ (group.leaders, before);
+}
+
+// One member of three, which gets messages from the test instead of the others.
+class Lone : public RaftSim
+{
+public:
+  Lone () : RaftSim (1, 3, false)
+  {
+    boot (3);
+    crash (1, true);
+    crash (2, true);
+    tamper = [this] (raft_message_t &m) { last = m; };
+  }
+  void
+  feed (raft_message_type_t type, int from, uint64_t term, uint64_t index, uint64_t log_term,
+        size_t entry_count = 0)
+  {
+    raft_entry_t entry = { term, RAFT_ENTRY_DATA, (const uint8_t *)"x", 1 };
+    const raft_entry_t *entries[] = { &entry, &entry, &entry };
+    raft_message_t m = { type, 7, node (from).id, node (0).id, term, index, log_term };
+    m.ok = true;
+    m.commit = index;
+    m.entries = entries;
+    m.entry_count = entry_count;
+    raft_receive (r, node (0).now (), &m);
+    raft_flush (r, node (0).now ());
+  }
+  raft_t *r = &node (0).raft;
+  raft_message_t last = {};
+};
+
+// Guards against entries of an earlier term that count as committed before one of the own term is
+// (another leader could still replace them), and against a membership change before that.
+TEST (Raft, EarlierTermsAreCommittedWithTheOwnTerm)
+{
+  Lone lone;
+  raft_member_t added = { 999, false, "" };
+  lone.feed (RAFT_APPEND, 1, 5, 1, 1, 1);
+  lone.feed (RAFT_TIMEOUT_NOW, 1, 5, 0, 0);
+  lone.feed (RAFT_VOTE_REPLY, 2, 6, 0, 0);
+  ASSERT_EQ (lone.r->role, RAFT_LEADER);
+  lone.feed (RAFT_APPEND_REPLY, 2, 6, 2, 0);
+  EXPECT_EQ (lone.r->commit, 1u);
+  EXPECT_FALSE (raft_add_member (lone.r, lone.node (0).now (), &added, nullptr));
+  lone.feed (RAFT_APPEND_REPLY, 2, 6, 3, 0);
+  EXPECT_EQ (lone.r->commit, 3u);
+  EXPECT_TRUE (raft_add_member (lone.r, lone.node (0).now (), &added, nullptr));
+}
+
+// Guards against a follower that confirms entries of an earlier leader to a new one.
+TEST (Raft, FollowerConfirmsOnlyWhatItsLeaderSent)
+{
+  Lone lone;
+  lone.feed (RAFT_APPEND, 1, 5, 1, 1, 3);
+  EXPECT_EQ (lone.last.index, 4u);
+  lone.feed (RAFT_APPEND, 2, 6, 1, 1);
+  EXPECT_TRUE (lone.last.ok && lone.last.type == RAFT_APPEND_REPLY);
+  EXPECT_EQ (lone.last.index, 1u);
+}
+
 // Guards against an old answer from a leader that does not know of its successor, whatever the
 // clocks do: the others run three times as fast. A planted count of replies shows that the checker
 // sees such a read.
@@ -231,7 +299,7 @@
 {
   Group group (3);
   SimNode &node = group.node (group.leader ());
-  node.disk.fail_syncs = 1;
+  node.disk.fail_sync_in = 1;
   group.propose (node.slot, "lost");
   raft_flush (&node.raft, node.now ());
   ASSERT_NE (raft_failure (&node.raft), nullptr);
--- a/tests/state/test_raft_faults.cc
+++ b/tests/state/test_raft_faults.cc
@@ -9,7 +9,7 @@
 #if defined(__SANITIZE_ADDRESS__)
 #define DEFAULT_RUNS 300
 #else
-#define DEFAULT_RUNS 2000
+#define DEFAULT_RUNS 6000
 #endif
 
 // One run: faults of all kinds at random, proposals and reads, and an operator who replaces
@@ -22,6 +22,9 @@
     sim.loss = rng_unit (&sim.rng) * 0.1;
     sim.duplicates = rng_unit (&sim.rng) * 0.1;
     sim.slow = rng_unit (&sim.rng) * 0.05;
+    // On slow links candidates compete.
+    sim.link_us = seed % 4 == 1 ? 60 * MS : 1 * MS;
+    sim.crashes_after_vote = rng_unit (&sim.rng) * 0.2;
     for (int i = 0; i < slots; i++)
       sim.node (i).rate = 0.8 + rng_unit (&sim.rng) * 0.4;
   }
@@ -69,7 +72,7 @@
   {
     int slot = pick ();
     SimNode &node = sim.node (slot);
-    switch (rng_below (&sim.rng, 20))
+    switch (rng_below (&sim.rng, 22))
       {
       case 0:
       case 1:
@@ -78,6 +81,10 @@
       case 2:
         sim.crash (slot, false);
         break;
+      case 20:
+      case 21:
+        node.disk.power_fails_in = 1 + (int)rng_below (&sim.rng, 30);
+        break;
       case 3:
       case 4:
       case 5:
@@ -104,7 +111,7 @@
         node.disk.capacity = UINT64_MAX;
         break;
       case 11:
-        node.disk.fail_syncs = 1;
+        node.disk.fail_sync_in = 1 + (int)rng_below (&sim.rng, 4);
         break;
       case 12:
         if (sim.leader () >= 0)
@@ -117,15 +124,15 @@
       }
   }
 
-  // Loses a disk or flips a bit on it, if every instance is a voter and has its disk.
+  // Loses a disk or flips a bit on it, if each instance knows all of them as the voters.
   void
   damage (int slot)
   {
-    bool all = lost_ == 0;
     for (int i = 0; i < sim.slots (); i++)
-      all = all && sim.is_voter (sim.node (i).id);
-    if (!all)
-      return;
+      {
+        if (lost_ != 0 || !sim.knows_all_voters (i))
+          return;
+      }
     lost_ = sim.node (slot).id;
     if (rng_below (&sim.rng, 2) == 0)
       {
@@ -150,10 +157,15 @@
       }
     if (sim.leader () < 0)
       return;
-    bool back = false;
+    // A disk that was damaged without effect is back; a lost identity goes for good.
     for (int i = 0; i < sim.slots (); i++)
-      back = back || (sim.node (i).up && sim.node (i).id == lost_);
-    if (back || (lost_ != 0 && sim.remove (lost_)))
+      {
+        if (sim.node (i).up && sim.node (i).id == lost_)
+          lost_ = 0;
+      }
+    if (lost_ != 0 && sim.is_member (lost_))
+      sim.remove (lost_);
+    if (lost_ != 0 && sim.is_gone (lost_))
       lost_ = 0;
     int slot = pick ();
     if (sim.node (slot).up && !sim.is_member (sim.node (slot).id))
--- a/tests/state/test_segment_log.cc
+++ b/tests/state/test_segment_log.cc
@@ -166,7 +166,7 @@
   Log log;
   ASSERT_TRUE (log.open (disk.store ()));
   ASSERT_TRUE (log.append ("a") && log.sync () && log.append ("b"));
-  disk.fail_syncs = 1;
+  disk.fail_sync_in = 1;
   EXPECT_FALSE (log.sync ());
   EXPECT_EQ (log.log.synced_index, 1u);
   EXPECT_FALSE (log.sync ());
