raft: messages tell separately founded groups apart

An instance that had been founded on its own and was then added to another group would have accepted that group's log behind its own committed entries wherever the terms happened to agree. The configuration now names the founder, messages carry it, and a member ignores messages of another founder. The added instance stays a learner that never catches up.

Cost: 9 bytes in each message with a random 64-bit identity.

--- a/src/raft.c
+++ b/src/raft.c
@@ -89,6 +89,7 @@
   message->group = r->options.group;
   message->from = r->meta.id;
   message->to = to;
+  message->founder = r->founder;
   if (message->term == 0)
     message->term = r->meta.term;
   r->io->ops->send (r->io, message);
@@ -227,7 +228,9 @@
 void
 raft_receive (raft_t *r, int64_t now_us, const raft_message_t *m)
 {
-  if (r->failed || m->group != r->options.group || m->to != r->meta.id || m->from == r->meta.id)
+  bool other_group = m->group != r->options.group
+                     || (m->founder != 0 && r->founder != 0 && m->founder != r->founder);
+  if (r->failed || other_group || m->to != r->meta.id || m->from == r->meta.id)
     return;
   if (m->type == RAFT_VOTE && !m->transfer && raft_election_leader_alive (r, now_us))
     return;
--- a/src/raft.h
+++ b/src/raft.h
@@ -71,7 +71,8 @@
   uint32_t group;
   uint64_t from;
   uint64_t to;
-  uint64_t term;  /* of a pre-vote: the term that the candidate would begin */
+  uint64_t founder; /* of the sender's group, 0 if it has none yet */
+  uint64_t term;    /* of a pre-vote: the term that the candidate would begin */
   uint64_t index; /* VOTE: candidate's last entry; APPEND: entry before ENTRIES; APPEND_REPLY: last
                      synced entry that matches or, if not OK, entry to continue with; SNAPSHOT and
                      reply: last entry covered */
@@ -171,6 +172,7 @@
   uint64_t verified; /* last entry known to match the log of this term's leader */
   raft_peer_t peers[RAFT_MAX_MEMBERS];
   size_t peer_count;
+  uint64_t founder;
   uint64_t config_index; /* entry that the members come from */
   int64_t leader_heard_us;
   int64_t election_deadline_us;
@@ -225,7 +227,8 @@
 
 void raft_tick (raft_t *r, int64_t now_us);
 
-/* Ignores messages of another group or for another identity. */
+/* Ignores messages of another group, or of one that was founded separately, and those for another
+ * identity. */
 void raft_receive (raft_t *r, int64_t now_us, const raft_message_t *message);
 
 /* Adds an entry on the leader. */
--- a/src/raft_membership.c
+++ b/src/raft_membership.c
@@ -49,12 +49,14 @@
       r->config_index = index;
       break;
     }
+  r->founder = config.founder;
   set_peers (r, now_us, &config);
 }
 
 static void
 current_config (const raft_t *r, raft_config_t *config)
 {
+  config->founder = r->founder;
   config->count = r->peer_count;
   for (size_t i = 0; i < r->peer_count; i++)
     config->members[i] = r->peers[i].member;
@@ -108,6 +110,8 @@
       config.members[i] = members[i];
       config.members[i].voter = true;
       included = included || members[i].id == r->meta.id;
+      if (i == 0 || members[i].id < config.founder)
+        config.founder = members[i].id;
     }
   if (!included)
     return fail (err, RAFT_ERROR_MEMBER, "this instance is not among the members");
@@ -159,7 +163,7 @@
 bool
 raft_remove_member (raft_t *r, int64_t now_us, uint64_t id, anv_error_t *err)
 {
-  raft_config_t config = { 0 };
+  raft_config_t config = { .founder = r->founder };
   if (!check_change (r, err))
     return false;
   const raft_peer_t *peer = raft_peer (r, id);
--- a/src/raft_replication.c
+++ b/src/raft_replication.c
@@ -196,7 +196,7 @@
   bool present = raft_log_term (&r->log, index, &term);
   if (index <= r->commit && present && term != entry->term)
     {
-      /* Two groups were founded and then joined, or a disk lost what it had synced. */
+      /* A disk has lost what it had synced, here or on a majority of the others. */
       anv_error_set (&err, ANV_ERROR_RAFT, RAFT_ERROR_STATE,
                      "the leader contradicts committed entry %" PRIu64, index);
       raft_storage_error (r, &err);
--- a/src/raft_store.c
+++ b/src/raft_store.c
@@ -12,6 +12,7 @@
 
 #define META_SIZE (sizeof (meta_magic) + 3 * sizeof (uint64_t) + CHECKSUM_SIZE)
 #define SNAPSHOT_HEADER_SIZE (sizeof (snapshot_magic) + 2 * sizeof (uint64_t))
+#define CONFIG_HEADER_SIZE 12 /* founder, number of members */
 #define MEMBER_HEADER_SIZE 10 /* id, voter, length of the name */
 
 static void
@@ -120,6 +121,7 @@
 void
 raft_config_encode (const raft_config_t *config, GByteArray *out)
 {
+  bytes_put_u64 (out, config->founder);
   bytes_put_u32 (out, (uint32_t)config->count);
   for (size_t i = 0; i < config->count; i++)
     {
@@ -135,10 +137,13 @@
 raft_config_decode (const uint8_t *data, size_t size, raft_config_t *config, size_t *used)
 {
   memset (config, 0, sizeof (*config));
-  if (size < sizeof (uint32_t) || bytes_get_u32 (data) > RAFT_MAX_MEMBERS)
+  if (size < CONFIG_HEADER_SIZE)
     return false;
-  uint32_t count = bytes_get_u32 (data);
-  size_t offset = sizeof (uint32_t);
+  uint32_t count = bytes_get_u32 (data + sizeof (uint64_t));
+  size_t offset = CONFIG_HEADER_SIZE;
+  if (count > RAFT_MAX_MEMBERS)
+    return false;
+  config->founder = bytes_get_u64 (data);
   for (config->count = 0; config->count < count; config->count++)
     {
       raft_member_t *member = &config->members[config->count];
--- a/src/raft_store.h
+++ b/src/raft_store.h
@@ -25,6 +25,7 @@
 
 typedef struct
 {
+  uint64_t founder; /* lowest identity at the founding: tells groups of the same name apart */
   raft_member_t members[RAFT_MAX_MEMBERS];
   size_t count;
 } raft_config_t;
--- a/src/raft_wire.c
+++ b/src/raft_wire.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
-#define COMMON_FIELDS 8
+#define COMMON_FIELDS 9
 #define ENTRY_FIELDS 3
 
 enum
@@ -69,6 +69,7 @@
   wire_write_uint (writer, m->group);
   wire_write_uint (writer, m->from);
   wire_write_uint (writer, m->to);
+  wire_write_uint (writer, m->founder);
   wire_write_uint (writer, m->term);
   wire_write_uint (writer, m->index);
   wire_write_uint (writer, m->log_term);
@@ -97,6 +98,7 @@
   m->group = (uint32_t)group;
   m->from = wire_read_uint (reader);
   m->to = wire_read_uint (reader);
+  m->founder = wire_read_uint (reader);
   m->term = wire_read_uint (reader);
   m->index = wire_read_uint (reader);
   m->log_term = wire_read_uint (reader);
--- a/src/raft_wire.h
+++ b/src/raft_wire.h
@@ -8,9 +8,8 @@
 
 /* raft_wire - messages between the members of a group, in the form of wire.h.
  *
- * Fields of every message: group, sender, receiver, term, index, log_term, round, flags; then
- *   RAFT_APPEND: commit, [[term, type, data]...]
- *   RAFT_SNAPSHOT: offset, total, data
+ * Fields of every message: group, sender, receiver, founder, term, index, log_term, round, flags;
+ * then RAFT_APPEND: commit, [[term, type, data]...] RAFT_SNAPSHOT: offset, total, data
  *   RAFT_SNAPSHOT_REPLY: offset */
 
 /* A decoded message and what its pointers refer to. */
--- a/tests/state/test_raft.cc
+++ b/tests/state/test_raft.cc
@@ -136,7 +136,7 @@
   {
     raft_entry_t entry = { term, RAFT_ENTRY_DATA, (const uint8_t *)"x", 1 };
     const raft_entry_t *entries[] = { &entry, &entry, &entry };
-    raft_message_t m = { type, 7, node (from).id, node (0).id, term, index, log_term };
+    raft_message_t m = { type, 7, node (from).id, node (0).id, 0, term, index, log_term };
     m.ok = true;
     m.commit = index;
     m.entries = entries;
@@ -188,7 +188,7 @@
   uint8_t state[16] = {};
   GByteArray *file = g_byte_array_new ();
   raft_snapshot_encode (&snapshot, state, sizeof (state), file);
-  raft_message_t m = { RAFT_SNAPSHOT, 7, lone.node (1).id, lone.node (0).id, 5, 2, 5 };
+  raft_message_t m = { RAFT_SNAPSHOT, 7, lone.node (1).id, lone.node (0).id, 0, 5, 2, 5 };
   m.data = file->data;
   m.size = m.total = file->len;
   raft_receive (lone.r, lone.node (0).now (), &m);
@@ -295,6 +295,20 @@
   EXPECT_TRUE (group.remove (group.node (2).id));
 }
 
+// Guards against an instance with a group of its own that is added and mixes two histories.
+TEST (Raft, InstanceOfAnotherGroupIsNotMixedIn)
+{
+  Group group (3, 2);
+  raft_member_t self = { group.node (2).id, true, "" };
+  ASSERT_TRUE (raft_bootstrap (&group.node (2).raft, group.node (2).now (), &self, 1, nullptr));
+  uint64_t before = group.leaders;
+  EXPECT_TRUE (group.add (2));
+  group.run_for (5 * SECOND);
+  EXPECT_EQ (group.leaders, before + 1); // its own
+  EXPECT_EQ (group.node (2).raft.peer_count, 1u);
+  EXPECT_FALSE (group.is_voter (group.node (2).id));
+}
+
 // Guards against a new member that counts before it has the log: while it cannot answer, the two
 // voters go on, and it does not become one.
 TEST (Raft, LearnerCountsOnlyWhenCaughtUp)
@@ -375,7 +389,7 @@
   const raft_entry_t *entries[] = { &entry, &entry };
   for (int type = RAFT_VOTE; type <= RAFT_TIMEOUT_NOW; type++)
     {
-      raft_message_t m = { (raft_message_type_t)type, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 };
+      raft_message_t m = { (raft_message_type_t)type, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11 };
       m.ok = m.pre_vote = m.transfer = true;
       m.entries = entries;
       m.entry_count = 2;
