--- a/bench/raft_bench.cc
+++ b/bench/raft_bench.cc
@@ -256,6 +256,7 @@
           leads.push_back (sim.time_us - begin);
           uint64_t acked = sim.acked;
           sim.propose (sim.leader (), "next");
+          raft_flush (&sim.node (sim.leader ()).raft, sim.node (sim.leader ()).now ());
           ok = ok && sim.run_until ([&] { return sim.acked > acked; }, 60 * SECOND);
           commits.push_back (sim.time_us - begin);
           if (!ok)
--- a/src/raft.c
+++ b/src/raft.c
@@ -186,8 +186,8 @@
   raft_send (r, m->from, &reply);
 }
 
-/* Returns whether M may raise the term: a pre-vote and its consent carry a term that may never
- * begin, and a vote request is ignored while a leader is alive. */
+/* Returns whether M may raise the term. A pre-vote and its consent carry a term that may never
+ * begin; a refusal carries the current term of the sender. */
 static bool
 raises_term (const raft_message_t *m)
 {
--- a/src/raft_snapshot.c
+++ b/src/raft_snapshot.c
@@ -73,8 +73,7 @@
   anv_error_t err = { 0 };
   raft_snapshot_t snapshot = { .index = r->applied, .config = r->applied_config };
   if (r->applied - r->snapshot.index < r->options.snapshot_entries || r->disk_full
-      || r->applied > r->log.segments.synced_index || now_us < r->snapshot_after_us
-      || (r->role == RAFT_LEADER && is_sending (r, now_us)))
+      || now_us < r->snapshot_after_us || (r->role == RAFT_LEADER && is_sending (r, now_us)))
     return;
   raft_log_term (&r->log, snapshot.index, &snapshot.term);
   if (!write_snapshot (r, &snapshot, &err))
--- a/tests/state/raft_sim.cc
+++ b/tests/state/raft_sim.cc
@@ -432,7 +432,7 @@
   for (auto &node : nodes_)
     {
       const raft_t &raft = node->raft;
-      out += " [" + std::to_string (node->id);
+      out += " [" + std::to_string (node->id - FIRST_ID);
       if (!node->up)
         {
           out += node->damaged ? " damaged]" : " down]";
@@ -446,7 +446,7 @@
              + " members";
       for (size_t i = 0; i < raft.peer_count; i++)
         out += (raft.peers[i].member.voter ? " " : " learner ")
-               + std::to_string (raft.peers[i].member.id) + ":"
+               + std::to_string (raft.peers[i].member.id - FIRST_ID) + ":"
                + std::to_string (raft.peers[i].match_index);
       out += "]";
     }
--- a/tests/state/raft_sim.h
+++ b/tests/state/raft_sim.h
@@ -17,6 +17,8 @@
 
 constexpr int64_t MS = 1000;
 constexpr int64_t SECOND = 1000 * MS;
+// Identities are as long on the wire as random ones.
+constexpr uint64_t FIRST_ID = (1ULL << 62) + 100;
 
 class RaftSim;
 
@@ -145,7 +147,7 @@
 
   std::vector<std::unique_ptr<SimNode> > nodes_;
   std::priority_queue<Event> events_;
-  uint64_t sequence_ = 0, next_id_ = 100, next_read_ = 1;
+  uint64_t sequence_ = 0, next_id_ = FIRST_ID, next_read_ = 1;
   raft_options_t options_ = RAFT_OPTIONS_DEFAULT;
   std::map<uint64_t, int> slot_of_id_;
   std::map<uint64_t, Committed> committed_;
