--- a/src/raft.h
+++ b/src/raft.h
@@ -71,7 +71,8 @@
   uint32_t group;
   uint64_t from;
   uint64_t to;
-  uint64_t term;  /* of a pre-vote: the term that the candidate would begin */
+  uint64_t founder; /* of the sender's group, 0 if it has none yet */
+  uint64_t term;    /* of a pre-vote: the term that the candidate would begin */
   uint64_t index; /* VOTE: candidate's last entry; APPEND: entry before ENTRIES; APPEND_REPLY: last
                      synced entry that matches or, if not OK, entry to continue with; SNAPSHOT and
                      reply: last entry covered */
@@ -113,13 +114,13 @@
 
 typedef struct
 {
-  const char *name;    /* of the group, prefix of its files; must live as long as the member */
-  uint32_t group;      /* number of the group in messages */
-  uint64_t new_id;     /* random identity for an empty data directory, not 0 */
-  uint64_t seed;       /* of the election timeouts */
-  int64_t election_us; /* least election timeout; the actual one is random, up to twice that */
-  int64_t heartbeat_us;
-  uint64_t segment_size;     /* bytes */
+  const char *name;      /* of the group, prefix of its files; must live as long as the member */
+  uint32_t group;        /* number of the group in messages */
+  uint64_t new_id;       /* random identity for an empty data directory, not 0 */
+  uint64_t seed;         /* of the election timeouts */
+  int64_t election_us;   /* least election timeout; the actual one is random, up to twice that */
+  int64_t heartbeat_us;  /* above the round trip between members, below ELECTION_US / 3 */
+  uint64_t segment_size; /* bytes */
   uint64_t snapshot_entries; /* entries applied since the last snapshot that cause the next one */
   uint64_t trailing_entries; /* entries kept in memory after a snapshot, for slow members */
   size_t batch_bytes;        /* entries and snapshot data per message */
@@ -171,6 +172,7 @@
   uint64_t verified; /* last entry known to match the log of this term's leader */
   raft_peer_t peers[RAFT_MAX_MEMBERS];
   size_t peer_count;
+  uint64_t founder;
   uint64_t config_index; /* entry that the members come from */
   int64_t leader_heard_us;
   int64_t election_deadline_us;
@@ -181,7 +183,7 @@
   int64_t round_sent_us;
   GArray *reads; /* raft_read_t */
   uint64_t transfer_to;
-  bool transfer_sent;
+  int64_t transfer_sent_us; /* 0: not yet */
   int64_t transfer_deadline_us;
   bool reply_due; /* as follower: to the leader, after the next sync */
   uint64_t reply_round;
@@ -225,7 +227,8 @@
 
 void raft_tick (raft_t *r, int64_t now_us);
 
-/* Ignores messages of another group or for another identity. */
+/* Ignores messages of another group, or of one that was founded separately, and those for another
+ * identity. */
 void raft_receive (raft_t *r, int64_t now_us, const raft_message_t *message);
 
 /* Adds an entry on the leader. */
--- a/tests/state/test_raft.cc
+++ b/tests/state/test_raft.cc
@@ -109,6 +109,134 @@
     }
 }
 
+// Guards against a member that cannot hear the leader, but the others, and has itself elected.
+TEST (Raft, MemberCutOffFromTheLeaderOnlyDoesNotDeposeIt)
+{
+  Group group (3);
+  uint64_t before = group.leaders;
+  group.cuts.insert ({ group.leader (), group.follower () });
+  group.run_for (10 * SECOND);
+  EXPECT_EQ (group.leaders, before);
+}
+
+// One member of three, which gets messages from the test instead of the others.
+class Lone : public RaftSim
+{
+public:
+  Lone () : RaftSim (1, 3, false)
+  {
+    boot (3);
+    crash (1, true);
+    crash (2, true);
+    tamper = [this] (raft_message_t &m) { last = m; };
+  }
+  void
+  feed (raft_message_type_t type, int from, uint64_t term, uint64_t index, uint64_t log_term,
+        size_t entry_count = 0)
+  {
+    raft_entry_t entry = { term, RAFT_ENTRY_DATA, (const uint8_t *)"x", 1 };
+    const raft_entry_t *entries[] = { &entry, &entry, &entry };
+    raft_message_t m = { type, 7, node (from).id, node (0).id, 0, term, index, log_term };
+    m.ok = true;
+    m.commit = index;
+    m.entries = entries;
+    m.entry_count = entry_count;
+    raft_receive (r, node (0).now (), &m);
+    raft_flush (r, node (0).now ());
+  }
+  raft_t *r = &node (0).raft;
+  raft_message_t last = {};
+};
+
+// Guards against entries of an earlier term that count as committed before one of the own term is
+// (another leader could still replace them), and against a membership change before that.
+TEST (Raft, EarlierTermsAreCommittedWithTheOwnTerm)
+{
+  Lone lone;
+  raft_member_t added = { 999, false, "" };
+  lone.feed (RAFT_APPEND, 1, 5, 1, 1, 1);
+  lone.feed (RAFT_TIMEOUT_NOW, 1, 5, 0, 0);
+  lone.feed (RAFT_VOTE_REPLY, 2, 6, 0, 0);
+  ASSERT_EQ (lone.r->role, RAFT_LEADER);
+  lone.feed (RAFT_APPEND_REPLY, 2, 6, 2, 0);
+  EXPECT_EQ (lone.r->commit, 1u);
+  EXPECT_FALSE (raft_add_member (lone.r, lone.node (0).now (), &added, nullptr));
+  lone.feed (RAFT_APPEND_REPLY, 2, 6, 3, 0);
+  EXPECT_EQ (lone.r->commit, 3u);
+  EXPECT_TRUE (raft_add_member (lone.r, lone.node (0).now (), &added, nullptr));
+}
+
+// Guards against a follower that confirms entries of an earlier leader to a new one.
+TEST (Raft, FollowerConfirmsOnlyWhatItsLeaderSent)
+{
+  Lone lone;
+  lone.feed (RAFT_APPEND, 1, 5, 1, 1, 3);
+  EXPECT_EQ (lone.last.index, 4u);
+  lone.feed (RAFT_APPEND, 2, 6, 1, 1);
+  EXPECT_TRUE (lone.last.ok && lone.last.type == RAFT_APPEND_REPLY);
+  EXPECT_EQ (lone.last.index, 1u);
+}
+
+// Guards against a late snapshot that takes the state machine back.
+TEST (Raft, OlderSnapshotIsNotInstalled)
+{
+  Lone lone;
+  lone.feed (RAFT_APPEND, 1, 5, 1, 1, 3);
+  lone.feed (RAFT_APPEND, 1, 5, 4, 5);
+  EXPECT_EQ (lone.r->applied, 4u);
+  raft_snapshot_t snapshot = { 2, 5, lone.r->applied_config };
+  uint8_t state[16] = {};
+  GByteArray *file = g_byte_array_new ();
+  raft_snapshot_encode (&snapshot, state, sizeof (state), file);
+  raft_message_t m = { RAFT_SNAPSHOT, 7, lone.node (1).id, lone.node (0).id, 0, 5, 2, 5 };
+  m.data = file->data;
+  m.size = m.total = file->len;
+  raft_receive (lone.r, lone.node (0).now (), &m);
+  g_byte_array_unref (file);
+  EXPECT_TRUE (lone.last.ok && lone.last.type == RAFT_SNAPSHOT_REPLY);
+  EXPECT_EQ (lone.r->applied, 4u);
+  EXPECT_EQ (lone.node (0).applied_index, 4u);
+}
+
+// Guards against a log that contradicts the snapshot after a crash between the two writes.
+TEST (RaftLog, SnapshotReplacesAContradictingLog)
+{
+  FakeDisk disk (1);
+  segment_log_options_t options = { "g-log", 1000 };
+  raft_entry_t entry = { 5, RAFT_ENTRY_DATA, (const uint8_t *)"x", 1 };
+  raft_log_t log;
+  ASSERT_TRUE (raft_log_open (&log, disk.store (), &options, 0, 0, nullptr));
+  for (int i = 0; i < 6; i++)
+    raft_log_append (&log, &entry, nullptr);
+  ASSERT_TRUE (segment_log_sync (&log.segments, nullptr));
+  raft_log_close (&log);
+  ASSERT_TRUE (raft_log_open (&log, disk.store (), &options, 3, 5, nullptr));
+  EXPECT_EQ (raft_log_last_index (&log), 6u);
+  raft_log_close (&log);
+  ASSERT_TRUE (raft_log_open (&log, disk.store (), &options, 3, 9, nullptr));
+  EXPECT_EQ (raft_log_last_index (&log), 3u);
+  raft_log_close (&log);
+}
+
+// Guards against a vote that is visible after a failed sync of the directory, but not durable.
+TEST (RaftStore, LoadedVoteIsDurable)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      FakeDisk disk (seed);
+      raft_meta_t meta;
+      ASSERT_TRUE (raft_meta_load (disk.store (), "g", 9, &meta, nullptr));
+      meta.vote = 77;
+      disk.fail_sync_in = 2; // the file, then the directory
+      ASSERT_FALSE (raft_meta_save (disk.store (), "g", &meta, nullptr));
+      raft_meta_t loaded, again;
+      ASSERT_TRUE (raft_meta_load (disk.store (), "g", 9, &loaded, nullptr));
+      disk.crash ();
+      ASSERT_TRUE (raft_meta_load (disk.store (), "g", 9, &again, nullptr));
+      EXPECT_EQ (loaded.vote, again.vote) << seed;
+    }
+}
+
 // Guards against an old answer from a leader that does not know of its successor, whatever the
 // clocks do: the others run three times as fast. A planted count of replies shows that the checker
 // sees such a read.
@@ -167,6 +295,20 @@
   EXPECT_TRUE (group.remove (group.node (2).id));
 }
 
+// Guards against an instance with a group of its own that is added and mixes two histories.
+TEST (Raft, InstanceOfAnotherGroupIsNotMixedIn)
+{
+  Group group (3, 2);
+  raft_member_t self = { group.node (2).id, true, "" };
+  ASSERT_TRUE (raft_bootstrap (&group.node (2).raft, group.node (2).now (), &self, 1, nullptr));
+  uint64_t before = group.leaders;
+  EXPECT_TRUE (group.add (2));
+  group.run_for (5 * SECOND);
+  EXPECT_EQ (group.leaders, before + 1); // its own
+  EXPECT_EQ (group.node (2).raft.peer_count, 1u);
+  EXPECT_FALSE (group.is_voter (group.node (2).id));
+}
+
 // Guards against a new member that counts before it has the log: while it cannot answer, the two
 // voters go on, and it does not become one.
 TEST (Raft, LearnerCountsOnlyWhenCaughtUp)
@@ -231,7 +373,7 @@
 {
   Group group (3);
   SimNode &node = group.node (group.leader ());
-  node.disk.fail_syncs = 1;
+  node.disk.fail_sync_in = 1;
   group.propose (node.slot, "lost");
   raft_flush (&node.raft, node.now ());
   ASSERT_NE (raft_failure (&node.raft), nullptr);
@@ -247,7 +389,7 @@
   const raft_entry_t *entries[] = { &entry, &entry };
   for (int type = RAFT_VOTE; type <= RAFT_TIMEOUT_NOW; type++)
     {
-      raft_message_t m = { (raft_message_type_t)type, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 };
+      raft_message_t m = { (raft_message_type_t)type, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11 };
       m.ok = m.pre_vote = m.transfer = true;
       m.entries = entries;
       m.entry_count = 2;
