--- a/src/config_doc.h
+++ b/src/config_doc.h
@@ -19,7 +19,7 @@
  * route.
  *
  * Memory: the view keeps a reference to the canonical text and points into it for the names of
- * teams. A team takes 8 bytes besides the text and a route about 70 (docs/measurements/config.md).
+ * teams. A team takes about 10 bytes besides the text and a route 80 (docs/measurements/config.md).
  * Elements are parsed one at a time, so a check never holds the parsed form of the whole text. */
 
 /* Schema of documents that this version writes. The schema fixes the rules and the default values;
--- a/src/config_teams.c
+++ b/src/config_teams.c
@@ -4,7 +4,7 @@
 
 /* Many teams share a few limits, so recent texts of limits and their index are remembered. It saves
  * the parsing and makes equal limits share one entry. */
-#define MEMO_SIZE 1024
+#define MEMO_SIZE 16384
 
 #define MAX_TEAM_RATE 1000000
 
