--- /dev/null
+++ b/src/ctl_client.c
@@ -0,0 +1,190 @@
+#include "ctl_client.h"
+
+#include <string.h>
+
+#include "version_codec.h"
+
+bool
+ctl_client_init (ctl_client_t *client, const ctl_client_options_t *options, anv_error_t *err)
+{
+  g_autofree char *token = NULL;
+  g_autoptr (GError) error = NULL;
+  memset (client, 0, sizeof (*client));
+  client->options = *options;
+  if (!g_file_get_contents (options->token_file, &token, NULL, &error))
+    {
+      anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_TOKEN, "cannot read the token: %s",
+                     error->message);
+      return false;
+    }
+  g_strstrip (token);
+  client->authorization = g_strdup_printf ("Bearer %s", token);
+  client->session = soup_session_new ();
+  soup_session_set_timeout (client->session, (guint)options->timeout_s);
+  if (options->tls_ca == NULL)
+    return true;
+
+  g_autoptr (GTlsDatabase) database = g_tls_file_database_new (options->tls_ca, &error);
+  if (database == NULL)
+    {
+      anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_TOKEN, "cannot read the certificates: %s",
+                     error->message);
+      ctl_client_destroy (client);
+      return false;
+    }
+  soup_session_set_tls_database (client->session, database);
+  return true;
+}
+
+void
+ctl_client_destroy (ctl_client_t *client)
+{
+  g_clear_object (&client->session);
+  g_clear_pointer (&client->authorization, g_free);
+}
+
+/* Makes one call without following redirects. Returns NULL if there was no whole answer. */
+static GBytes *
+call_once (ctl_client_t *client, const char *method, const char *url, const char *body,
+           unsigned *status, char **location, anv_error_t *err)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (SoupMessage) message = soup_message_new (method, url);
+  if (message == NULL)
+    {
+      anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_CALL, "\"%s\" is not a URL", url);
+      return NULL;
+    }
+  soup_message_add_flags (message, SOUP_MESSAGE_NO_REDIRECT);
+  soup_message_headers_replace (soup_message_get_request_headers (message), "Authorization",
+                                client->authorization);
+  if (body != NULL)
+    {
+      g_autoptr (GBytes) bytes = g_bytes_new (body, strlen (body));
+      soup_message_set_request_body_from_bytes (message, "application/json", bytes);
+    }
+  GBytes *answer = soup_session_send_and_read (client->session, message, NULL, &error);
+  if (answer == NULL)
+    {
+      anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_CALL, "%s: %s", url, error->message);
+      return NULL;
+    }
+  SoupMessageHeaders *headers = soup_message_get_response_headers (message);
+  *status = soup_message_get_status (message);
+  *location = g_strdup (soup_message_headers_get_one (headers, "Location"));
+  return answer;
+}
+
+/* Calls SERVER and follows redirects. */
+static GBytes *
+call_server (ctl_client_t *client, const char *server, const char *method, const char *path,
+             const char *body, unsigned *status, anv_error_t *err)
+{
+  g_autofree char *url = g_strconcat (server, path, NULL);
+  for (int redirects = 0; redirects <= CTL_MAX_REDIRECTS; redirects++)
+    {
+      g_autofree char *location = NULL;
+      GBytes *answer = call_once (client, method, url, body, status, &location, err);
+      if (answer == NULL || *status != SOUP_STATUS_TEMPORARY_REDIRECT || location == NULL)
+        return answer;
+      g_bytes_unref (answer);
+      /* The token must not leave TLS. */
+      if (g_str_has_prefix (url, "https:") && !g_str_has_prefix (location, "https:"))
+        break;
+      g_free (url);
+      url = g_steal_pointer (&location);
+    }
+  anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_CALL, "%s: too many redirects, or one without TLS",
+                 server);
+  return NULL;
+}
+
+cJSON *
+ctl_client_call (ctl_client_t *client, const char *method, const char *path, const char *body,
+                 unsigned *status, anv_error_t *err)
+{
+  const GPtrArray *servers = client->options.servers;
+  for (guint attempt = 0; attempt < CTL_MAX_ATTEMPTS; attempt++)
+    {
+      const char *server = g_ptr_array_index (servers, attempt % servers->len);
+      if (attempt > 0)
+        g_usleep ((gulong)client->options.retry_delay_ms * 1000);
+      GBytes *answer = call_server (client, server, method, path, body, status, err);
+      if (answer == NULL)
+        continue;
+      gsize size = 0;
+      const char *data = g_bytes_get_data (answer, &size);
+      cJSON *json = json_parse (size > 0 ? data : "", size, NULL);
+      g_bytes_unref (answer);
+      if (cJSON_IsObject (json) && *status != SOUP_STATUS_SERVICE_UNAVAILABLE)
+        return json;
+      anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_ANSWER, "%s answered %u: %s", server, *status,
+                     json_string (json, "error", "not a JSON object"));
+      cJSON_Delete (json);
+    }
+  anv_error_convert (err, ANV_ERROR_CTL, CTL_ERROR_CALL, "no answer after %d calls",
+                     CTL_MAX_ATTEMPTS);
+  return NULL;
+}
+
+cJSON *
+ctl_client_get (ctl_client_t *client, const char *path, anv_error_t *err)
+{
+  unsigned status = 0;
+  cJSON *answer = ctl_client_call (client, "GET", path, NULL, &status, err);
+  if (answer == NULL || status == SOUP_STATUS_OK)
+    return answer;
+  anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_ANSWER, "%s: status %u: %s", path, status,
+                 json_string (answer, "error", ""));
+  cJSON_Delete (answer);
+  return NULL;
+}
+
+static void
+free_record (void *record)
+{
+  version_record_free (record);
+}
+
+/* Adds the records of one answer. Returns the next version to ask for, 0 at the end, -1 with an
+ * error. */
+static int64_t
+add_records (GPtrArray *records, const cJSON *answer, anv_error_t *err)
+{
+  int64_t next = 0;
+  const cJSON *item = NULL;
+  const cJSON *list = cJSON_GetObjectItemCaseSensitive (answer, "records");
+  cJSON_ArrayForEach (item, list)
+  {
+    version_record_t *record = version_record_from_json (item, err);
+    if (record == NULL)
+      {
+        anv_error_convert (err, ANV_ERROR_CTL, CTL_ERROR_ANSWER, "record %u", records->len + 1);
+        return -1;
+      }
+    g_ptr_array_add (records, record);
+  }
+  bool ok = json_exact_integer (cJSON_GetObjectItemCaseSensitive (answer, "next"), &next);
+  if (ok && (next == 0 || next == (int64_t)records->len + 1))
+    return next;
+  anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_ANSWER, "the answer skips records");
+  return -1;
+}
+
+GPtrArray *
+ctl_client_records (ctl_client_t *client, anv_error_t *err)
+{
+  GPtrArray *records = g_ptr_array_new_with_free_func (free_record);
+  int64_t next = 1;
+  while (next > 0)
+    {
+      g_autofree char *path = g_strdup_printf ("/v1/records?from=%" G_GINT64_FORMAT, next);
+      cJSON *answer = ctl_client_get (client, path, err);
+      next = answer != NULL ? add_records (records, answer, err) : -1;
+      cJSON_Delete (answer);
+    }
+  if (next == 0)
+    return records;
+  g_ptr_array_free (records, TRUE);
+  return NULL;
+}
