--- a/src/ctl_history.c
+++ b/src/ctl_history.c
@@ -6,7 +6,7 @@
 typedef struct
 {
   history_t history;
-  uint64_t version; /* selected with --version or --at */
+  uint64_t version; /* selected with --at-version or --at */
   const ctl_history_options_t *options;
   char **arguments;
 } context_t;
--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -44,7 +44,7 @@
     .help = "submit, dry-run: why the change is made" },
   { "patch-id", OPTION_STRING, &patch_id, NULL, .argument = "ID",
     .help = "submit: id of an earlier call whose answer was lost" },
-  { "version", OPTION_INTEGER, &version, "-1", .min = -1, .max = 9e15, .argument = "N",
+  { "at-version", OPTION_INTEGER, &version, "-1", .min = -1, .max = 9e15, .argument = "N",
     .help = "show, explain, verify: version; -1 is the current one" },
   { "at", OPTION_STRING, &at, NULL, .argument = "TIME",
     .help = "show, explain: version in force at YYYY-MM-DD or YYYY-MM-DDTHH:MM:SSZ" },
--- a/tests/control/test_config_cache.cc
+++ b/tests/control/test_config_cache.cc
@@ -9,6 +9,7 @@
 #include "config_edit.h"
 #include "rng.h"
 #include "rollout.h"
+#include "route_table.h"
 }
 
 namespace
@@ -219,6 +220,71 @@
   EXPECT_EQ (config_cache_need (entry, &right), CONFIG_NEED_NOTHING);
 }
 
+// Guards against an entry that outgrows its control memory (128 MB) or control traffic (10 KB/s
+// with 3,000 changes a day: 288,000 bytes a change) at the design scale. During an install it holds
+// two versions and the routing table.
+TEST (ConfigCacheScale, FitsDesignScale)
+{
+  std::string routes, services, teams;
+  char text[300];
+  for (int i = 0; i < 2200; i++)
+    {
+      snprintf (text, sizeof (text), ",\"service-%04d\":{\"hosts\":[\"service-%04d.example\"]}", i,
+                i);
+      services += text;
+    }
+  for (int i = 0; i < 62000; i++)
+    {
+      snprintf (
+          text, sizeof (text),
+          ",\"route-%05d\":{\"class\":\"urgent\",\"idempotent\":true,\"max_body_bytes\":65536,"
+          "\"methods\":[\"GET\"],\"prefix\":\"/area/resource-%d\",\"service\":\"service-%04d\","
+          "\"timeout_ms\":5000}",
+          i, i, i % 2200);
+      routes += text;
+    }
+  for (int i = 0; i < 440000; i++)
+    {
+      snprintf (text, sizeof (text), ",\"team-%06d\":{\"burst\":%d,\"rate\":%d}", i, 10 + i % 40,
+                1 + i % 17);
+      teams += text;
+    }
+  for (std::string *part : { &routes, &services, &teams })
+    (*part)[0] = '{';
+  std::string document
+      = "{\"routes\":" + routes + "},\"services\":" + services + "},\"teams\":" + teams + "}}";
+  std::string changed = document;
+  changed.replace (changed.find ("5000}", changed.size () / 5), 4, "7000");
+
+  config_cache_options_t options = {};
+  config_cache_t *cache = config_cache_new (&options);
+  config_cache_t *peer = config_cache_new (&options);
+  uint64_t version = 0;
+  for (const std::string *json_text : { &document, &changed })
+    {
+      anv_error_t err = {};
+      g_autoptr (GBytes) bytes = g_bytes_new (json_text->data (), json_text->size ());
+      config_doc_t *doc = config_doc_new (bytes, CONFIG_SCHEMA, &err);
+      ASSERT_NE (doc, nullptr) << err.text;
+      version_seal_t seal = {};
+      seal.schema = CONFIG_SCHEMA;
+      seal.version = ++version;
+      seal.previous = config_cache_digest (cache);
+      seal.document = version_text_digest (json_text->data (), json_text->size ());
+      ASSERT_TRUE (config_cache_install (cache, &seal, doc, &err)) << err.text;
+      config_doc_unref (doc);
+      std::string message = answer (cache, peer);
+      EXPECT_TRUE (receive (peer, message));
+      EXPECT_TRUE (version == 1 || message.size () < 288000u) << message.size ();
+    }
+  route_table_t *table = route_table_new (config_cache_doc (peer));
+  size_t peak = 2 * config_cache_memory (peer) + route_table_memory (table);
+  EXPECT_LT (peak, 128000000u);
+  route_table_free (table);
+  config_cache_free (peer);
+  config_cache_free (cache);
+}
+
 // Guards against edits that give another text, for random documents. Seed 5.
 TEST (ConfigEdit, RandomDocuments)
 {
