--- a/src/config_teams.c
+++ b/src/config_teams.c
@@ -4,7 +4,10 @@
 
 /* Many teams share a few limits, so recent texts of limits and their index are remembered. It saves
  * the parsing and makes equal limits share one entry. */
-#define MEMO_SIZE 16384
+#define MIN_MEMO_SIZE 64
+#define MAX_MEMO_SIZE 16384
+/* Bytes of text for each remembered limit. */
+#define MEMO_SHARE 64
 
 #define MAX_TEAM_RATE 1000000
 
@@ -12,8 +15,24 @@
 {
   json_slice_t text;
   uint32_t limit;
+} memo_entry_t;
+
+typedef struct
+{
+  memo_entry_t *entries;
+  uint32_t mask;
 } memo_t;
 
+static void
+memo_init (memo_t *memo, size_t text_size)
+{
+  uint32_t size = MIN_MEMO_SIZE;
+  while (size < MAX_MEMO_SIZE && size < text_size / MEMO_SHARE)
+    size *= 2;
+  memo->entries = g_new0 (memo_entry_t, size);
+  memo->mask = size - 1;
+}
+
 static const field_t limit_fields[] = {
   { "rate", FIELD_DOUBLE, true, offsetof (config_limit_t, rate), 0.001, MAX_TEAM_RATE, 0 },
   { "burst", FIELD_DOUBLE, true, offsetof (config_limit_t, burst), 1, MAX_TEAM_RATE, 0 },
@@ -49,9 +68,9 @@
 
 static bool
 read_team (field_context_t *context, config_doc_t *doc, json_slice_t key, json_slice_t value,
-           memo_t *memo)
+           const memo_t *memo)
 {
-  memo_t *known = &memo[hash_slice (value) % MEMO_SIZE];
+  memo_entry_t *known = &memo->entries[hash_slice (value) & memo->mask];
   if (known->text.data == NULL || !json_slice_equal (known->text, value))
     {
       config_limit_t limit = { 0, 0 };
@@ -68,7 +87,7 @@
 }
 
 static bool
-read_teams (config_doc_t *doc, json_cursor_t *cursor, memo_t *memo, anv_error_t *err)
+read_teams (config_doc_t *doc, json_cursor_t *cursor, const memo_t *memo, anv_error_t *err)
 {
   field_context_t context = { .err = err, .path = "$.teams" };
   json_slice_t key;
@@ -118,8 +137,9 @@
   if (!json_cursor_open (&cursor, value, '{'))
     return field_error (&context, NULL, "must be an object");
 
-  memo_t *memo = g_new0 (memo_t, MEMO_SIZE);
-  bool ok = read_teams (doc, &cursor, memo, err);
-  g_free (memo);
+  memo_t memo;
+  memo_init (&memo, value.size);
+  bool ok = read_teams (doc, &cursor, &memo, err);
+  g_free (memo.entries);
   return ok;
 }
