overload: leave the state only when the wait is clearly below the limit

Admission kept the wait at the limit, which ended the state each interval and let the queue grow again.

--- a/bench/model.cc
+++ b/bench/model.cc
@@ -488,8 +488,9 @@
       return;
     at (now_ + o_.distance_us, [this, entry, other, index] {
       probe (other, index, [this, entry, other, index] (health_result_t result, int64_t latency) {
-        health_opinion_t opinion = { result == HEALTH_OK, latency - link_us (other, index),
-                                     entries_[other]->probe_reference_us (now_) };
+        health_opinion_t opinion
+            = { result == HEALTH_OK, latency - link_us (other, index),
+                entries_[other]->probe_reference_us (now_), entries_[other]->is_normal (now_) };
         if (is_cut (other))
           return;
         at (now_ + o_.distance_us, [this, entry, index, opinion] {
--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -76,6 +76,11 @@
   {
     assigned_service_opinion (&service_, now, target_id, &opinion);
   }
+  bool
+  is_normal (int64_t now) override
+  {
+    return health_is_normal (&service_.health, now);
+  }
   int64_t
   probe_reference_us (int64_t now) override
   {
--- a/bench/policy.h
+++ b/bench/policy.h
@@ -56,6 +56,11 @@
   opinion (int64_t, uint64_t, const health_opinion_t &)
   {
   }
+  virtual bool
+  is_normal (int64_t)
+  {
+    return true;
+  }
   virtual int64_t
   probe_reference_us (int64_t)
   {
--- a/src/health.c
+++ b/src/health.c
@@ -29,6 +29,8 @@
 /* Residual up to which a response counts as timely. */
 #define GOOD_RESIDUAL M_LN2
 
+#define NORMAL_WINDOW_US 1000000
+
 /* A probe is good for readmission up to this multiple of the usual latency. */
 #define GOOD_PROBE_FACTOR 2.0
 
@@ -178,6 +180,13 @@
     }
 }
 
+static void
+note_normal (health_target_t *target, int64_t started_us, bool normal)
+{
+  if (normal && started_us > target->last_normal_start_us)
+    target->last_normal_start_us = started_us;
+}
+
 static void
 score_response (health_t *h, int64_t now_us, health_target_t *target, double residual)
 {
@@ -202,6 +211,7 @@
       if (residual < GOOD_RESIDUAL && started_us > target->last_good_start_us)
         target->last_good_start_us = started_us;
       score_response (h, now_us, target, residual);
+      note_normal (target, started_us, latency_log < h->usual_log + GOOD_RESIDUAL);
       if (!target->unhealthy && !target->readmission.ejected)
         latency_model_add (&h->model, residual);
       h->usual_log = h->usual_log == 0 ? reference_log
@@ -237,6 +247,7 @@
   double residual = latency_log - health_probe_log (h, now_us, target);
   bool good = !failed && residual < log (GOOD_PROBE_FACTOR);
 
+  note_normal (target, started_us, !failed && latency_log < h->probe_log + log (GOOD_PROBE_FACTOR));
   if (target->readmission.ejected)
     {
       readmission_probe (&target->readmission, now_us, good);
@@ -356,6 +367,12 @@
   out->failure_rate = health_reference_failures (h, now_us, NULL);
 }
 
+bool
+health_is_normal (const health_t *h, int64_t now_us)
+{
+  return health_others_are_normal (h, NULL, now_us - NORMAL_WINDOW_US);
+}
+
 int64_t
 health_probe_reference_us (health_t *h, int64_t now_us)
 {
--- a/src/health.h
+++ b/src/health.h
@@ -66,6 +66,7 @@
   bool answered; /* with a correct response */
   int64_t latency_us;
   int64_t reference_us; /* latency of that entry's probes to its own healthy targets; 0: unknown */
+  bool normal;          /* that entry's own targets answer as usual; otherwise nothing is proven */
 } health_opinion_t;
 
 typedef enum
@@ -101,7 +102,8 @@
   double threshold;
   double suspect_threshold;
   int64_t link_suspect_until_us;
-  int64_t last_request_us; /* start of the last request to any target */
+  int64_t control_since_us; /* others are probed to compare with a suspect target; 0: not */
+  int64_t last_request_us;  /* start of the last request to any target */
   bool changed;
 } health_t;
 
@@ -143,6 +145,10 @@
 /* Fills all but entry_id, for the summary to the other assigned entries. */
 void health_summary (health_t *h, int64_t now_us, health_peer_t *out);
 
+/* Returns whether half of the own targets have answered as usual within the last second, for a
+ * PROBE_RESULT. */
+bool health_is_normal (const health_t *h, int64_t now_us);
+
 /* Returns the latency that a probe of a healthy target has now, for a PROBE_RESULT. It is larger
  * than usual while the whole service is slow. */
 int64_t health_probe_reference_us (health_t *h, int64_t now_us);
--- a/src/health_evidence.c
+++ b/src/health_evidence.c
@@ -168,6 +168,23 @@
   return h->probe_log + fmax (0, reference_log - h->usual_log);
 }
 
+bool
+health_others_are_normal (const health_t *h, const health_target_t *target, int64_t since_us)
+{
+  uint32_t others = 0;
+  uint32_t normal = 0;
+
+  for (guint i = 0; i < h->ordered->len; i++)
+    {
+      const health_target_t *other = g_ptr_array_index (h->ordered, i);
+      if (other == target || other->readmission.ejected)
+        continue;
+      others++;
+      normal += other->last_normal_start_us >= since_us;
+    }
+  return others > 0 && 2 * normal >= others;
+}
+
 /* Returns the weight of the fresh peers whose median is below VALUE, or of all for INFINITY. */
 static uint32_t
 peer_weight_below (const health_t *h, int64_t now_us, double value)
--- a/src/health_target.h
+++ b/src/health_target.h
@@ -19,9 +19,10 @@
   int64_t slow_start_us; /* start of the weight ramp */
   bool cold;             /* latency is no evidence until slow start ends */
   bool suspect;          /* with hysteresis */
-  bool unhealthy;        /* with hysteresis */
-  uint32_t samples;      /* finished responses in latency_log, up to a few */
-  double latency_log;    /* moving mean of the logarithm of the latency */
+  int64_t suspect_since_us;
+  bool unhealthy;     /* with hysteresis */
+  uint32_t samples;   /* finished responses in latency_log, up to a few */
+  double latency_log; /* moving mean of the logarithm of the latency */
   double latency_score[LATENCY_MODEL_TESTS];
   double failure_score[HEALTH_FAILURE_TESTS];
   double latency_credit; /* evidence that may still be added now */
@@ -29,12 +30,14 @@
   int64_t credit_us;
   double requests; /* decayed counts */
   double failures;
-  int64_t last_good_start_us; /* latest start of a response with normal latency */
+  int64_t last_good_start_us;   /* latest start of a response with normal latency */
+  int64_t last_normal_start_us; /* the same for one with a latency that is usual for the service */
   int64_t last_sample_us;
   int64_t last_probe_us;
   int64_t opinion_asked_us; /* 0: not asked */
   int64_t opinion_first_us; /* 0: no question open */
   int64_t confirmed_until_us;
+  uint32_t confirmations; /* in a row */
   readmission_t readmission;
 };
 
@@ -65,6 +68,10 @@
 /* Stores the logarithm of the median latency of the own targets. Returns false without any. */
 bool health_own_median_log (health_t *h, int64_t now_us, double *out);
 
+/* Returns whether half of the own targets other than TARGET (NULL: of all) have answered as usual a
+ * request or probe that started at SINCE_US or later. */
+bool health_others_are_normal (const health_t *h, const health_target_t *target, int64_t since_us);
+
 /* Returns whether the own median is above FACTOR times that of most targets of other entries. */
 bool health_is_slower_than_peers (health_t *h, int64_t now_us, double factor);
 
--- a/src/health_verdict.c
+++ b/src/health_verdict.c
@@ -36,6 +36,15 @@
 #define CONFIRMED_US 5000000
 #define LINK_SUSPECT_US 10000000
 
+/* A suspect target is compared with the others: each is probed, unless it answers requests as
+ * usual. When after CONTROL_WAIT_US less than half of them have answered as usual, the service or
+ * the link is slow as a whole. The other entry may not have noticed yet, so its confirmation is
+ * needed again after OPINION_REPEAT_US. */
+#define CONTROL_PROBE_GAP_US 100000
+#define CONTROL_WAIT_US 300000
+#define CONTROL_MAX_AGE_US 500000
+#define WIDE_CONFIRMATIONS 2
+
 /* The own link stays suspect while all own targets are slower than others by this factor. */
 #define LINK_SLOWER_FACTOR 1.5
 
@@ -70,19 +79,40 @@
 }
 
 static void
-update_suspicion (health_t *h, health_target_t *target, double score)
+update_suspicion (health_t *h, int64_t now_us, health_target_t *target, double score)
 {
   if (score >= h->suspect_threshold)
-    target->suspect = true;
+    {
+      if (!target->suspect)
+        target->suspect_since_us = now_us;
+      target->suspect = true;
+    }
   else if (score < SUSPECT_END_SHARE * h->suspect_threshold && !target->unhealthy)
     target->suspect = false;
 }
 
-/* Returns whether the fault may be on the entry's side, so that another view is needed. */
+/* Returns the time since which the other targets must have answered as usual. */
+static int64_t
+control_since (int64_t now_us, const health_target_t *target)
+{
+  return MAX (target->suspect_since_us, now_us - CONTROL_MAX_AGE_US);
+}
+
+static void
+note_control (health_t *h, int64_t now_us, const health_target_t *target)
+{
+  if (!target->suspect || target->unhealthy)
+    return;
+  int64_t since_us = control_since (now_us, target);
+  if (h->control_since_us == 0 || since_us < h->control_since_us)
+    h->control_since_us = since_us;
+}
+
+/* Returns whether the fault may not be the target's, so that another view is needed. */
 static bool
-needs_opinion (const health_t *h, int64_t now_us, const group_t *group)
+needs_opinion (const health_t *h, int64_t now_us, const group_t *group, bool wide)
 {
-  if (now_us < h->link_suspect_until_us)
+  if (wide || now_us < h->link_suspect_until_us)
     return true;
   bool many = 3 * group->suspect > group->serving;
   return many && (group->suspect > 1 || group->serving == 1);
@@ -127,8 +157,13 @@
       target->opinion_first_us = 0;
       return;
     }
-  bool confirmed = now_us < target->confirmed_until_us;
-  if (!needs_opinion (h, now_us, group) || confirmed || may_decide_alone (now_us, target, group))
+  bool wide = !health_others_are_normal (h, target, control_since (now_us, target));
+  if (wide && now_us - target->suspect_since_us < CONTROL_WAIT_US)
+    return;
+  bool confirmed = now_us < target->confirmed_until_us
+                   && target->confirmations >= (wide ? WIDE_CONFIRMATIONS : 1);
+  if (!needs_opinion (h, now_us, group, wide) || confirmed
+      || (!wide && may_decide_alone (now_us, target, group)))
     target->unhealthy = true;
   else
     verdict->opinion_due = opinion_is_due (target, now_us, group);
@@ -163,6 +198,8 @@
   if (target->suspect || score >= WATCH_SHARE * h->suspect_threshold)
     return (double)(now_us - target->last_probe_us)
            >= SUSPECT_PROBE_GAP_US + missing * SUSPECT_PROBE_GAP_INSENSITIVE_US;
+  if (h->control_since_us > 0 && target->last_normal_start_us < h->control_since_us)
+    return now_us - target->last_probe_us >= CONTROL_PROBE_GAP_US;
   return list_is_empty (&target->attempts)
          && (double)(now_us - target->last_sample_us) >= thin_traffic_gap (h, now_us);
 }
@@ -204,12 +241,14 @@
 {
   group_t group = { .peers = has_fresh_peer (h, now_us) };
 
+  h->control_since_us = 0;
   for (guint i = 0; i < h->ordered->len; i++)
     {
       health_target_t *target = g_ptr_array_index (h->ordered, i);
       if (target->readmission.ejected)
         continue;
-      update_suspicion (h, target, health_total_score (h, now_us, target));
+      update_suspicion (h, now_us, target, health_total_score (h, now_us, target));
+      note_control (h, now_us, target);
       group.serving++;
       group.suspect += target->suspect;
     }
@@ -233,9 +272,14 @@
     return;
   double usual_us = opinion->reference_us > 0 ? (double)opinion->reference_us : exp (h->probe_log);
   bool slow = (double)opinion->latency_us > CONFIRMING_FACTOR * usual_us;
+  bool bad = !opinion->answered || slow;
+  if (bad && !opinion->normal)
+    return;
   target->opinion_first_us = 0;
-  if (!opinion->answered || slow)
+  if (bad)
     {
+      bool again = now_us < target->confirmed_until_us;
+      target->confirmations = again ? target->confirmations + 1 : 1;
       target->confirmed_until_us = now_us + CONFIRMED_US;
       return;
     }
--- a/src/overload.c
+++ b/src/overload.c
@@ -11,13 +11,13 @@
 {
   if (now_us - o->interval_start_us >= OVERLOAD_INTERVAL_US)
     {
-      o->overloaded = o->smallest_wait_us > limit_us;
+      o->overloaded |= o->smallest_wait_us > limit_us;
       o->interval_start_us = now_us;
       o->smallest_wait_us = -1;
     }
   if (o->smallest_wait_us < 0 || wait_us < o->smallest_wait_us)
     o->smallest_wait_us = wait_us;
-  if (wait_us <= limit_us)
+  if (wait_us <= limit_us / OVERLOAD_END_DIVISOR)
     o->overloaded = false;
 }
 
--- a/src/overload.h
+++ b/src/overload.h
@@ -6,9 +6,12 @@
 /* overload - tells a standing queue from a burst, in the manner of CoDel.
  *
  * A burst empties within one interval, so the smallest wait of the interval stays below the limit.
- * A standing queue does not: the class is overloaded until a whole interval, or an empty queue,
- * shows a smaller wait. */
+ * A standing queue does not: the class is overloaded until a request has waited less than the
+ * OVERLOAD_END_DIVISOR-th part of the limit or the queue is empty. While it is overloaded,
+ * admission keeps the wait near the limit; a queue that drains from there shows that the load has
+ * fallen. */
 
+#define OVERLOAD_END_DIVISOR 4
 #define OVERLOAD_INTERVAL_US 100000
 
 typedef struct
