health, bench: linear tick, tables of objectives and scaling

The scheduler no longer refuses a request with a free slot by its estimate of the service time, which a fast service could never have corrected.

--- a/bench/decisions.cc
+++ b/bench/decisions.cc
@@ -1,171 +1,23 @@
-#include <algorithm>
-#include <atomic>
 #include <cstdio>
 #include <cstdlib>
-#include <cstring>
-#include <thread>
 
-#include "scenarios.h"
+#include "tables.h"
 
-/* Prints the tables of docs/measurements/decisions.md as Markdown.
- * Usage: bench_decisions [RUNS [USER [SCENARIO]]]; seeds are 1 to RUNS. */
-
-namespace
-{
-
-constexpr int DEFAULT_RUNS = 100;
-constexpr unsigned THREADS = 4;
-
-struct Named
-{
-  PolicyKind kind;
-  const char *name;
-};
-
-const Named policies[] = {
-  { PolicyKind::ANVILLB, "anvillb" },
-  { PolicyKind::ROUND_ROBIN, "round robin" },
-  { PolicyKind::FIVE_ERRORS, "five errors" },
-  { PolicyKind::FIXED_LATENCY, "latency above 500 ms" },
-};
-
-template <typename T>
-void
-append (std::vector<T> &to, const std::vector<T> &from)
-{
-  to.insert (to.end (), from.begin (), from.end ());
-}
-
-void
-merge (ModelResult &sum, const ModelResult &run)
-{
-  append (sum.detection_us, run.detection_us);
-  append (sum.ejection_us, run.ejection_us);
-  append (sum.urgent_us, run.urgent_us);
-  append (sum.background_us, run.background_us);
-  sum.not_ejected += run.not_ejected;
-  sum.missed += run.missed;
-  sum.ejections += run.ejections;
-  sum.false_ejections += run.false_ejections;
-  sum.target_days += run.target_days;
-  sum.requests += run.requests;
-  sum.failed += run.failed;
-  sum.crossed += run.crossed;
-  sum.probes += run.probes;
-  sum.opinions += run.opinions;
-  sum.slot_violations += run.slot_violations;
-  sum.floor_violations += run.floor_violations;
-}
-
-ModelResult
-run_seeds (const ModelOptions &options, int runs)
-{
-  std::vector<ModelResult> results ((size_t)runs);
-  std::atomic<int> next{ 0 };
-  std::vector<std::thread> threads;
-
-  for (unsigned i = 0; i < THREADS; i++)
-    threads.emplace_back ([&] {
-      for (int run = next++; run < runs; run = next++)
-        {
-          ModelOptions seeded = options;
-          seeded.seed = (uint64_t)run + 1;
-          results[(size_t)run] = run_model (seeded);
-        }
-    });
-  for (std::thread &thread : threads)
-    thread.join ();
-
-  ModelResult sum;
-  for (const ModelResult &result : results)
-    merge (sum, result);
-  return sum;
-}
-
-void
-print_detection (ModelResult &result)
-{
-  if (result.detection_us.empty ())
-    {
-      printf ("– | – | – | – |");
-      return;
-    }
-  size_t count = result.detection_us.size ();
-  double p50 = (double)model_quantile (result.detection_us, 0.5) / 1e6;
-  double p99 = (double)model_quantile (result.detection_us, 0.99) / 1e6;
-  double ejected = (double)model_quantile (result.ejection_us, 0.5) / 1e6;
-  printf ("%.2f | %.2f | %d of %zu | ", p50, p99, result.missed, count);
-  if (2 * (size_t)result.not_ejected < count)
-    printf ("%.2f (%d not) |", ejected, result.not_ejected);
-  else
-    printf ("– (%d not) |", result.not_ejected);
-}
-
-void
-print_row (const char *scenario, const char *policy, ModelResult &result)
-{
-  printf ("| %s | %s | ", scenario, policy);
-  print_detection (result);
-  printf (" %.1f | %.0f | %.0f | %.3f%% | %.2f%% | %ld |\n",
-          (double)result.false_ejections / result.target_days,
-          (double)model_quantile (result.urgent_us, 0.99) / 1e3,
-          (double)model_quantile (result.background_us, 0.99) / 1e3,
-          100.0 * (double)result.failed / (double)result.requests,
-          100.0 * (double)result.crossed / (double)result.requests, (long)result.probes);
-  fflush (stdout);
-}
-
-void
-print_user (const User &user, int runs, const char *only)
-{
-  int64_t slot_violations = 0;
-  int64_t floor_violations = 0;
-
-  printf ("\n## %s\n\n", user.name.c_str ());
-  printf (
-      "%d targets x %u slots, %.0f requests/s, sensitivity %.1f, floor %u slots, %d runs of %.0f s "
-      "per row, failure at %.0f s, seeds 1 to %d.\n\n",
-      user.options.targets, user.options.slots, user.options.rate,
-      user.options.policy.service.sensitivity, user.options.policy.service.floor_slots, runs,
-      (double)user.options.duration_us / 1e6, (double)user.options.onset_us / 1e6, runs);
-  printf ("| failure | policy | detection p50 (s) | p99 (s) | missed | ejected p50 (s) | false "
-          "ejections per "
-          "target-day | urgent p99 (ms) | background p99 (ms) | failed | crossed | probes |\n");
-  printf ("|---|---|---|---|---|---|---|---|---|---|---|---|\n");
-  for (const Scenario &scenario : bench_scenarios ())
-    {
-      if (only != nullptr && scenario.name.find (only) == std::string::npos)
-        continue;
-      for (const Named &policy : policies)
-        {
-          ModelOptions options = user.options;
-          options.faults = scenario.faults;
-          options.policy.kind = policy.kind;
-          ModelResult result = run_seeds (options, runs);
-          print_row (scenario.name.c_str (), policy.name, result);
-          if (policy.kind != PolicyKind::ANVILLB)
-            continue;
-          slot_violations += result.slot_violations;
-          floor_violations += result.floor_violations;
-        }
-    }
-  printf ("\nanvillb: %ld floor violations, %ld dispatches beyond the slots in all rows.\n",
-          (long)floor_violations, (long)slot_violations);
-}
-
-} // namespace
+/* Prints docs/measurements/decisions.md without its text.
+ * Usage: bench_decisions [RUNS [USER [SCENARIO]]]; seeds are 1 to RUNS. With a user or a scenario
+ * only the matching rows of the failure tables are printed. */
 
 int
 main (int argc, char **argv)
 {
-  int runs = argc > 1 ? atoi (argv[1]) : DEFAULT_RUNS;
+  int runs = argc > 1 ? atoi (argv[1]) : 100;
   const char *only_user = argc > 2 ? argv[2] : "";
   const char *only_scenario = argc > 3 ? argv[3] : nullptr;
 
-  for (const User &user : bench_users ())
-    {
-      if (strstr (user.name.c_str (), only_user) != nullptr)
-        print_user (user, runs, only_scenario);
-    }
+  print_failure_tables (runs, only_user, only_scenario);
+  if (argc > 2)
+    return 0;
+  print_objective_tables (runs);
+  print_scaling_tables ();
   return 0;
 }
--- /dev/null
+++ b/bench/scaling_table.cc
@@ -0,0 +1,144 @@
+#include <ctime>
+#include <cstdio>
+#include <functional>
+#include <malloc.h>
+#include <vector>
+
+#include "tables.h"
+
+extern "C"
+{
+#include "rng.h"
+}
+
+/* Memory and CPU of the decision modules at several sizes. Bytes are exact heap figures; times are
+ * thread CPU time and vary with the machine and its load. */
+
+namespace
+{
+
+constexpr int64_t FAR_DEADLINE_US = 3600 * MODEL_SECOND;
+
+size_t
+heap_bytes ()
+{
+  return mallinfo2 ().uordblks;
+}
+
+double
+nanoseconds (int count, const std::function<void (int)> &operation)
+{
+  timespec start;
+  timespec end;
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &start);
+  for (int i = 0; i < count; i++)
+    operation (i);
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &end);
+  double elapsed
+      = (double)(end.tv_sec - start.tv_sec) * 1e9 + (double)(end.tv_nsec - start.tv_nsec);
+  return elapsed / count;
+}
+
+scheduler_request_t
+make_request (uint64_t id, int64_t deadline_us)
+{
+  scheduler_request_t request = {};
+  request.id = id;
+  request.class_index = SCHEDULER_BACKGROUND;
+  request.deadline_us = deadline_us;
+  return request;
+}
+
+void
+print_queue_row (uint64_t length)
+{
+  scheduler_options_t options = {};
+  options.max_queued[SCHEDULER_BACKGROUND] = (uint32_t)length + 1000;
+  scheduler_t s;
+  scheduler_init (&s, &options);
+  target_setting_t target = { 1, 1, TARGET_NORMAL, 1, 0 };
+  scheduler_set_target (&s, &target);
+
+  size_t before = heap_bytes ();
+  rng_t rng;
+  rng_init (&rng, 1);
+  for (uint64_t id = 1; id <= length; id++)
+    {
+      scheduler_request_t request
+          = make_request (id, FAR_DEADLINE_US + (int64_t)rng_below (&rng, 1000000000));
+      scheduler_submit (&s, 0, &request);
+    }
+  double bytes = (double)(heap_bytes () - before) / (double)length;
+
+  const int count = 100000;
+  double submit_cancel = nanoseconds (count, [&] (int i) {
+    scheduler_request_t request
+        = make_request (length + 1, FAR_DEADLINE_US + (int64_t)rng_below (&rng, 1000000000));
+    scheduler_submit (&s, i, &request);
+    scheduler_cancel (&s, length + 1);
+  });
+  int rounds = (int)(length < 20000 ? length / 2 : 10000);
+  double next_done = nanoseconds (rounds, [&] (int i) {
+    scheduler_dispatch_t dispatch;
+    scheduler_outcome_t outcome = { SCHEDULER_DONE_OK, 50000 };
+    if (scheduler_next (&s, i, &dispatch))
+      scheduler_done (&s, i, dispatch.request_id, &outcome);
+  });
+  scheduler_destroy (&s);
+  printf ("| %lu | %.0f | %.0f | %.0f |\n", (unsigned long)length, bytes, submit_cancel, next_done);
+}
+
+void
+print_target_row (uint64_t targets)
+{
+  assigned_service_options_t options = {};
+  options.sensitivity = 0.8;
+  options.floor_slots = (uint32_t)targets;
+  options.slow_start_us = 1;
+  size_t before = heap_bytes ();
+  assigned_service_t service;
+  assigned_service_init (&service, &options);
+  size_t empty = heap_bytes ();
+  for (uint64_t id = 1; id <= targets; id++)
+    assigned_service_set_target (&service, 0, id, 2, 0);
+  double bytes = (double)(heap_bytes () - empty) / (double)targets;
+
+  int64_t now = MODEL_SECOND;
+  uint64_t last_id = 0;
+  const int requests = 20000 + 20 * (int)targets;
+  /* 100 requests/s per target, each answered after 10 ms. */
+  double request = nanoseconds (requests, [&] (int) {
+    now += 10000 / (int64_t)targets + 1;
+    scheduler_request_t submitted = make_request (++last_id, now + 10 * MODEL_SECOND);
+    scheduler_dispatch_t dispatch;
+    assigned_service_submit (&service, now, &submitted);
+    while (assigned_service_next (&service, now, &dispatch))
+      continue;
+    if (last_id > targets)
+      assigned_service_done (&service, now, last_id - targets, HEALTH_OK);
+  });
+  double tick = nanoseconds (200, [&] (int) {
+    now += 1000;
+    assigned_service_tick (&service, now);
+  });
+  printf ("| %lu | %.0f | %zu | %.0f | %.0f |\n", (unsigned long)targets, bytes, empty - before,
+          request, tick);
+  assigned_service_destroy (&service);
+}
+
+} // namespace
+
+void
+print_scaling_tables ()
+{
+  printf ("\n# Scaling\n\n## Queue of one service\n\n");
+  printf ("| queued requests | bytes per request | submit and cancel (ns) | next and done (ns) |\n"
+          "|---|---|---|---|\n");
+  for (uint64_t length : { 100, 1000, 10000, 100000 })
+    print_queue_row (length);
+  printf ("\n## Targets of one service on one entry\n\n");
+  printf ("| targets | bytes per target | bytes per service | submit, dispatch and outcome (ns) | "
+          "tick (ns) |\n|---|---|---|---|---|\n");
+  for (uint64_t targets : { 4, 16, 64, 256, 1024 })
+    print_target_row (targets);
+}
--- a/src/health.c
+++ b/src/health.c
@@ -1,6 +1,7 @@
 #include "health.h"
 
 #include <math.h>
+#include <string.h>
 
 #include "health_target.h"
 
@@ -94,6 +95,7 @@
   target->credit_us = now_us;
   target->last_sample_us = now_us;
   target->cold = true;
+  target->reference_index = -1;
   g_hash_table_insert (h->targets, &target->id, target);
 
   guint position = 0;
@@ -120,6 +122,8 @@
   forget_attempts (&target->attempts);
   forget_attempts (&target->probes);
   g_ptr_array_remove (h->ordered, target);
+  g_array_set_size (h->reference, 0);
+  memset (&h->failures, 0, sizeof (h->failures));
   g_hash_table_remove (h->targets, &target_id);
   h->reference_us = -1;
 }
--- a/src/health.h
+++ b/src/health.h
@@ -91,11 +91,18 @@
 typedef struct
 {
   health_options_t options;
-  GHashTable *targets;   /* id -> health_target_t */
-  GPtrArray *ordered;    /* the same targets in the order of their ids */
-  GArray *peers;         /* health_peer_t */
-  GArray *reference;     /* sorted latencies of own targets and peers */
-  int64_t reference_us;  /* time of the reference; -1: none */
+  GHashTable *targets;  /* id -> health_target_t */
+  GPtrArray *ordered;   /* the same targets in the order of their ids */
+  GArray *peers;        /* health_peer_t */
+  GArray *reference;    /* sorted latencies of own targets and peers */
+  int64_t reference_us; /* time of the reference; -1: none */
+  struct
+  {
+    double requests; /* of all own targets in service, and of peers */
+    double failures;
+    const health_target_t *worst; /* own targets with the highest failure rates */
+    const health_target_t *second;
+  } failures;            /* as old as the reference */
   latency_model_t model; /* scatter of responses around the median */
   double probe_log;      /* running median of the logarithm of healthy probe latencies */
   double usual_log;      /* slow mean of the service median, to tell a slow service */
--- a/src/health_evidence.c
+++ b/src/health_evidence.c
@@ -1,4 +1,5 @@
 #include <math.h>
+#include <string.h>
 
 #include "health_target.h"
 
@@ -78,11 +79,13 @@
 {
   for (guint i = 0; i < h->ordered->len; i++)
     {
-      const health_target_t *target = g_ptr_array_index (h->ordered, i);
+      health_target_t *target = g_ptr_array_index (h->ordered, i);
+      target->reference_index = -1;
       if (target->samples < MIN_SAMPLES || target->readmission.ejected
           || !health_is_warm (h, now_us, target))
         continue;
-      health_reference_t own = { current_log (now_us, target), 1, target };
+      health_reference_t own
+          = { .value = current_log (now_us, target), .weight = 1, .target = target };
       g_array_append_val (h->reference, own);
     }
 }
@@ -96,11 +99,67 @@
       if (peer->targets == 0 || peer->median_latency_us <= 0
           || now_us - peer->taken_us > PEER_MAX_AGE_US)
         continue;
-      health_reference_t other = { log (peer->median_latency_us), peer->targets, NULL };
+      health_reference_t other
+          = { .value = log (peer->median_latency_us), .weight = peer->targets };
       g_array_append_val (h->reference, other);
     }
 }
 
+static void
+sum_weights (health_t *h)
+{
+  uint32_t all = 0;
+  uint32_t own = 0;
+
+  for (guint i = 0; i < h->reference->len; i++)
+    {
+      health_reference_t *entry = &g_array_index (h->reference, health_reference_t, i);
+      all += entry->weight;
+      own += entry->target != NULL ? entry->weight : 0;
+      entry->weight_to_here = all;
+      entry->own_to_here = own;
+      if (entry->target != NULL)
+        entry->target->reference_index = (int32_t)i;
+    }
+}
+
+static double
+failure_rate (const health_target_t *target)
+{
+  if (target == NULL || target->requests <= 0)
+    return 0;
+  return target->failures / target->requests;
+}
+
+static void
+sum_failures (health_t *h, int64_t now_us)
+{
+  memset (&h->failures, 0, sizeof (h->failures));
+  for (guint i = 0; i < h->ordered->len; i++)
+    {
+      const health_target_t *target = g_ptr_array_index (h->ordered, i);
+      if (target->readmission.ejected)
+        continue;
+      h->failures.requests += target->requests;
+      h->failures.failures += target->failures;
+      if (failure_rate (target) > failure_rate (h->failures.worst))
+        {
+          h->failures.second = h->failures.worst;
+          h->failures.worst = target;
+        }
+      else if (failure_rate (target) > failure_rate (h->failures.second))
+        h->failures.second = target;
+    }
+  for (guint i = 0; i < h->peers->len; i++)
+    {
+      const health_peer_t *peer = &g_array_index (h->peers, health_peer_t, i);
+      if (now_us - peer->taken_us > PEER_MAX_AGE_US)
+        continue;
+      h->failures.requests += peer->targets * PEER_REQUESTS;
+      h->failures.failures += peer->targets * PEER_REQUESTS * peer->failure_rate;
+    }
+}
+
 /* While the own link is suspect, latencies of other entries are no measure for this one. */
 static void
 refresh_reference (health_t *h, int64_t now_us)
@@ -112,6 +171,8 @@
   if (now_us >= h->link_suspect_until_us)
     add_peers (h, now_us);
   g_array_sort (h->reference, compare_reference);
+  sum_weights (h);
+  sum_failures (h, now_us);
   h->reference_us = now_us;
 }
 
@@ -122,30 +183,38 @@
   bool own_only;
 } selection_t;
 
+/* Returns the selected weight of the reference up to INDEX. */
 static uint32_t
-selected_weight (const health_reference_t *entry, const selection_t *selection)
+selected_to (const health_t *h, guint index, const selection_t *selection)
 {
-  if (selection->without != NULL && entry->target == selection->without)
-    return 0;
-  return selection->own_only && entry->target == NULL ? 0 : entry->weight;
+  const health_reference_t *entry = &g_array_index (h->reference, health_reference_t, index);
+  uint32_t weight = selection->own_only ? entry->own_to_here : entry->weight_to_here;
+  int32_t without = selection->without != NULL ? selection->without->reference_index : -1;
+
+  return without >= 0 && (guint)without <= index ? weight - 1 : weight;
 }
 
+/* Finds the median by binary search in the sums. */
 static bool
 median_log (health_t *h, int64_t now_us, const selection_t *selection, double *out)
 {
-  uint32_t total = 0;
-  uint32_t seen = 0;
-
   refresh_reference (h, now_us);
-  for (guint i = 0; i < h->reference->len; i++)
-    total += selected_weight (&g_array_index (h->reference, health_reference_t, i), selection);
-  for (guint i = 0; i < h->reference->len && 2 * seen < total; i++)
+  guint high = h->reference->len;
+  uint32_t total = high > 0 ? selected_to (h, high - 1, selection) : 0;
+  guint low = 0;
+
+  if (total == 0)
+    return false;
+  while (low < high)
     {
-      const health_reference_t *entry = &g_array_index (h->reference, health_reference_t, i);
-      seen += selected_weight (entry, selection);
-      *out = entry->value;
+      guint middle = low + (high - low) / 2;
+      if (2 * selected_to (h, middle, selection) >= total)
+        high = middle;
+      else
+        low = middle + 1;
     }
-  return total > 0;
+  *out = g_array_index (h->reference, health_reference_t, low).value;
+  return true;
 }
 
 bool
@@ -216,41 +285,26 @@
 }
 
 double
-health_reference_failures (const health_t *h, int64_t now_us, const health_target_t *target)
+health_reference_failures (health_t *h, int64_t now_us, const health_target_t *target)
 {
-  double requests = 0;
-  double failures = 0;
-  double worst_rate = 0;
-  const health_target_t *worst = NULL;
+  refresh_reference (h, now_us);
+  const health_target_t *worst = h->failures.worst;
+  double requests = h->failures.requests;
+  double failures = h->failures.failures;
 
-  for (guint i = 0; i < h->ordered->len; i++)
+  if (target != NULL && !target->readmission.ejected)
     {
-      const health_target_t *other = g_ptr_array_index (h->ordered, i);
-      if (other == target || other->readmission.ejected)
-        continue;
-      requests += other->requests;
-      failures += other->failures;
-      double rate = other->requests > 0 ? other->failures / other->requests : 0;
-      if (rate > worst_rate)
-        {
-          worst_rate = rate;
-          worst = other;
-        }
+      requests -= target->requests;
+      failures -= target->failures;
+      if (worst == target)
+        worst = h->failures.second;
     }
   if (worst != NULL)
     {
       requests -= worst->requests;
       failures -= worst->failures;
     }
-  for (guint i = 0; i < h->peers->len; i++)
-    {
-      const health_peer_t *peer = &g_array_index (h->peers, health_peer_t, i);
-      if (now_us - peer->taken_us > PEER_MAX_AGE_US)
-        continue;
-      requests += peer->targets * PEER_REQUESTS;
-      failures += peer->targets * PEER_REQUESTS * peer->failure_rate;
-    }
-  return requests > 0 ? failures / requests : 0;
+  return requests > 0 ? fmax (0, failures) / requests : 0;
 }
 
 /* Lets both credits grow with the time since the last evidence. */
@@ -317,35 +371,41 @@
   target->failure_credit -= largest;
 }
 
-double
-health_pending_score (health_t *h, int64_t now_us, const health_target_t *target, unsigned test)
+/* Adds the evidence of the requests in flight to the scores by test. */
+static void
+add_pending_requests (health_t *h, int64_t now_us, const health_target_t *target, double *scores)
 {
-  double score = 0;
   double reference_log;
 
-  if (!health_is_warm (h, now_us, target))
-    return 0;
-  if (health_reference_log (h, now_us, target, &reference_log))
-    {
-      LIST_FOREACH (&target->attempts, node)
-      {
-        const health_attempt_t *attempt = LIST_ENTRY (node, health_attempt_t, node);
-        double age_us = (double)(now_us - attempt->started_us);
-        /* A request that started later was answered in time: this one is on a silent connection or
-         * is long by itself. */
-        if (attempt->started_us < target->last_good_start_us || age_us <= 1)
-          continue;
-        score += latency_model_pending (&h->model, test, log (age_us) - reference_log);
-      }
-    }
+  if (list_is_empty (&target->attempts)
+      || !health_reference_log (h, now_us, target, &reference_log))
+    return;
+  LIST_FOREACH (&target->attempts, node)
+  {
+    const health_attempt_t *attempt = LIST_ENTRY (node, health_attempt_t, node);
+    double age_us = (double)(now_us - attempt->started_us);
+    /* A request that started later was answered in time: this one is on a silent connection or is
+     * long by itself. */
+    if (attempt->started_us < target->last_good_start_us || age_us <= 1)
+      continue;
+    double residual = log (age_us) - reference_log;
+    for (unsigned i = 0; i < LATENCY_MODEL_TESTS; i++)
+      scores[i] += latency_model_pending (&h->model, i, residual);
+  }
+}
+
+static void
+add_pending_probes (health_t *h, int64_t now_us, const health_target_t *target, double *scores)
+{
   LIST_FOREACH (&target->probes, node)
   {
     const health_attempt_t *probe = LIST_ENTRY (node, health_attempt_t, node);
     double age_us = (double)(now_us - probe->started_us);
-    if (age_us > LATE_PROBE_FACTOR * exp (health_probe_log (h, now_us, target)))
-      score += LATENCY_MODEL_MAX_LLR / 2;
+    if (age_us <= LATE_PROBE_FACTOR * exp (health_probe_log (h, now_us, target)))
+      continue;
+    for (unsigned i = 0; i < LATENCY_MODEL_TESTS; i++)
+      scores[i] += LATENCY_MODEL_MAX_LLR / 2;
   }
-  return fmin (score, target->latency_credit);
 }
 
 double
@@ -367,10 +427,16 @@
 double
 health_total_score (health_t *h, int64_t now_us, const health_target_t *target)
 {
+  double pending[LATENCY_MODEL_TESTS] = { 0 };
   double score = 0;
 
+  if (health_is_warm (h, now_us, target))
+    {
+      add_pending_requests (h, now_us, target, pending);
+      add_pending_probes (h, now_us, target, pending);
+    }
   for (unsigned i = 0; i < LATENCY_MODEL_TESTS; i++)
-    score = fmax (score, target->latency_score[i] + health_pending_score (h, now_us, target, i));
+    score = fmax (score, target->latency_score[i] + fmin (pending[i], target->latency_credit));
   for (size_t i = 0; i < HEALTH_FAILURE_TESTS; i++)
     score = fmax (score, target->failure_score[i]);
   return score;
--- a/src/health_target.h
+++ b/src/health_target.h
@@ -20,11 +20,12 @@
   bool cold;             /* latency is no evidence until slow start ends */
   bool suspect;          /* with hysteresis */
   int64_t suspect_since_us;
-  bool unhealthy;       /* with hysteresis */
-  uint32_t samples;     /* finished responses in latency_log, up to a few */
-  double latency_log;   /* moving mean of the logarithm of the latency */
-  double failure_share; /* fast moving mean of failures, 0..1 */
-  double slowness_log;  /* fast moving mean of the logarithm of the slowdown */
+  bool unhealthy;          /* with hysteresis */
+  int32_t reference_index; /* in the sorted reference; -1: not part of it */
+  uint32_t samples;        /* finished responses in latency_log, up to a few */
+  double latency_log;      /* moving mean of the logarithm of the latency */
+  double failure_share;    /* fast moving mean of failures, 0..1 */
+  double slowness_log;     /* fast moving mean of the logarithm of the slowdown */
   double latency_score[LATENCY_MODEL_TESTS];
   double failure_score[HEALTH_FAILURE_TESTS];
   double latency_credit; /* evidence that may still be added now */
@@ -48,7 +49,9 @@
 {
   double value; /* logarithm of a latency */
   uint32_t weight;
-  const health_target_t *target; /* NULL: a peer */
+  uint32_t weight_to_here; /* sum of the weights up to this one */
+  uint32_t own_to_here;    /* the same of own targets */
+  health_target_t *target; /* NULL: a peer */
 } health_reference_t;
 
 /* Evidence of one finished response or probe; RATIOS by test. */
@@ -57,12 +60,7 @@
 void health_note_slowness (health_target_t *target, double residual);
 void health_score_outcome (health_t *h, int64_t now_us, health_target_t *target, bool failed);
 
-/* Evidence of the requests in flight for one test, bounded: requests that are stuck at the same
- * moment may have one cause. */
-double health_pending_score (health_t *h, int64_t now_us, const health_target_t *target,
-                             unsigned test);
-
-/* Score with requests in flight, relative to nothing; compare with the threshold. */
+/* Returns the score with the requests in flight; compare it with the threshold. */
 double health_total_score (health_t *h, int64_t now_us, const health_target_t *target);
 
 /* Returns how bad the target is, 0..1, see health_verdict_t. */
@@ -85,7 +83,7 @@
 double health_probe_log (health_t *h, int64_t now_us, const health_target_t *target);
 
 /* Returns the failure rate of the other targets without the worst one. */
-double health_reference_failures (const health_t *h, int64_t now_us, const health_target_t *target);
+double health_reference_failures (health_t *h, int64_t now_us, const health_target_t *target);
 
 /* Returns whether the target's latency counts. */
 bool health_is_warm (const health_t *h, int64_t now_us, const health_target_t *target);
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -166,7 +166,10 @@
     return SCHEDULER_REASON_NO_TARGET;
   if (s->queues[class_index].length >= s->options.max_queued[class_index])
     return SCHEDULER_REASON_QUEUE_FULL;
-  if (now_us + wait_us + (int64_t)(s->service_us * TIME_LEFT_SHARE) > request->deadline_us)
+  /* With a free slot the estimate of the service time refuses nobody: otherwise a service that is
+   * faster than the first estimate could never prove it. */
+  int64_t needed_us = wait_us > 0 ? wait_us + (int64_t)(s->service_us * TIME_LEFT_SHARE) : 0;
+  if (now_us + needed_us >= request->deadline_us)
     return SCHEDULER_REASON_DEADLINE;
   if (overload_is_limited (&s->overloads[class_index], now_us)
       && wait_us > wait_limit (s, class_index))
@@ -237,6 +240,9 @@
 {
   bool overloaded = s->overloads[request->class_index].overloaded;
   double share = overloaded ? TIME_LEFT_SHARE_OVERLOADED : TIME_LEFT_SHARE;
+
+  if (request->enqueued_us == now_us)
+    return now_us >= request->deadline_us;
   return now_us + (int64_t)(s->service_us * share) > request->deadline_us;
 }
 
--- a/tests/decision/test_scheduler.cc
+++ b/tests/decision/test_scheduler.cc
@@ -225,6 +225,17 @@
   EXPECT_EQ (submit (0, 1, SCHEDULER_BACKGROUND, 100 * SECOND).reason, SCHEDULER_REASON_DUPLICATE);
 }
 
+// Guards against a service that is faster than the first estimate and is refused for ever.
+TEST_F (SchedulerTest, ShortDeadlineIsTriedWithAFreeSlot)
+{
+  set_target (1, 1);
+  ASSERT_EQ (submit (0, 1, SCHEDULER_URGENT, 20 * MS).decision, SCHEDULER_QUEUED);
+  ASSERT_TRUE (scheduler_next (&s_, 0, &out_));
+  EXPECT_FALSE (out_.refused);
+  EXPECT_EQ (submit (0, 2, SCHEDULER_URGENT, 20 * MS).reason, SCHEDULER_REASON_DEADLINE);
+  EXPECT_EQ (submit (0, 3, SCHEDULER_URGENT, 0).reason, SCHEDULER_REASON_DEADLINE);
+}
+
 // Guards against an unbounded queue.
 TEST_F (SchedulerTest, QueueLimit)
 {
