scheduler, readmission: background requests stay near, floor returns do not count

Background requests crossed failure domains as soon as a slot was free elsewhere; they now wait up to 4 service times. A target that the floor brings back no longer gets a longer hold for it.

--- a/src/readmission.c
+++ b/src/readmission.c
@@ -38,6 +38,8 @@
 void
 readmission_return (readmission_t *r, int64_t now_us)
 {
+  if (!readmission_is_ready (r, now_us))
+    r->ejections--;
   r->ejected = false;
   r->readmitted_us = now_us;
 }
--- a/src/readmission.h
+++ b/src/readmission.h
@@ -26,7 +26,8 @@
 
 void readmission_eject (readmission_t *r, int64_t now_us);
 
-/* Ends the ejection, be it by good probes or by the floor. */
+/* Ends the ejection. One that the floor ends before the target is ready does not count for the next
+ * hold. */
 void readmission_return (readmission_t *r, int64_t now_us);
 
 void readmission_probe (readmission_t *r, int64_t now_us, bool good);
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -26,6 +26,10 @@
 #define TIME_LEFT_SHARE 1.0
 #define TIME_LEFT_SHARE_OVERLOADED 2.0
 
+/* Background requests cross failure domains only above this wait, in mean service times: links
+ * between failure domains are costly. */
+#define BACKGROUND_SPILL_SHARE 4.0
+
 #define WAIT_UNBOUNDED_US (INT64_MAX / 4)
 
 enum
@@ -117,6 +121,14 @@
   return (int64_t)(s->service_us * share);
 }
 
+static int64_t
+spill_threshold (const scheduler_t *s, unsigned class_index)
+{
+  if (class_index == SCHEDULER_URGENT || capacity_slots (s) == 0)
+    return 0;
+  return (int64_t)(s->service_us * BACKGROUND_SPILL_SHARE);
+}
+
 /* Returns the time until a request with RANK requests of its class before it is dispatched. */
 static int64_t
 estimate_wait (scheduler_t *s, int64_t now_us, unsigned class_index, size_t rank)
@@ -207,7 +219,7 @@
   size_t rank = request_queue_rank (queue, now_us, request->deadline_us);
   int64_t wait_us = estimate_wait (s, now_us, class_index, rank);
   scheduler_result_t result = { .decision = SCHEDULER_FORWARD };
-  if (!request->forwarded && wait_us > 0
+  if (!request->forwarded && wait_us > spill_threshold (s, class_index)
       && spillover_decide (&s->spillover, now_us, class_index, wait_us, s->service_us,
                            &result.entry_id))
     return result;
