--- a/src/health.c
+++ b/src/health.c
@@ -1,6 +1,7 @@
 #include "health.h"
 
 #include <math.h>
+#include <string.h>
 
 #include "health_target.h"
 
@@ -29,6 +30,8 @@
 /* Residual up to which a response counts as timely. */
 #define GOOD_RESIDUAL M_LN2
 
+#define NORMAL_WINDOW_US 1000000
+
 /* A probe is good for readmission up to this multiple of the usual latency. */
 #define GOOD_PROBE_FACTOR 2.0
 
@@ -92,6 +95,7 @@
   target->credit_us = now_us;
   target->last_sample_us = now_us;
   target->cold = true;
+  target->reference_index = -1;
   g_hash_table_insert (h->targets, &target->id, target);
 
   guint position = 0;
@@ -118,6 +122,8 @@
   forget_attempts (&target->attempts);
   forget_attempts (&target->probes);
   g_ptr_array_remove (h->ordered, target);
+  g_array_set_size (h->reference, 0);
+  memset (&h->failures, 0, sizeof (h->failures));
   g_hash_table_remove (h->targets, &target_id);
   h->reference_us = -1;
 }
@@ -178,6 +184,13 @@
     }
 }
 
+static void
+note_normal (health_target_t *target, int64_t started_us, bool normal)
+{
+  if (normal && started_us > target->last_normal_start_us)
+    target->last_normal_start_us = started_us;
+}
+
 static void
 score_response (health_t *h, int64_t now_us, health_target_t *target, double residual)
 {
@@ -202,6 +215,8 @@
       if (residual < GOOD_RESIDUAL && started_us > target->last_good_start_us)
         target->last_good_start_us = started_us;
       score_response (h, now_us, target, residual);
+      health_note_slowness (target, residual);
+      note_normal (target, started_us, latency_log < h->usual_log + GOOD_RESIDUAL);
       if (!target->unhealthy && !target->readmission.ejected)
         latency_model_add (&h->model, residual);
       h->usual_log = h->usual_log == 0 ? reference_log
@@ -228,15 +243,25 @@
   health_score_latency (h, now_us, target, ratios);
 }
 
+static bool
+is_evidence_of_outcome (health_result_t result)
+{
+  return result == HEALTH_OK || result == HEALTH_WRONG || result == HEALTH_ERROR
+         || result == HEALTH_CONNECT_FAILED || result == HEALTH_STALLED;
+}
+
 static void
 finish_probe (health_t *h, int64_t now_us, health_target_t *target, int64_t started_us,
               health_result_t result)
 {
+  if (!is_evidence_of_outcome (result))
+    return;
   bool failed = result != HEALTH_OK;
   double latency_log = log (fmax (1, (double)(now_us - started_us)));
   double residual = latency_log - health_probe_log (h, now_us, target);
   bool good = !failed && residual < log (GOOD_PROBE_FACTOR);
 
+  note_normal (target, started_us, !failed && latency_log < h->probe_log + log (GOOD_PROBE_FACTOR));
   if (target->readmission.ejected)
     {
       readmission_probe (&target->readmission, now_us, good);
@@ -245,6 +270,7 @@
   health_score_outcome (h, now_us, target, failed);
   if (failed || !health_is_warm (h, now_us, target))
     return;
+  health_note_slowness (target, residual);
   double ratio = PROBE_SLOPE * residual - PROBE_OFFSET;
   ratio = fmax (LATENCY_MODEL_MIN_LLR, fmin (LATENCY_MODEL_MAX_LLR, ratio));
   double ratios[LATENCY_MODEL_TESTS] = { ratio, ratio, ratio, ratio };
@@ -253,13 +279,6 @@
     h->probe_log += latency_log > h->probe_log ? PROBE_STEP : -PROBE_STEP;
 }
 
-static bool
-is_evidence_of_outcome (health_result_t result)
-{
-  return result == HEALTH_OK || result == HEALTH_WRONG || result == HEALTH_ERROR
-         || result == HEALTH_CONNECT_FAILED || result == HEALTH_STALLED;
-}
-
 static void
 finish_request (health_t *h, int64_t now_us, health_target_t *target, int64_t started_us,
                 health_result_t result)
@@ -356,6 +375,12 @@
   out->failure_rate = health_reference_failures (h, now_us, NULL);
 }
 
+bool
+health_is_normal (const health_t *h, int64_t now_us)
+{
+  return health_others_are_normal (h, NULL, now_us - NORMAL_WINDOW_US);
+}
+
 int64_t
 health_probe_reference_us (health_t *h, int64_t now_us)
 {
--- a/src/health.h
+++ b/src/health.h
@@ -66,6 +66,7 @@
   bool answered; /* with a correct response */
   int64_t latency_us;
   int64_t reference_us; /* latency of that entry's probes to its own healthy targets; 0: unknown */
+  bool normal;          /* that entry's own targets answer as usual; otherwise nothing is proven */
 } health_opinion_t;
 
 typedef enum
@@ -81,27 +82,35 @@
   uint64_t target_id;
   health_state_t state;
   bool wants_ejection; /* or its continuation */
-  double badness;      /* score relative to the threshold; 1 or more asks for ejection */
-  double weight;       /* 0..1, slow start and gradual readmission */
-  bool probe_due;      /* action: start a probe with health_begin() */
-  bool opinion_due;    /* action: ask another assigned entry for a probe; asked once a second */
+  double badness;   /* 0..1: share of requests that fail, or share of the time lost by slowness */
+  double weight;    /* 0..1, slow start and gradual readmission */
+  bool probe_due;   /* action: start a probe with health_begin() */
+  bool opinion_due; /* action: ask another assigned entry for a probe; asked once a second */
 } health_verdict_t;
 
 typedef struct
 {
   health_options_t options;
-  GHashTable *targets;   /* id -> health_target_t */
-  GPtrArray *ordered;    /* the same targets in the order of their ids */
-  GArray *peers;         /* health_peer_t */
-  GArray *reference;     /* sorted latencies of own targets and peers */
-  int64_t reference_us;  /* time of the reference; -1: none */
+  GHashTable *targets;  /* id -> health_target_t */
+  GPtrArray *ordered;   /* the same targets in the order of their ids */
+  GArray *peers;        /* health_peer_t */
+  GArray *reference;    /* sorted latencies of own targets and peers */
+  int64_t reference_us; /* time of the reference; -1: none */
+  struct
+  {
+    double requests; /* of all own targets in service, and of peers */
+    double failures;
+    const health_target_t *worst; /* own targets with the highest failure rates */
+    const health_target_t *second;
+  } failures;            /* as old as the reference */
   latency_model_t model; /* scatter of responses around the median */
   double probe_log;      /* running median of the logarithm of healthy probe latencies */
   double usual_log;      /* slow mean of the service median, to tell a slow service */
   double threshold;
   double suspect_threshold;
   int64_t link_suspect_until_us;
-  int64_t last_request_us; /* start of the last request to any target */
+  int64_t control_since_us; /* others are probed to compare with a suspect target; 0: not */
+  int64_t last_request_us;  /* start of the last request to any target */
   bool changed;
 } health_t;
 
@@ -143,6 +152,10 @@
 /* Fills all but entry_id, for the summary to the other assigned entries. */
 void health_summary (health_t *h, int64_t now_us, health_peer_t *out);
 
+/* Returns whether half of the own targets have answered as usual within the last second, for a
+ * PROBE_RESULT. */
+bool health_is_normal (const health_t *h, int64_t now_us);
+
 /* Returns the latency that a probe of a healthy target has now, for a PROBE_RESULT. It is larger
  * than usual while the whole service is slow. */
 int64_t health_probe_reference_us (health_t *h, int64_t now_us);
--- a/src/health_target.h
+++ b/src/health_target.h
@@ -19,9 +19,13 @@
   int64_t slow_start_us; /* start of the weight ramp */
   bool cold;             /* latency is no evidence until slow start ends */
   bool suspect;          /* with hysteresis */
-  bool unhealthy;        /* with hysteresis */
-  uint32_t samples;      /* finished responses in latency_log, up to a few */
-  double latency_log;    /* moving mean of the logarithm of the latency */
+  int64_t suspect_since_us;
+  bool unhealthy;          /* with hysteresis */
+  int32_t reference_index; /* in the sorted reference; -1: not part of it */
+  uint32_t samples;        /* finished responses in latency_log, up to a few */
+  double latency_log;      /* moving mean of the logarithm of the latency */
+  double failure_share;    /* fast moving mean of failures, 0..1 */
+  double slowness_log;     /* fast moving mean of the logarithm of the slowdown */
   double latency_score[LATENCY_MODEL_TESTS];
   double failure_score[HEALTH_FAILURE_TESTS];
   double latency_credit; /* evidence that may still be added now */
@@ -29,12 +33,14 @@
   int64_t credit_us;
   double requests; /* decayed counts */
   double failures;
-  int64_t last_good_start_us; /* latest start of a response with normal latency */
+  int64_t last_good_start_us;   /* latest start of a response with normal latency */
+  int64_t last_normal_start_us; /* the same for one with a latency that is usual for the service */
   int64_t last_sample_us;
   int64_t last_probe_us;
   int64_t opinion_asked_us; /* 0: not asked */
   int64_t opinion_first_us; /* 0: no question open */
   int64_t confirmed_until_us;
+  uint32_t confirmations; /* in a row */
   readmission_t readmission;
 };
 
@@ -43,28 +49,33 @@
 {
   double value; /* logarithm of a latency */
   uint32_t weight;
-  const health_target_t *target; /* NULL: a peer */
+  uint32_t weight_to_here; /* sum of the weights up to this one */
+  uint32_t own_to_here;    /* the same of own targets */
+  health_target_t *target; /* NULL: a peer */
 } health_reference_t;
 
 /* Evidence of one finished response or probe; RATIOS by test. */
 void health_score_latency (health_t *h, int64_t now_us, health_target_t *target,
                            const double *ratios);
+void health_note_slowness (health_target_t *target, double residual);
 void health_score_outcome (health_t *h, int64_t now_us, health_target_t *target, bool failed);
 
-/* Evidence of the requests in flight for one test, bounded: requests that are stuck at the same
- * moment may have one cause. */
-double health_pending_score (health_t *h, int64_t now_us, const health_target_t *target,
-                             unsigned test);
-
-/* Score with requests in flight, relative to nothing; compare with the threshold. */
+/* Returns the score with the requests in flight; compare it with the threshold. */
 double health_total_score (health_t *h, int64_t now_us, const health_target_t *target);
 
+/* Returns how bad the target is, 0..1, see health_verdict_t. */
+double health_badness (health_t *h, int64_t now_us, const health_target_t *target);
+
 /* Stores the logarithm of the median latency of the others. Returns false if there are too few. */
 bool health_reference_log (health_t *h, int64_t now_us, const health_target_t *target, double *out);
 
 /* Stores the logarithm of the median latency of the own targets. Returns false without any. */
 bool health_own_median_log (health_t *h, int64_t now_us, double *out);
 
+/* Returns whether half of the own targets other than TARGET (NULL: of all) have answered as usual a
+ * request or probe that started at SINCE_US or later. */
+bool health_others_are_normal (const health_t *h, const health_target_t *target, int64_t since_us);
+
 /* Returns whether the own median is above FACTOR times that of most targets of other entries. */
 bool health_is_slower_than_peers (health_t *h, int64_t now_us, double factor);
 
@@ -72,7 +83,7 @@
 double health_probe_log (health_t *h, int64_t now_us, const health_target_t *target);
 
 /* Returns the failure rate of the other targets without the worst one. */
-double health_reference_failures (const health_t *h, int64_t now_us, const health_target_t *target);
+double health_reference_failures (health_t *h, int64_t now_us, const health_target_t *target);
 
 /* Returns whether the target's latency counts. */
 bool health_is_warm (const health_t *h, int64_t now_us, const health_target_t *target);
--- a/src/scheduler.c
+++ b/src/scheduler.c
@@ -26,6 +26,10 @@
 #define TIME_LEFT_SHARE 1.0
 #define TIME_LEFT_SHARE_OVERLOADED 2.0
 
+/* Background requests cross failure domains only above this wait, in mean service times: links
+ * between failure domains are costly. */
+#define BACKGROUND_SPILL_SHARE 4.0
+
 #define WAIT_UNBOUNDED_US (INT64_MAX / 4)
 
 enum
@@ -117,6 +121,14 @@
   return (int64_t)(s->service_us * share);
 }
 
+static int64_t
+spill_threshold (const scheduler_t *s, unsigned class_index)
+{
+  if (class_index == SCHEDULER_URGENT || capacity_slots (s) == 0)
+    return 0;
+  return (int64_t)(s->service_us * BACKGROUND_SPILL_SHARE);
+}
+
 /* Returns the time until a request with RANK requests of its class before it is dispatched. */
 static int64_t
 estimate_wait (scheduler_t *s, int64_t now_us, unsigned class_index, size_t rank)
@@ -166,9 +178,13 @@
     return SCHEDULER_REASON_NO_TARGET;
   if (s->queues[class_index].length >= s->options.max_queued[class_index])
     return SCHEDULER_REASON_QUEUE_FULL;
-  if (now_us + wait_us + (int64_t)(s->service_us * TIME_LEFT_SHARE) > request->deadline_us)
+  /* With a free slot the estimate of the service time refuses nobody: otherwise a service that is
+   * faster than the first estimate could never prove it. */
+  int64_t needed_us = wait_us > 0 ? wait_us + (int64_t)(s->service_us * TIME_LEFT_SHARE) : 0;
+  if (now_us + needed_us >= request->deadline_us)
     return SCHEDULER_REASON_DEADLINE;
-  if (s->overloads[class_index].overloaded && wait_us > wait_limit (s, class_index))
+  if (overload_is_limited (&s->overloads[class_index], now_us)
+      && wait_us > wait_limit (s, class_index))
     return SCHEDULER_REASON_OVERLOAD;
   return SCHEDULER_REASON_NONE;
 }
@@ -203,7 +219,7 @@
   size_t rank = request_queue_rank (queue, now_us, request->deadline_us);
   int64_t wait_us = estimate_wait (s, now_us, class_index, rank);
   scheduler_result_t result = { .decision = SCHEDULER_FORWARD };
-  if (!request->forwarded && wait_us > 0
+  if (!request->forwarded && wait_us > spill_threshold (s, class_index)
       && spillover_decide (&s->spillover, now_us, class_index, wait_us, s->service_us,
                            &result.entry_id))
     return result;
@@ -236,6 +252,9 @@
 {
   bool overloaded = s->overloads[request->class_index].overloaded;
   double share = overloaded ? TIME_LEFT_SHARE_OVERLOADED : TIME_LEFT_SHARE;
+
+  if (request->enqueued_us == now_us)
+    return now_us >= request->deadline_us;
   return now_us + (int64_t)(s->service_us * share) > request->deadline_us;
 }
 
