--- a/src/limiter.h
+++ b/src/limiter.h
@@ -28,8 +28,9 @@
  * period of limiter_tick() and LIMITER_REPORT_US this makes the 2 s of the stated bound. */
 #define LIMITER_SILENCE_US INT64_C (1700000)
 
-/* A team is forgotten when its bucket is full and it had no request for this time. */
-#define LIMITER_IDLE_US INT64_C (30000000)
+/* A team is forgotten when its bucket is full and it had no request for this time. Its consumption
+ * is reported then, so a shorter time costs a report for each of few requests. */
+#define LIMITER_IDLE_US INT64_C (120000000)
 
 /* Batches that are kept for repetition: those of LIMITER_SILENCE_US. */
 #define LIMITER_BATCHES 8
--- a/tests/decision/test_limiter.cc
+++ b/tests/decision/test_limiter.cc
@@ -285,11 +285,12 @@
       group.admit (0, S, team);
       EXPECT_LE (limiter_team_count (&group.limiters[0]), 1000u);
     }
-  for (int64_t now_us = S; now_us < 40 * S; now_us += 10 * MS)
+  int64_t now_us = S;
+  for (; now_us < 10 * S + LIMITER_IDLE_US; now_us += 10 * MS)
     group.advance (now_us);
   EXPECT_EQ (limiter_team_count (&group.limiters[0]), 0u);
   EXPECT_GT (limiter_team_count (&group.limiters[1]), 0u);
-  for (int64_t now_us = 40 * S; now_us < 80 * S; now_us += 10 * MS)
+  for (; now_us < 20 * S + 2 * LIMITER_IDLE_US; now_us += 10 * MS)
     group.advance (now_us);
   EXPECT_EQ (limiter_team_count (&group.limiters[1]), 0u);
 }
