--- a/bench/membership_model.cc
+++ b/bench/membership_model.cc
@@ -5,6 +5,7 @@
 //   false       false suspicions and deaths under 5% loss, and with one bad member
 //   spread      time for a configuration version to reach all members
 //   memory      bytes of state per member
+//   heal        time and bytes until all views are right after a partition of 3 minutes
 //   domains     bytes across failure domains and spread time by share of probes in the own domain
 //
 // Seeds are fixed; the same command prints the same counts on every machine. CPU time is the
@@ -120,12 +121,14 @@
     }
 }
 
-// Time from the crash to the suspicion by the first member and to the death in each view.
+// Time from the crash to the suspicion by the first member, and to suspicion and death in each
+// view.
 static void
 detect (int members)
 {
   int crashes = members >= 2048 ? 2 : members >= 512 ? 8 : 40;
   std::vector<double> suspected;
+  std::vector<double> in_view;
   std::vector<double> dead;
   for (int i = 0; i < crashes; i++)
     {
@@ -145,6 +148,8 @@
         if (event == SWIM_EVENT_SUSPECTED && first)
           suspected.push_back (seconds);
         first = first && event != SWIM_EVENT_SUSPECTED;
+        if (event == SWIM_EVENT_SUSPECTED)
+          in_view.push_back (seconds);
         if (event == SWIM_EVENT_DEAD)
           dead.push_back (seconds);
       };
@@ -152,10 +157,12 @@
     }
   size_t expected = (size_t)crashes * (members - 1);
   size_t seen = dead.size ();
-  printf ("detect members=%d crashes=%d first_suspicion_p50=%.1f p99=%.1f dead_p50=%.1f p99=%.1f "
+  printf ("detect members=%d crashes=%d first_suspicion_p50=%.1f p99=%.1f suspected_p50=%.1f "
+          "p99=%.1f dead_p50=%.1f p99=%.1f "
           "max=%.1f views=%zu of %zu\n",
           members, crashes, percentile (suspected, 0.5), percentile (suspected, 0.99),
-          percentile (dead, 0.5), percentile (dead, 0.99), percentile (dead, 1), seen, expected);
+          percentile (in_view, 0.5), percentile (in_view, 0.99), percentile (dead, 0.5),
+          percentile (dead, 0.99), percentile (dead, 1), seen, expected);
 }
 
 // FAULT 0: 5% loss everywhere; 1: one member answers 1.5 s late; 2: one member hears nobody;
@@ -267,6 +274,39 @@
           (double)used / (members - 1), (double)texts / (members - 1));
 }
 
+// A third of the failure domains is cut off for 180 s.
+static void
+heal (int members)
+{
+  Sim sim (options_of (members));
+  uint64_t false_deaths = 0;
+  double highest = 0;
+  sim.start_all ();
+  sim.run_until (WARM_UP_US);
+  sim.blocked = [&] (int from, int to) { return (from % 12 % 3 == 0) != (to % 12 % 3 == 0); };
+  sim.run_until (WARM_UP_US + 180 * SIM_S);
+  sim.blocked = nullptr;
+  sim.member_hook = [&] (int, swim_event_t event, const swim_member_t *) {
+    false_deaths += event == SWIM_EVENT_DEAD ? 1 : 0;
+  };
+  int64_t start_us = sim.now_us;
+  int seconds = 0;
+  int last_above = 0;
+  int wrong = sim.wrong_views ();
+  const int before = wrong;
+  for (; wrong > 0 && seconds < 600; seconds++)
+    {
+      std::vector<sim_node_t> counters = sim.nodes;
+      sim.run_until (start_us + (seconds + 1) * SIM_S);
+      highest = std::max (highest, traffic_since (sim, counters, 1).peak);
+      wrong = sim.wrong_views ();
+      last_above = wrong * 100 > before ? seconds + 1 : last_above;
+    }
+  printf ("heal members=%d wrong_views_before=%d seconds_to_1%%=%d seconds_to_none=%d "
+          "deaths_after=%lu highest_member_bytes_in_a_second=%.0f\n",
+          members, before, last_above, seconds, false_deaths, highest);
+}
+
 static void
 domains (int members)
 {
@@ -299,7 +339,8 @@
     const char *name;
     void (*run) (int members);
   } commands[] = { { "steady", steady }, { "detect", detect }, { "false", false_suspicions },
-                   { "spread", spread }, { "memory", memory }, { "domains", domains } };
+                   { "spread", spread }, { "memory", memory }, { "domains", domains },
+                   { "heal", heal } };
   int members = argc == 3 ? atoi (argv[2]) : 0;
   for (const auto &command : commands)
     {
@@ -308,6 +349,7 @@
       command.run (members);
       return 0;
     }
-  fprintf (stderr, "usage: membership_model steady|detect|false|spread|memory|domains MEMBERS\n");
+  fprintf (stderr,
+           "usage: membership_model steady|detect|false|spread|memory|heal|domains MEMBERS\n");
   return 1;
 }
--- a/src/swim.c
+++ b/src/swim.c
@@ -16,7 +16,8 @@
 #define SEED_CONTACTS 6
 #define SEED_MEMBERS 32
 
-/* Comparisons of tables after the start, until two tables are equal. */
+/* Comparisons of tables after the start. One equal table proves little when many instances start at
+ * once, because the other one may lack the same members. */
 #define JOIN_SYNCS 5
 
 #define US_PER_S 1e6
@@ -49,11 +50,12 @@
     g_ptr_array_add (swim->seeds, g_strdup (options->seeds[i]));
   swim->relays = g_ptr_array_new_with_free_func (swim_relay_free);
   swim->transfers = g_ptr_array_new_with_free_func (swim_transfer_free);
-  swim->update_tokens = SWIM_UPDATE_RATE;
+  swim->update_tokens = SWIM_UPDATE_BURST;
   swim->sync_tokens = SWIM_SYNC_BURST;
   swim->last_tick_us = now_us;
   swim->next_period_us = now_us + (int64_t)rng_below (&swim->rng, SWIM_PERIOD_US);
   swim->next_contact_us = now_us;
+  swim->contact_count = (unsigned)rng_below (&swim->rng, SEED_CONTACTS);
   swim->next_sync_us = now_us;
   swim->quick_syncs = JOIN_SYNCS;
 }
@@ -126,7 +128,7 @@
 {
   double seconds = (double)elapsed_us / US_PER_S;
   swim->update_tokens
-      = MIN (swim->update_tokens + SWIM_UPDATE_RATE * seconds, (double)SWIM_UPDATE_RATE);
+      = MIN (swim->update_tokens + SWIM_UPDATE_RATE * seconds, (double)SWIM_UPDATE_BURST);
   swim->sync_tokens = MIN (swim->sync_tokens + SWIM_SYNC_RATE * seconds, (double)SWIM_SYNC_BURST);
 }
 
--- a/src/swim.h
+++ b/src/swim.h
@@ -30,6 +30,7 @@
 
 /* Bytes per second on average for updates and for the comparison of tables. */
 #define SWIM_UPDATE_RATE 4000
+#define SWIM_UPDATE_BURST 1500
 #define SWIM_SYNC_RATE 1500
 #define SWIM_SYNC_BURST (512 * 1024)
 
@@ -101,6 +102,9 @@
   char *id;
   char *address;
   uint8_t bits[SWIM_SYNC_BITS_SIZE];
+  unsigned bucket;   /* next one */
+  unsigned position; /* records of it that are sent */
+  bool joins;
 } swim_transfer_t;
 
 typedef struct
--- a/src/swim_internal.h
+++ b/src/swim_internal.h
@@ -55,7 +55,7 @@
 
 void swim_sync_tick (swim_t *swim, int64_t now_us);
 
-/* Compares tables soon, COUNT times at short intervals or until they are equal. */
+/* Compares tables soon, COUNT times at short intervals. */
 void swim_sync_soon (swim_t *swim, int64_t now_us, unsigned count);
 
 void swim_receive_sync (swim_t *swim, int64_t now_us, const char *source,
--- a/src/swim_sync.c
+++ b/src/swim_sync.c
@@ -23,12 +23,6 @@
   bits[index / 8] |= (uint8_t)(1U << (index % 8));
 }
 
-static void
-clear_bit (uint8_t *bits, unsigned index)
-{
-  bits[index / 8] &= (uint8_t) ~(1U << (index % 8));
-}
-
 void
 swim_transfer_free (void *data)
 {
@@ -71,68 +65,80 @@
 }
 
 static void
-send_records (swim_t *swim, const swim_transfer_t *transfer, swim_message_t *message)
+send_records (swim_t *swim, const swim_transfer_t *transfer, swim_message_t *message, size_t size)
 {
-  if (message->update_count == 0)
-    return;
-  size_t size = MESSAGE_SIZE;
-  for (size_t i = 0; i < message->update_count; i++)
-    size += swim_wire_update_size (&message->updates[i]);
   swim->sync_tokens -= (double)size;
+  if (!transfer->joins)
+    swim->update_tokens -= (double)size;
   swim_message_send (swim, message, transfer->address, false);
-  message->update_count = 0;
 }
 
-/* Sends the records of one bucket and returns the number of messages. */
-static unsigned
-send_bucket (swim_t *swim, const swim_transfer_t *transfer, unsigned bucket)
+/* Adds the records of the next buckets that fit to MESSAGE and returns their size. A bucket that
+ * does not fit is continued in the next message. */
+static size_t
+fill_message (swim_t *swim, swim_transfer_t *transfer, swim_message_t *message)
+{
+  size_t size = MESSAGE_SIZE;
+  while (transfer->bucket < SWIM_BUCKETS)
+    {
+      const list_t *bucket = &swim->table.buckets[transfer->bucket];
+      unsigned position = 0;
+      LIST_FOREACH (bucket, node)
+      {
+        if (!bit_is_set (transfer->bits, transfer->bucket) || position++ < transfer->position)
+          continue;
+        swim_update_t *update = &message->updates[message->update_count];
+        swim_table_get (LIST_ENTRY (node, swim_member_t, bucket_node), update);
+        size_t needed = swim_wire_update_size (update);
+        if (size + needed > MESSAGE_SIZE + SWIM_UPDATE_BYTES)
+          return size;
+        size += needed;
+        message->update_count++;
+        transfer->position++;
+        if (message->update_count == SWIM_MAX_UPDATES)
+          return size;
+      }
+      transfer->bucket++;
+      transfer->position = 0;
+    }
+  return size;
+}
+
+/* Sends the next message of TRANSFER; returns false if there was nothing left. */
+static bool
+continue_transfer (swim_t *swim, swim_transfer_t *transfer)
 {
   swim_message_t message;
   swim_message_start (swim, &message, WIRE_SWIM_SYNC, transfer->id);
   message.sync_stage = SWIM_SYNC_RECORDS;
-  size_t room = SWIM_UPDATE_BYTES;
-  unsigned count = 1;
-  LIST_FOREACH (&swim->table.buckets[bucket], node)
-  {
-    swim_update_t update;
-    swim_table_get (LIST_ENTRY (node, swim_member_t, bucket_node), &update);
-    size_t size = swim_wire_update_size (&update);
-    if (size > room || message.update_count == SWIM_MAX_UPDATES)
-      {
-        send_records (swim, transfer, &message);
-        room = SWIM_UPDATE_BYTES;
-        count++;
-      }
-    message.updates[message.update_count++] = update;
-    room -= size;
-  }
-  send_records (swim, transfer, &message);
-  return count;
+  size_t size = fill_message (swim, transfer, &message);
+  if (message.update_count > 0)
+    send_records (swim, transfer, &message, size);
+  return message.update_count > 0;
 }
 
-/* Sends the next bucket of TRANSFER; returns false if there is none left. */
+/* A member that joins gets its table from the saved up budget at once. Other transfers also keep to
+ * the rate of the updates. */
 static bool
-continue_transfer (swim_t *swim, swim_transfer_t *transfer, unsigned *messages)
+may_continue (const swim_t *swim, const swim_transfer_t *transfer)
 {
-  for (unsigned i = 0; i < SWIM_BUCKETS; i++)
-    {
-      if (!bit_is_set (transfer->bits, i))
-        continue;
-      clear_bit (transfer->bits, i);
-      *messages += send_bucket (swim, transfer, i);
-      return true;
-    }
-  return false;
+  return swim->sync_tokens > 0 && (transfer->joins || swim->update_tokens > 0);
 }
 
 static void
 run_transfers (swim_t *swim)
 {
   unsigned messages = 0;
-  while (swim->transfers->len > 0 && swim->sync_tokens > 0 && messages < MESSAGES_PER_TICK)
+  guint index = 0;
+  while (index < swim->transfers->len && messages < MESSAGES_PER_TICK)
     {
-      if (!continue_transfer (swim, g_ptr_array_index (swim->transfers, 0), &messages))
-        g_ptr_array_remove_index (swim->transfers, 0);
+      swim_transfer_t *transfer = g_ptr_array_index (swim->transfers, index);
+      if (!may_continue (swim, transfer))
+        index++;
+      else if (continue_transfer (swim, transfer))
+        messages++;
+      else
+        g_ptr_array_remove_index (swim->transfers, index);
     }
 }
 
@@ -151,54 +157,66 @@
 }
 
 static void
-start_transfer (swim_t *swim, const char *id, const char *address, const uint8_t *bits)
+start_transfer (swim_t *swim, const char *id, const char *address, const uint8_t *bits, bool joins)
 {
   if (swim->transfers->len >= TRANSFER_LIMIT)
     return;
   swim_transfer_t *transfer = g_new0 (swim_transfer_t, 1);
   transfer->id = g_strdup (id);
   transfer->address = g_strdup (address);
+  transfer->joins = joins;
   memcpy (transfer->bits, bits, sizeof (transfer->bits));
   g_ptr_array_add (swim->transfers, transfer);
 }
 
-static bool
-compare_hashes (const swim_t *swim, const uint8_t *data, uint8_t *bits)
+typedef struct
+{
+  uint8_t bits[SWIM_SYNC_BITS_SIZE]; /* buckets that differ */
+  bool equal;
+  bool joins; /* most buckets are empty there and not here */
+} comparison_t;
+
+static void
+compare_hashes (const swim_t *swim, const uint8_t *data, comparison_t *result)
 {
-  bool equal = true;
-  memset (bits, 0, SWIM_SYNC_BITS_SIZE);
+  unsigned missing = 0;
+  unsigned filled = 0;
+  memset (result, 0, sizeof (*result));
+  result->equal = true;
   for (unsigned i = 0; i < SWIM_BUCKETS; i++)
     {
       uint32_t hash = 0;
       memcpy (&hash, data + (size_t)i * sizeof (hash), sizeof (hash));
+      filled += swim->table.hashes[i] != 0 ? 1 : 0;
+      missing += swim->table.hashes[i] != 0 && hash == 0 ? 1 : 0;
       if (GUINT32_FROM_BE (hash) == swim->table.hashes[i])
         continue;
-      set_bit (bits, i);
-      equal = false;
+      set_bit (result->bits, i);
+      result->equal = false;
     }
-  return equal;
+  result->joins = missing * 2 > filled;
 }
 
 static void
 receive_request (swim_t *swim, const char *source, const swim_message_t *message)
 {
-  uint8_t bits[SWIM_SYNC_BITS_SIZE];
-  bool equal = compare_hashes (swim, message->sync_data, bits);
+  comparison_t result;
+  compare_hashes (swim, message->sync_data, &result);
   bool introduce = message->known_incarnation != swim->table.self->incarnation;
-  send_sync (swim, message->from, source, SWIM_SYNC_REPLY, bits, sizeof (bits), introduce);
-  if (!equal)
-    start_transfer (swim, message->from, source, bits);
+  send_sync (swim, message->from, source, SWIM_SYNC_REPLY, result.bits, sizeof (result.bits),
+             introduce);
+  if (!result.equal)
+    start_transfer (swim, message->from, source, result.bits, result.joins);
 }
 
 static void
 receive_reply (swim_t *swim, const char *source, const swim_message_t *message)
 {
   static const uint8_t none[SWIM_SYNC_BITS_SIZE] = { 0 };
-  bool equal = memcmp (message->sync_data, none, sizeof (none)) == 0;
   if (swim->quick_syncs > 0)
-    swim->quick_syncs = equal ? 0 : swim->quick_syncs - 1;
-  if (!equal)
-    start_transfer (swim, message->from, source, message->sync_data);
+    swim->quick_syncs--;
+  if (memcmp (message->sync_data, none, sizeof (none)) != 0)
+    start_transfer (swim, message->from, source, message->sync_data, false);
 }
 
 void
--- a/tests/membership/swim_sim.h
+++ b/tests/membership/swim_sim.h
@@ -53,7 +53,8 @@
   uint64_t last_incarnation;
   uint64_t messages;
   uint64_t bytes;
-  uint64_t bytes_across; // to other failure domains
+  uint64_t bytes_across;  // to other failure domains
+  uint64_t bytes_records; // of tables that differ
 };
 
 class Sim
@@ -305,6 +306,7 @@
     size_t size = writer.buffer.size + SIM_DATAGRAM_HEADER;
     node->messages++;
     node->bytes += size;
+    node->bytes_records += message->sync_stage == SWIM_SYNC_RECORDS ? size : 0;
     node->bytes_across += node->domain != sim->nodes[to].domain ? size : 0;
     bool lost = rng_unit (&sim->rng) < sim->options_.loss * sim->loss_factor
                 || (sim->blocked && sim->blocked (node->index, to));
--- a/tests/membership/test_swim.cc
+++ b/tests/membership/test_swim.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 #include "swim_sim.h"
@@ -209,3 +210,44 @@
   EXPECT_GT (largest, 500u);
   EXPECT_LE (largest, 1280u);
 }
+
+// Guards against control traffic above 10 KB/s per member in a partition, its healing and a restart
+// of a quarter of the members: in each second without the tables for members that join, which come
+// from a budget that is saved up, and in each 10 s with them.
+TEST (Swim, TrafficStaysBelowTheLimit)
+{
+  Sim sim (options_of (64, 10));
+  std::vector<std::vector<double> > bytes (64); // per member and second
+  double highest_second = 0;
+  double highest_average = 0;
+  sim.start_all ();
+  sim.run_until (15 * SIM_S);
+  for (int second = 15; second < 180; second++)
+    {
+      if (second == 20)
+        sim.blocked = [&] (int from, int to) { return from % 2 != to % 2; };
+      if (second == 90)
+        sim.blocked = nullptr;
+      for (int i = 0; i < 64 && second == 120; i += 4)
+        sim.crash (i);
+      for (int i = 0; i < 64 && second == 130; i += 4)
+        sim.start (i);
+      std::vector<sim_node_t> before = sim.nodes;
+      sim.run_until ((second + 1) * SIM_S);
+      for (int i = 0; i < 64; i++)
+        {
+          double sent = (double)(sim.nodes[i].bytes - before[i].bytes);
+          double records = (double)(sim.nodes[i].bytes_records - before[i].bytes_records);
+          bytes[i].push_back (sent);
+          size_t window = std::min<size_t> (10, bytes[i].size ());
+          double sum = std::accumulate (bytes[i].end () - (long)window, bytes[i].end (), 0.0);
+          highest_second = std::max (highest_second, sent - records);
+          highest_average = std::max (highest_average, sum / 10);
+        }
+    }
+  EXPECT_LE (highest_second, 10000);
+  EXPECT_LE (highest_average, 10000);
+  EXPECT_EQ (sim.wrong_views (), 0);
+  RecordProperty ("highest_bytes_in_a_second", (int)highest_second);
+  RecordProperty ("highest_average_of_10_s", (int)highest_average);
+}
