swim: a member that joins does not send the table back, seeds do not serve every join

At 2,048 members with restarts one member sent 441 KB in 60 s (7,351 bytes/s): a member that joined answered with the table it had just received, and the seed served each join. Empty buckets are left out when the transfer is set up, the reply to a joining member names eight random members, and without budget no transfer starts.

--- a/src/swim_sync.c
+++ b/src/swim_sync.c
@@ -5,6 +5,10 @@
 #define QUICK_INTERVAL_US INT64_C (2000000)
 #define TRANSFER_LIMIT 4
 
+/* Random members that a member that joins is told of at once, so that it can ask others than the
+ * seeds, which would otherwise send the table to every instance that starts. */
+#define JOIN_SAMPLES 8
+
 /* Messages with records in one tick at most, so that a transfer does not fill the socket buffer. */
 #define MESSAGES_PER_TICK 16
 
@@ -32,19 +36,6 @@
   g_free (transfer);
 }
 
-static void
-send_sync (swim_t *swim, const char *id, const char *address, swim_sync_stage_t stage,
-           const uint8_t *data, size_t size, bool introduce)
-{
-  swim_message_t message;
-  swim_message_start (swim, &message, WIRE_SWIM_SYNC, id);
-  message.sync_stage = stage;
-  message.sync_data = data;
-  message.sync_size = size;
-  swim->sync_tokens -= (double)(MESSAGE_SIZE + size);
-  swim_message_send (swim, &message, address, introduce);
-}
-
 static void
 send_request (swim_t *swim, const swim_member_t *member)
 {
@@ -54,7 +45,13 @@
       uint32_t hash = GUINT32_TO_BE (swim->table.hashes[i]);
       memcpy (data + (size_t)i * sizeof (hash), &hash, sizeof (hash));
     }
-  send_sync (swim, member->id, member->peer_address, SWIM_SYNC_REQUEST, data, sizeof (data), true);
+  swim_message_t message;
+  swim_message_start (swim, &message, WIRE_SWIM_SYNC, member->id);
+  message.sync_stage = SWIM_SYNC_REQUEST;
+  message.sync_data = data;
+  message.sync_size = sizeof (data);
+  swim->sync_tokens -= (double)(MESSAGE_SIZE + sizeof (data));
+  swim_message_send (swim, &message, member->peer_address, true);
 }
 
 void
@@ -165,7 +162,13 @@
   transfer->id = g_strdup (id);
   transfer->address = g_strdup (address);
   transfer->joins = joins;
-  memcpy (transfer->bits, bits, sizeof (transfer->bits));
+  /* Buckets that are empty now are left out. They may be filled from the other side by the time of
+   * their turn, and a member that joins would send the whole table back. */
+  for (unsigned i = 0; i < SWIM_BUCKETS; i++)
+    {
+      if (bit_is_set (bits, i) && !list_is_empty (&swim->table.buckets[i]))
+        set_bit (transfer->bits, i);
+    }
   g_ptr_array_add (swim->transfers, transfer);
 }
 
@@ -197,15 +200,34 @@
   result->joins = missing * 2 > filled;
 }
 
+static void
+send_reply (swim_t *swim, const char *source, const swim_message_t *request,
+            const comparison_t *result)
+{
+  swim_message_t reply;
+  swim_message_start (swim, &reply, WIRE_SWIM_SYNC, request->from);
+  reply.sync_stage = SWIM_SYNC_REPLY;
+  reply.sync_data = result->bits;
+  reply.sync_size = sizeof (result->bits);
+  for (int i = 0; result->joins && i < JOIN_SAMPLES; i++)
+    {
+      const swim_member_t *member = swim_table_random (&swim->table);
+      if (member != NULL)
+        swim_table_get (member, &reply.updates[reply.update_count++]);
+    }
+  swim->sync_tokens -= (double)(MESSAGE_SIZE + sizeof (result->bits));
+  bool introduce = request->known_incarnation != swim->table.self->incarnation;
+  swim_message_send (swim, &reply, source, introduce);
+}
+
 static void
 receive_request (swim_t *swim, const char *source, const swim_message_t *message)
 {
   comparison_t result;
   compare_hashes (swim, message->sync_data, &result);
-  bool introduce = message->known_incarnation != swim->table.self->incarnation;
-  send_sync (swim, message->from, source, SWIM_SYNC_REPLY, result.bits, sizeof (result.bits),
-             introduce);
-  if (!result.equal)
+  send_reply (swim, source, message, &result);
+  /* Without budget now, the member has its table from another one by the time there is some. */
+  if (!result.equal && swim->sync_tokens > 0)
     start_transfer (swim, message->from, source, result.bits, result.joins);
 }
 
