tests/http: scripted run of an entry, two fake backends and loadgen

The first run hung because fake-backend ignored SIGTERM after it had been told to leave by the control path; it now has its own flag for that.

--- a/tests/fakes/fake_backend_main.c
+++ b/tests/fakes/fake_backend_main.c
@@ -60,8 +60,10 @@
 static gboolean
 on_terminate (gpointer data)
 {
-  if (backend.state == FAKE_LEAVING)
+  static bool stopping;
+  if (stopping)
     return G_SOURCE_CONTINUE;
+  stopping = true;
   backend.state = FAKE_LEAVING;
   fake_announce (&backend);
   g_timeout_add (LEAVE_DELAY_MS, on_left, data);
--- /dev/null
+++ b/tests/http/run_data_path.py
@@ -0,0 +1,240 @@
+"""Starts an entry, two fake backends and loadgen on loopback and checks counts.
+
+Usage: run_data_path.py ENTRY FAKE_BACKEND LOADGEN
+Every case says which failure it guards against. No verdict depends on timing; WAIT_S only bounds a
+hang. Each program gets free ports and is ended by its own process id.
+"""
+
+import json
+import os
+import signal
+import socket
+import ssl
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+import urllib.error
+import urllib.request
+
+ENTRY, FAKE_BACKEND, LOADGEN = sys.argv[1:4]
+WAIT_S = 60
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def fetch(url, method="GET", data=None, context=None):
+    request = urllib.request.Request(url, method=method, data=data)
+    try:
+        with urllib.request.urlopen(request, timeout=WAIT_S, context=context) as reply:
+            return reply.status, reply.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+
+
+def wait_for(condition, what):
+    limit = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > limit:
+            raise AssertionError(f"gave up waiting for {what}")
+        time.sleep(0.02)
+
+
+class Backend:
+    def __init__(self, entry, *options):
+        self.process = subprocess.Popen(
+            [FAKE_BACKEND, f"--entry=127.0.0.1:{entry.port}", "--service-ms=2", *options],
+            stdout=subprocess.PIPE, text=True)
+        self.port = int(self.process.stdout.readline().split("=")[1])
+
+    def stats(self):
+        return json.loads(fetch(f"http://127.0.0.1:{self.port}/.fake/stats")[1])
+
+    def control(self, query):
+        status, _ = fetch(f"http://127.0.0.1:{self.port}/.fake/control?{query}", "POST")
+        assert status == 200, query
+
+    def stop(self):
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            self.process.communicate(timeout=WAIT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            raise
+
+
+class Entry:
+    def __init__(self, *options):
+        self.port, self.admin = free_port(), free_port()
+        self.process = subprocess.Popen(
+            [ENTRY, f"--listen=127.0.0.1:{self.port}", f"--admin-listen=127.0.0.1:{self.admin}",
+             "--resolve-ttl-ms=100", "--log-level=warning", *options])
+        wait_for(self.is_up, "the entry")
+
+    def is_up(self):
+        with socket.socket() as probe:
+            return probe.connect_ex(("127.0.0.1", self.admin)) == 0
+
+    def metric(self, name):
+        text = fetch(f"http://127.0.0.1:{self.admin}/metrics")[1].decode()
+        for line in text.splitlines():
+            if line.startswith(name + " "):
+                return int(line.split()[-1])
+        raise AssertionError(f"no metric {name}")
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(timeout=WAIT_S)
+
+
+class DataPath(unittest.TestCase):
+    def start(self, *options, backend_options=()):
+        self.entry = Entry(*options)
+        self.addCleanup(self.entry.stop)
+        self.backends = [Backend(self.entry, *backend_options) for _ in range(2)]
+        for backend in self.backends:
+            self.addCleanup(backend.stop)
+            wait_for(lambda: backend.stats()["announced"] > 0, "an announcement")
+
+    def start_load(self, *options):
+        return subprocess.Popen([LOADGEN, f"--entry=127.0.0.1:{self.entry.port}", *options],
+                                stdout=subprocess.PIPE, text=True)
+
+    def load(self, *options):
+        output, _ = self.start_load(*options).communicate(timeout=WAIT_S)
+        return json.loads(output)
+
+    def total(self, name):
+        return sum(backend.stats()[name] for backend in self.backends)
+
+    def test_all_answered_once(self):
+        """Guards against lost, doubled or exchanged requests without any fault."""
+        self.start()
+        result = self.load("--rate=300", "--duration-s=1.5", "--mix=sheet:GET:/sheets/1:3:0",
+                           "--mix=book:POST:/possessions:1:3000")
+        self.assertGreater(result["sent"], 0)
+        self.assertEqual(result["ok"], result["sent"])
+        self.assertEqual(self.total("executed"), result["sent"])
+        self.assertEqual(self.total("keys_repeated"), 0)
+        self.assertEqual(result["mismatched"], 0)
+        self.assertEqual(self.entry.metric('anvillb_attempts_total{end="complete"}'),
+                         result["sent"])
+
+    def test_faults_never_run_a_post_twice(self):
+        """Guards against a second execution, and against "not run" for an executed request."""
+        self.start()
+        self.backends[0].control("truncate=0.2&two_lengths=0.2&shed=0.2&error=0.1")
+        self.backends[1].control("shed=0.3&truncate=0.1")
+        result = self.load("--rate=300", "--duration-s=1.5", "--mix=book:POST:/possessions:1:3000")
+        keys = self.total("keys")
+        self.assertEqual(self.total("executed"), keys)
+        self.assertEqual(result["mismatched"], 0)
+        self.assertLessEqual(keys + result["not_run"], result["sent"])
+        answered = sum(result["statuses"].values())
+        self.assertEqual(answered + result["cut"], result["sent"])
+        self.assertGreater(result["cut"], 0)
+        self.assertGreater(result["unknown"], 0)
+
+    def test_silent_connections(self):
+        """Guards against requests that stay on connections that became silent."""
+        self.start("--stall-ms=300")
+        load = self.start_load("--rate=200", "--duration-s=2", "--mix=sheet:GET:/sheets/1:1:0")
+        wait_for(lambda: self.backends[0].stats()["completed"] > 5, "traffic")
+        self.backends[0].control("silence=1")
+        result = json.loads(load.communicate(timeout=WAIT_S)[0])
+        self.assertEqual(result["ok"], result["sent"])
+        self.assertGreater(self.entry.metric("anvillb_upstream_stalls_total"), 0)
+
+    def test_leaving_target_gets_no_work(self):
+        """Guards against new work for a target that announced that it is leaving."""
+        self.start()
+        before = self.backends[0].stats()["announced"]
+        self.backends[0].control("state=leaving")
+        wait_for(lambda: self.backends[0].stats()["announced"] > before, "the announcement")
+        result = self.load("--rate=200", "--duration-s=0.5")
+        self.assertEqual(result["ok"], result["sent"])
+        self.assertEqual(self.backends[0].stats()["requests"], 0)
+        self.assertEqual(self.backends[1].stats()["requests"], result["sent"])
+
+    def test_drain_cuts_nothing(self):
+        """Guards against requests that are cut off by a planned stop."""
+        self.start(backend_options=("--service-ms=100", "--slots=50"))
+        load = self.start_load("--rate=200", "--duration-s=1")
+        wait_for(lambda: self.total("requests") > 20, "traffic")
+        ready = f"http://127.0.0.1:{self.entry.admin}/readyz"
+        self.assertEqual(fetch(ready)[0], 200)
+        self.entry.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: fetch(ready)[0] == 503, "readiness to end")
+        result = json.loads(load.communicate(timeout=WAIT_S)[0])
+        self.assertEqual(result["cut"], 0)
+        self.assertEqual(result["ok"] + result["refused"], result["sent"])
+        self.assertEqual(self.total("executed"), result["ok"])
+        self.assertEqual(self.entry.stop(), 0)
+
+    def test_spans(self):
+        """Guards against a request or an attempt without a span of its own."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = os.path.join(directory, "trace")
+            self.start(f"--trace-file={path}")
+            result = self.load("--rate=100", "--duration-s=0.5")
+            self.entry.stop()
+            with open(path, encoding="utf-8") as file:
+                spans = [json.loads(line)["resourceSpans"][0]["scopeSpans"][0]["spans"][0]
+                         for line in file]
+        attempts = [span for span in spans if span["name"] == "attempt"]
+        requests = {span["spanId"]: span for span in spans if span["name"] == "request"}
+        self.assertEqual(len(attempts), result["sent"])
+        for span in attempts:
+            self.assertEqual(requests[span["parentSpanId"]]["traceId"], span["traceId"])
+
+    def test_tls(self):
+        """Guards against bytes that are lost or changed when the caller port uses TLS."""
+        with tempfile.TemporaryDirectory() as directory:
+            cert, key = os.path.join(directory, "cert"), os.path.join(directory, "key")
+            subprocess.run(["openssl", "req", "-x509", "-newkey", "ec", "-pkeyopt",
+                            "ec_paramgen_curve:prime256v1", "-nodes", "-keyout", key, "-out", cert,
+                            "-days", "2", "-subj", "/CN=crew", "-addext",
+                            "subjectAltName=IP:127.0.0.1"], check=True, capture_output=True)
+            self.entry = Entry(f"--tls-cert={cert}", f"--tls-key={key}")
+            self.addCleanup(self.entry.stop)
+            backend = Backend(self.entry, "--body-bytes=2000000")
+            self.addCleanup(backend.stop)
+            context = ssl.create_default_context(cafile=cert)
+            base = f"https://127.0.0.1:{self.entry.port}"
+            body = json.dumps({"service": "127.0.0.1", "address": f"127.0.0.1:{backend.port}",
+                               "connections": 300, "incarnation": 1, "seq": 1}).encode()
+            announce = f"{base}/.anvillb/v1/announce"
+            self.assertEqual(fetch(announce, "POST", body, context)[0], 204)
+            status, answer = fetch(f"{base}/sheets", "POST", b"x" * 3000000, context)
+            self.assertEqual((status, answer), (200, b"x" * 2000000))
+            status, answer = fetch(f"{base}/none", "PUT", b"", context)
+            self.assertEqual(status, 200)
+            with socket.create_connection(("127.0.0.1", self.entry.port)) as plain:
+                plain.sendall(b"GET / HTTP/1.1\r\nHost: crew\r\n\r\n")
+                plain.settimeout(WAIT_S)
+                try:
+                    answer = plain.recv(100)
+                except ConnectionResetError:
+                    answer = b""
+                self.assertNotIn(b"HTTP/1.1", answer)
+
+    def test_insecure_address_is_refused(self):
+        """Guards against a public address without TLS."""
+        for option in ("--listen=0.0.0.0:0", "--admin-listen=0.0.0.0:0"):
+            result = subprocess.run([ENTRY, option, "--check"], capture_output=True, text=True,
+                                    timeout=WAIT_S, check=False)
+            self.assertEqual(result.returncode, 2)
+            self.assertIn("--insecure-listen", result.stderr)
+        allowed = subprocess.run([ENTRY, "--listen=0.0.0.0:0", "--insecure-listen", "--check"],
+                                 timeout=WAIT_S, check=False)
+        self.assertEqual(allowed.returncode, 0)
+
+
+if __name__ == "__main__":
+    unittest.main(argv=sys.argv[:1])
