--- a/src/config_machine.c
+++ b/src/config_machine.c
@@ -89,16 +89,3 @@
   version_store_free (machine->store);
   machine->store = version_store_new ();
 }
-
-bool
-config_machine_propose (config_machine_t *machine, const version_command_t *command,
-                        config_done_t done, void *data, anv_error_t *err)
-{
-  version_command_t stamped = *command;
-  stamped.wall_ms = g_get_real_time () / 1000;
-  stamped.schema = CONFIG_SCHEMA;
-  g_autoptr (GBytes) bytes = version_command_encode (&stamped);
-  gsize size = 0;
-  const uint8_t *encoded = g_bytes_get_data (bytes, &size);
-  return replica_group_propose (machine->group, encoded, size, (proposal_done_t)done, data, err);
-}
--- a/src/control_tasks.c
+++ b/src/control_tasks.c
@@ -11,6 +11,7 @@
 
 #define MAX_LINKS 1024
 #define MIN_TOKEN_SIZE 16
+#define ROLLOUT_PERIOD_US INT64_C (500000)
 
 static void
 receive_raft (control_tasks_t *tasks, link_t *link, const uint8_t *data, size_t size)
@@ -65,11 +66,47 @@
 handle_call (void *data, operator_call_t *call, const operator_request_t *request)
 {
   control_tasks_t *tasks = data;
-  if (group_api_handle (tasks->groups, call, request))
+  bool tls = tasks->tls.certificate != NULL;
+  if (group_api_handle (tasks->groups, tls, call, request))
     return;
-  if (control_options_hosts ("config") && config_api_handle (&tasks->config_machine, call, request))
-    return;
-  operator_call_respond (call, 404, "application/json", "{\"error\":\"no such path\"}\n");
+  if (!control_options_hosts ("config"))
+    {
+      operator_call_respond (call, 404, NULL, "{\"error\":\"no config group here\"}\n");
+      return;
+    }
+  config_api_t api = {
+    .machine = &tasks->config_machine,
+    .rollout = &tasks->rollout,
+    .token = tasks->token,
+    .tls = tls,
+  };
+  config_api_handle (&api, call, request);
+}
+
+/* Notes the version that each entry announces, for the operators' status. */
+static void
+on_member (void *data, swim_event_t event, const swim_member_t *member)
+{
+  control_tasks_t *tasks = data;
+  if (member->status == SWIM_DEAD || event == SWIM_EVENT_REMOVED)
+    rollout_remove (&tasks->rollout, member->id);
+}
+
+static void
+note_version (void *data, const swim_member_t *member)
+{
+  control_tasks_t *tasks = data;
+  if (member->status != SWIM_DEAD && member->version > 0)
+    rollout_note (&tasks->rollout, member->id, member->version, g_get_real_time () / 1000);
+}
+
+static void
+on_rollout_timer (io_timer_t *timer)
+{
+  control_tasks_t *tasks = LIST_ENTRY (timer, control_tasks_t, rollout_timer);
+  if (tasks->membership.started)
+    swim_foreach (&tasks->membership.swim, note_version, tasks);
+  io_timer_set (tasks->loop, timer, io_loop_now_us (tasks->loop) + ROLLOUT_PERIOD_US);
 }
 
 static void
@@ -146,6 +183,7 @@
     .caller_address = "",
     .seeds = control_options.seeds,
     .counters = &tasks->counters,
+    .on_member = on_member,
     .on_version = on_version,
     .data = tasks,
   };
@@ -250,6 +288,9 @@
   init_membership (tasks);
   init_groups (tasks);
   init_supervisor (tasks);
+  rollout_init (&tasks->rollout, 0);
+  io_timer_init (&tasks->rollout_timer, on_rollout_timer);
+  io_timer_set (tasks->loop, &tasks->rollout_timer, io_loop_now_us (tasks->loop));
   tasks->initialised = true;
   return supervisor_start (&tasks->supervisor, err);
 }
@@ -257,7 +298,9 @@
 static void
 destroy_tasks (control_tasks_t *tasks)
 {
+  io_timer_cancel (&tasks->rollout_timer);
   supervisor_destroy (&tasks->supervisor);
+  rollout_destroy (&tasks->rollout);
   operator_server_destroy (&tasks->operators);
   for (replica_group_t **group = tasks->groups; *group != NULL; group++)
     replica_group_destroy (*group);
--- a/src/entry_announce.c
+++ b/src/entry_announce.c
@@ -47,7 +47,7 @@
   const char *echo = json_string (json, "echo", "");
   const char *colon = strrchr (echo, ':');
   const char *id = core->options.instance;
-  double held_ms = json_number (json, "held_ms", -1);
+  double held_ms = json_number (json, "echo_held_ms", -1);
 
   /* Time stamps of another entry, or of an earlier process of this one, mean nothing here. */
   g_autofree char *own = g_strdup_printf ("%s/%" G_GINT64_MODIFIER "x", id, core->nonce_prefix);
--- a/src/entry_options.h
+++ b/src/entry_options.h
@@ -34,8 +34,6 @@
   int64_t connect_timeout_ms;
   int64_t upstream_idle_ms;
   int64_t request_timeout_ms;
-  int64_t stall_ms;
-  int64_t max_body_bytes;
   int64_t replay_bytes;
   int64_t resolve_ttl_ms;
   int64_t drain_limit_ms;
--- a/src/group_api.c
+++ b/src/group_api.c
@@ -5,13 +5,12 @@
 #include "json_util.h"
 
 #define GROUPS_PATH "/v1/groups"
-#define JSON_TYPE "application/json"
 
 static void
 respond_json (operator_call_t *call, int status, cJSON *body)
 {
   char *text = cJSON_PrintUnformatted (body);
-  operator_call_respond (call, status, JSON_TYPE, text);
+  operator_call_respond (call, status, NULL, text);
   cJSON_free (text);
   cJSON_Delete (body);
 }
@@ -138,21 +137,26 @@
 }
 
 static void
-redirect_to_leader (const replica_group_t *group, operator_call_t *call)
+redirect_to_leader (const replica_group_t *group, bool tls, operator_call_t *call,
+                    const operator_request_t *request)
 {
   char name[RAFT_NAME_SIZE];
   char peer_address[LINK_ADDRESS_SIZE];
   char operator_address[LINK_ADDRESS_SIZE];
   replica_group_leader (group, name);
   replica_group_split_name (name, peer_address, operator_address);
-  if (operator_address[0] != '\0')
-    operator_call_redirect (call, operator_address);
-  else
-    respond_error (call, 503, "no leader");
+  if (operator_address[0] == '\0')
+    {
+      respond_error (call, 503, "no leader");
+      return;
+    }
+  g_autofree char *location
+      = g_strconcat (tls ? "https://" : "http://", operator_address, request->path, NULL);
+  operator_call_respond (call, 307, location, "{\"error\":\"not the leader\"}\n");
 }
 
 static void
-change_members (replica_group_t *group, const char *action, operator_call_t *call,
+change_members (replica_group_t *group, bool tls, const char *action, operator_call_t *call,
                 const operator_request_t *request)
 {
   anv_error_t err = { 0 };
@@ -165,15 +169,15 @@
   bool done = change (group, action, body, &err);
   cJSON_Delete (body);
   if (done)
-    operator_call_respond (call, 200, JSON_TYPE, "{}\n");
+    operator_call_respond (call, 200, NULL, "{}\n");
   else if (err.code == RAFT_ERROR_NOT_LEADER)
-    redirect_to_leader (group, call);
+    redirect_to_leader (group, tls, call, request);
   else
     respond_error (call, 409, err.text);
 }
 
 bool
-group_api_handle (replica_group_t *const *groups, operator_call_t *call,
+group_api_handle (replica_group_t *const *groups, bool tls, operator_call_t *call,
                   const operator_request_t *request)
 {
   if (!g_str_has_prefix (request->path, GROUPS_PATH))
@@ -190,7 +194,7 @@
     {
       if (strcmp ((*groups)->options.name, parts[1]) != 0)
         continue;
-      change_members (*groups, parts[2], call, request);
+      change_members (*groups, tls, parts[2], call, request);
       return true;
     }
   respond_error (call, 404, "no such group or action");
--- a/src/operator_server.c
+++ b/src/operator_server.c
@@ -12,8 +12,6 @@
 struct operator_call
 {
   SoupServerMessage *message;
-  char *path; /* with the query */
-  bool tls;
 };
 
 /* Compares without a data-dependent exit, so that the time does not tell how much matches. */
@@ -75,20 +73,18 @@
 {
   operator_server_t *server = data;
   operator_call_t *call = g_new0 (operator_call_t, 1);
-  GUri *uri = soup_server_message_get_uri (message);
-  const char *query_text = g_uri_get_query (uri);
+  SoupMessageHeaders *headers = soup_server_message_get_request_headers (message);
   SoupMessageBody *body = soup_server_message_get_request_body (message);
   g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
   gsize size = 0;
   const char *content = g_bytes_get_data (bytes, &size);
 
   call->message = g_object_ref (message);
-  call->tls = server->options.certificate != NULL;
-  call->path = query_text != NULL ? g_strconcat (path, "?", query_text, NULL) : g_strdup (path);
   operator_request_t request = {
     .method = soup_server_message_get_method (message),
     .path = path,
-    .query = query,
+    .query = g_uri_get_query (soup_server_message_get_uri (message)),
+    .authorization = soup_message_headers_get_one (headers, "Authorization"),
     .body = content,
     .body_size = size,
   };
@@ -96,33 +92,20 @@
   server->options.handle (server->options.data, call, &request);
 }
 
-static void
-finish (operator_call_t *call)
+void
+operator_call_respond (operator_call_t *call, int status, const char *location, const char *body)
 {
+  SoupMessageHeaders *headers = soup_server_message_get_response_headers (call->message);
+  if (location != NULL)
+    soup_message_headers_replace (headers, "Location", location);
+  soup_server_message_set_status (call->message, (guint)status, NULL);
+  soup_server_message_set_response (call->message, "application/json", SOUP_MEMORY_COPY, body,
+                                    strlen (body));
   soup_server_message_unpause (call->message);
   g_object_unref (call->message);
-  g_free (call->path);
   g_free (call);
 }
 
-void
-operator_call_respond (operator_call_t *call, int status, const char *type, const char *body)
-{
-  soup_server_message_set_status (call->message, (guint)status, NULL);
-  soup_server_message_set_response (call->message, type, SOUP_MEMORY_COPY, body, strlen (body));
-  finish (call);
-}
-
-void
-operator_call_redirect (operator_call_t *call, const char *address)
-{
-  SoupMessageHeaders *headers = soup_server_message_get_response_headers (call->message);
-  g_autofree char *location
-      = g_strdup_printf ("%s://%s%s", call->tls ? "https" : "http", address, call->path);
-  soup_message_headers_replace (headers, "Location", location);
-  operator_call_respond (call, 307, "application/json", "{\"error\":\"not the leader\"}\n");
-}
-
 static bool
 start (task_t *task, anv_error_t *err)
 {
--- a/src/operator_server.h
+++ b/src/operator_server.h
@@ -3,6 +3,7 @@
 #include <libsoup/soup.h>
 
 #include "counter.h"
+#include "operator_api.h"
 #include "task.h"
 
 /* operator_server - task that serves the operators' API with libsoup.
@@ -15,22 +16,13 @@
 
 typedef struct operator_call operator_call_t;
 
-typedef struct
-{
-  const char *method;
-  const char *path;
-  GHashTable *query; /* name -> value; may be NULL */
-  const char *body;
-  size_t body_size;
-} operator_request_t;
-
 typedef struct
 {
   const char *listen;
   GTlsCertificate *certificate; /* NULL for no TLS */
   const char *token;
   counter_registry_t *counters;
-  /* Must end in one operator_call_respond() or operator_call_redirect(), now or later. */
+  /* Must end in one operator_call_respond(), now or later. */
   void (*handle) (void *data, operator_call_t *call, const operator_request_t *request);
   void *data;
 } operator_server_options_t;
@@ -48,8 +40,6 @@
                            GMainContext *context);
 void operator_server_destroy (operator_server_t *server);
 
-/* Answers with BODY of the content type TYPE and frees the call. */
-void operator_call_respond (operator_call_t *call, int status, const char *type, const char *body);
-
-/* Answers 307 with the same path at ADDRESS, "IP:PORT", and frees the call. */
-void operator_call_redirect (operator_call_t *call, const char *address);
+/* Answers with the JSON text BODY and, if it is not NULL, the header Location, and frees the call. */
+void operator_call_respond (operator_call_t *call, int status, const char *location,
+                            const char *body);
--- a/tests/fakes/fake_announce.c
+++ b/tests/fakes/fake_announce.c
@@ -109,7 +109,7 @@
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"domain\":\"%s\",\"slots\":%d,"
       "\"connections\":%d,\"load\":%.2f,\"state\":\"%s\",\"incarnation\":%" G_GINT64_FORMAT
       ",\"seq\":%" G_GINT64_FORMAT ",\"sent_ms\":%" G_GINT64_FORMAT
-      ",\"echo\":\"%s\",\"held_ms\":%" G_GINT64_FORMAT "}",
+      ",\"echo\":\"%s\",\"echo_held_ms\":%" G_GINT64_FORMAT "}",
       options->service, backend->port, options->domain, (int)options->slots,
       (int)options->connections, MIN (load, 1), states[backend->state], backend->incarnation,
       ++backend->seq, g_get_monotonic_time () / 1000, backend->echo != NULL ? backend->echo : "",
--- a/tests/system/full_restart.py
+++ b/tests/system/full_restart.py
@@ -12,7 +12,7 @@
     start(fleet, controls=3, entries=3, backends=6)
     for number in range(1, CHANGES):
         status, answer = fleet.submit(number, {"team_default": {"rate": 10000 + number}}, f"patch-{number}")
-        assert (status, answer["version"]) == (200, number + 1), answer
+        assert (status, answer["version"]) == (201, number + 1), answer
     wait_until(lambda: all(fleet.version(entry) == CHANGES for entry in fleet.entries), "in force everywhere")
     first = [book(fleet, f"key-{i}") for i in range(20)]
     before = executions(fleet)
