route_path: match Unicode forms, trailing dots and spaces loosely

Backend servers on some systems drop dots and spaces at the end of a segment or map compatibility characters to plain ones, so such a spelling of a booking path selected another route. These steps are now part of the loose reading; prefixes must not have a segment that ends in a dot.

--- a/src/config_field.c
+++ b/src/config_field.c
@@ -168,12 +168,6 @@
   return true;
 }
 
-static bool
-is_dot_segment (const char *segment, size_t size)
-{
-  return (size == 1 && segment[0] == '.') || (size == 2 && memcmp (segment, "..", 2) == 0);
-}
-
 const char *
 field_prefix_rule (const char *prefix)
 {
@@ -194,8 +188,8 @@
         return "has a character other than letters, digits, '/' and -._~!$&'()*+,=:@";
       if (p == segment)
         return "must not end in '/' or have an empty segment";
-      if (is_dot_segment (segment, (size_t)(p - segment)))
-        return "has a dot segment";
+      if (p[-1] == '.')
+        return "has a segment that ends in a dot";
     }
   return segments <= CONFIG_MAX_PREFIX_SEGMENTS ? NULL : "has more than 32 segments";
 }
--- a/src/route_path.c
+++ b/src/route_path.c
@@ -44,14 +44,59 @@
 }
 
 static bool
-characters_are_valid (const char *text, size_t size)
+has_control_character (const char *text, size_t size)
 {
   for (size_t i = 0; i < size; i++)
     {
       if (g_ascii_iscntrl (text[i]))
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_ascii (const char *text, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    {
+      if ((signed char)text[i] < 0)
         return false;
     }
-  return g_utf8_validate (text, (gssize)size, NULL);
+  return true;
+}
+
+/* Replaces compatibility characters (a full-width 'p', a two-dot leader) and letter case by their
+ * plain form, as some backend servers do. Sets CHANGED. Returns false if the result is too long. */
+static bool
+fold_unicode (char *text, size_t *size, bool *changed)
+{
+  g_autofree char *plain = g_utf8_normalize (text, (gssize)*size, G_NORMALIZE_ALL);
+  g_autofree char *folded = g_utf8_casefold (plain, -1);
+  size_t length = strlen (folded);
+  if (length > ROUTE_MAX_PATH_SIZE)
+    return false;
+  *changed = *changed || length != *size || memcmp (text, folded, length) != 0;
+  memcpy (text, folded, length);
+  *size = length;
+  return true;
+}
+
+/* Decodes the path in TEXT, which has room for ROUTE_MAX_PATH_SIZE bytes, until nothing changes. */
+static route_result_t
+decode (char *text, size_t *size)
+{
+  bool changed = true;
+  for (unsigned passes = 0; changed; passes++)
+    {
+      if (passes > MAX_DECODE_PASSES)
+        return ROUTE_BAD_PATH;
+      changed = decode_pass (text, size);
+      if (has_control_character (text, *size) || !g_utf8_validate (text, (gssize)*size, NULL))
+        return ROUTE_BAD_PATH;
+      if (!is_ascii (text, *size) && !fold_unicode (text, size, &changed))
+        return ROUTE_PATH_TOO_LONG;
+    }
+  return ROUTE_FOUND;
 }
 
 static bool
@@ -71,15 +116,25 @@
   return i;
 }
 
-/* Appends the segment at DATA to PATH. Returns false for "..". */
+/* Cuts dots and spaces off the end of a segment, as file systems of some backend servers do.
+ * Returns the number of dots that were cut. */
+static size_t
+trim_segment (const char *data, size_t *size)
+{
+  size_t dots = 0;
+  while (*size > 0 && (data[*size - 1] == '.' || data[*size - 1] == ' '))
+    dots += data[--*size] == '.';
+  return dots;
+}
+
+/* Appends the segment at DATA to PATH. Returns false for "..", and for more dots. */
 static bool
 add_segment (route_path_t *path, size_t *used, const char *data, size_t size)
 {
   size = segment_name_size (data, size);
-  if (size == 0 || (size == 1 && data[0] == '.'))
-    return true;
-  if (size == 2 && memcmp (data, "..", 2) == 0)
-    return false;
+  size_t dots = trim_segment (data, &size);
+  if (size == 0)
+    return dots < 2;
   if (path->count == CONFIG_MAX_PREFIX_SEGMENTS)
     return true;
 
@@ -123,15 +178,10 @@
     return ROUTE_BAD_PATH;
 
   memcpy (text, target, size);
-  unsigned passes = 0;
-  while (decode_pass (text, &size))
-    {
-      if (++passes > MAX_DECODE_PASSES)
-        return ROUTE_BAD_PATH;
-    }
-  if (!characters_are_valid (text, size) || !split_segments (path, text, size))
-    return ROUTE_BAD_PATH;
-  return ROUTE_FOUND;
+  route_result_t result = decode (text, &size);
+  if (result != ROUTE_FOUND)
+    return result;
+  return split_segments (path, text, size) ? ROUTE_FOUND : ROUTE_BAD_PATH;
 }
 
 bool
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -10,8 +10,9 @@
  *
  * The request target is forwarded to the backend server as it came, and backend servers differ in
  * how they read a path. So two readings are matched: the literal one, and a loose one in which
- * percent-encoding is decoded (repeatedly), '\' is '/', empty and "." segments and everything from
- * ';' in a segment are dropped, and letter case is ignored. A prefix that any partial combination
+ * percent-encoding is decoded (repeatedly), '\' is '/', compatibility characters of Unicode have
+ * their plain form, empty and "." segments, everything from ';' in a segment and dots and spaces at
+ * its end are dropped, and letter case is ignored. A prefix that any partial combination
  * of these steps matches is also matched in the loose reading, and a prefix that matches literally
  * is matched in all of them. A request is refused as ambiguous if the two readings select different
  * routes; otherwise every reading selects the same route. ".." segments, control characters, '#',
--- a/tests/control/test_config_doc.cc
+++ b/tests/control/test_config_doc.cc
@@ -168,7 +168,7 @@
     { with_routes ("{\"a\":" + route (",'methods':['GET'],'prefix':'/%41'") + "}"),
       "$.routes.a.prefix: has a character other than letters, digits, '/' and -._~!$&'()*+,=:@" },
     { with_routes ("{\"a\":" + route (",'methods':['GET'],'prefix':'/x/../y'") + "}"),
-      "$.routes.a.prefix: has a dot segment" },
+      "$.routes.a.prefix: has a segment that ends in a dot" },
     { "{'teams':{'t':{'rate':0,'burst':1}}}", "$.teams.t.rate: must be from 0.001 to 1000000" },
     { "{'teams':{'t':{'rate':1}}}", "$.teams.t.burst: is required" },
     { "{'team_default':{'rate':1,'burst':1,'x':1}}", "$.team_default.x: unknown key" },
--- a/tests/decision/test_route_table.cc
+++ b/tests/decision/test_route_table.cc
@@ -107,6 +107,14 @@
     "/\\possessions",
     "/possessions%5c1",
     "/%252e//%2570ossessions",
+    "/possessions.",
+    "/possessions%20",
+    "/possessions%20.;x/",
+    "/possession%c5%bf",
+    "/%ef%bd%90ossessions",
+    "/%ef%bc%8fpossessions",
+    "/\xef\xbc\x85\x37\x30ossessions",
+    "/possessions\xef\xbc\x9bx",
   };
   for (const char *target : targets)
     EXPECT_EQ (look_up ("POST", "crew.example", target),
@@ -133,6 +141,10 @@
     "*",
     "http://crew.example/",
     "/a\nb",
+    "/a/.../b",
+    "/a/..%20/b",
+    "/a/%e2%80%a5/b",
+    "/a/. ./b",
     "/%2525252525252541",
   };
   for (const std::string &target : targets)
@@ -147,7 +159,11 @@
 {
   EXPECT_EQ (look_up ("POST", "crew.example", "/possessions/a%2Fb%20c;v=1//D/."), "book");
   EXPECT_EQ (look_up ("GET", "crew.example", "/sheets/100%25?q=/../%zz"), "sheet");
-  EXPECT_EQ (look_up ("GET", "crew.example", "/sheets/stra%C3%9Fe"), "sheet");
+  EXPECT_EQ (look_up ("GET", "crew.example", "/sheets/stra%C3%9Fe/\xc3\x84."), "sheet");
+  std::string wide = "/sheets/";
+  for (int i = 0; i < 1300; i++)
+    wide += "\xef\xb7\xba";
+  EXPECT_EQ (look_up ("GET", "crew.example", wide), "-" + std::to_string (ROUTE_PATH_TOO_LONG));
   std::string deep = "/sheets";
   for (int i = 0; i < 500; i++)
     deep += "/d";
@@ -158,8 +174,8 @@
 // random subsets of the reading steps to random paths. Seed 7, 20,000 paths.
 TEST_F (RouteTable, NoPartialReadingSelectsAnotherRoute)
 {
-  const char *pieces[] = { "/",   "//", "sheets",  "old",          "possessions", ";a",  "Sheets",
-                           "%2f", "x",  "/sheets", "/possessions", "/old",        "%3bq" };
+  const char *pieces[] = { "/", "//", "sheets", "old",     "possessions",  ";a",   "Sheets", "%2f",
+                           "x", ".",  "%20",    "/sheets", "/possessions", "/old", "%3bq" };
   rng_t rng;
   rng_init (&rng, 7);
   size_t accepted = 0;
@@ -190,6 +206,10 @@
         for (char &c : reading)
           c = g_ascii_tolower (c);
 
+      if (rng_below (&rng, 2))
+        for (size_t at; (at = reading.find ("./")) != std::string::npos;)
+          reading.erase (at, 1);
+
       // The literal route of the reading, by definition of the longest prefix.
       const config_route_t *best = nullptr;
       for (size_t r = 0; r < config_doc_route_count (doc); r++)
