tests/http: the scripted run checks the exit status of the entry

A memory error in a sanitizer build is now a failure. The TLS case runs without the leak check: LeakSanitizer (Debian 12) reports 'Tracer caught signal 11' at exit of every process that has completed a handshake of GIO's TLS module, also of a small GIO server without anvillb code; without a handshake it passes.

--- a/tests/http/run_data_path.py
+++ b/tests/http/run_data_path.py
@@ -69,11 +69,12 @@
 
 
 class Entry:
-    def __init__(self, *options):
+    def __init__(self, *options, environment=None):
         self.port, self.admin = free_port(), free_port()
         self.process = subprocess.Popen(
             [ENTRY, f"--listen=127.0.0.1:{self.port}", f"--admin-listen=127.0.0.1:{self.admin}",
-             "--resolve-ttl-ms=100", "--log-level=warning", *options])
+             "--resolve-ttl-ms=100", "--log-level=warning", *options],
+            env={**os.environ, **(environment or {})})
         wait_for(self.is_up, "the entry")
 
     def is_up(self):
@@ -96,12 +97,16 @@
 class DataPath(unittest.TestCase):
     def start(self, *options, backend_options=()):
         self.entry = Entry(*options)
-        self.addCleanup(self.entry.stop)
+        self.addCleanup(self.stop_entry)
         self.backends = [Backend(self.entry, *backend_options) for _ in range(2)]
         for backend in self.backends:
             self.addCleanup(backend.stop)
             wait_for(lambda: backend.stats()["announced"] > 0, "an announcement")
 
+    def stop_entry(self):
+        """Guards against a crash or, in a sanitizer build, a memory error of the entry."""
+        self.assertEqual(self.entry.stop(), 0)
+
     def start_load(self, *options):
         return subprocess.Popen([LOADGEN, f"--entry=127.0.0.1:{self.entry.port}", *options],
                                 stdout=subprocess.PIPE, text=True)
@@ -201,8 +206,11 @@
                             "ec_paramgen_curve:prime256v1", "-nodes", "-keyout", key, "-out", cert,
                             "-days", "2", "-subj", "/CN=crew", "-addext",
                             "subjectAltName=IP:127.0.0.1"], check=True, capture_output=True)
-            self.entry = Entry(f"--tls-cert={cert}", f"--tls-key={key}")
-            self.addCleanup(self.entry.stop)
+            # LeakSanitizer crashes at exit after a handshake of GIO's TLS module, also in a GIO
+            # server without anvillb code; the other checks of a sanitizer build stay on.
+            quiet = {"ASAN_OPTIONS": os.environ.get("ASAN_OPTIONS", "") + ":detect_leaks=0"}
+            self.entry = Entry(f"--tls-cert={cert}", f"--tls-key={key}", environment=quiet)
+            self.addCleanup(self.stop_entry)
             backend = Backend(self.entry, "--body-bytes=2000000")
             self.addCleanup(backend.stop)
             context = ssl.create_default_context(cafile=cert)
