--- a/src/entry_announce.c
+++ b/src/entry_announce.c
@@ -191,6 +191,8 @@
                                     domain, members, G_N_ELEMENTS (members));
   for (size_t i = 0; i < count; i++)
     {
+      if (core->leaving && strcmp (members[i]->id, core->options.instance) == 0)
+        continue;
       cJSON *item = cJSON_CreateObject ();
       cJSON_AddStringToObject (item, "address", members[i]->address);
       cJSON_AddStringToObject (item, "domain", members[i]->domain);
--- a/src/entry_core.c
+++ b/src/entry_core.c
@@ -52,11 +52,31 @@
   return owner != NULL && strcmp (owner->id, core->options.instance) == 0;
 }
 
+static void
+count_successor (void *data, const swim_member_t *member)
+{
+  bool is_entry = member->caller_address != NULL && member->caller_address[0] != '\0';
+  bool serves = (member->flags & SWIM_FLAG_CONFIGURED) != 0
+                && (member->flags & SWIM_FLAG_LEAVING) == 0 && member->status == SWIM_ALIVE;
+  if (is_entry && serves)
+    ++*(size_t *)data;
+}
+
+/* A leaving entry gives up its targets only if another entry can take them: callers keep its address
+ * for a while and must be served until then. */
+static bool
+has_successor (const entry_core_t *core)
+{
+  size_t count = 0;
+  swim_foreach (&core->options.membership->swim, count_successor, &count);
+  return count > 0;
+}
+
 static void
 update_self (entry_core_t *core)
 {
   placement_set (core->placement, core->options.instance, core->options.caller_address,
-                 core->options.domain, core->doc != NULL, core->leaving);
+                 core->options.domain, core->doc != NULL, core->leaving && has_successor (core));
 }
 
 static void
@@ -71,6 +91,8 @@
   entry_core_t *core = data;
   uint64_t version = placement_version (core->placement);
 
+  if (core->leaving)
+    update_self (core);
   if (strcmp (member->id, core->options.instance) == 0)
     return;
   if (member->status == SWIM_DEAD || event == SWIM_EVENT_REMOVED)
@@ -124,8 +146,8 @@
 entry_core_leave (entry_core_t *core)
 {
   core->leaving = true;
-  update_self (core);
   membership_task_leave (core->options.membership);
+  update_self (core);
   review_targets (core);
 }
 
--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#define PROBE_PATH "/health"
 #define READ_SIZE (64 * 1024)
 #define COLD_FACTOR 10
 
@@ -115,14 +116,32 @@
 {
   fake_conn_t *conn = data;
   conn->timer = 0;
-  conn->running = false;
-  conn->backend->running--;
-  conn->backend->stats.completed++;
+  if (!conn->probe)
+    {
+      conn->running = false;
+      conn->backend->running--;
+      conn->backend->stats.completed++;
+    }
   answer (conn);
   start_next (conn->backend);
   return G_SOURCE_REMOVE;
 }
 
+static void
+count_execution (fake_conn_t *conn)
+{
+  fake_backend_t *backend = conn->backend;
+  conn->running = true;
+  backend->running++;
+  backend->stats.executed++;
+  backend->stats.max_running = MAX (backend->stats.max_running, backend->running);
+  if (conn->key == NULL)
+    return;
+  gpointer count = g_hash_table_lookup (backend->keys, conn->key);
+  g_hash_table_insert (backend->keys, g_strdup (conn->key),
+                       GINT_TO_POINTER (GPOINTER_TO_INT (count) + 1));
+}
+
 static void
 execute (fake_conn_t *conn)
 {
@@ -133,16 +152,8 @@
   if ((double)passed_us < backend->faults.cold_ms * 1000)
     time_ms *= COLD_FACTOR;
   conn->waiting = false;
-  conn->running = true;
-  backend->running++;
-  backend->stats.executed++;
-  backend->stats.max_running = MAX (backend->stats.max_running, backend->running);
-  if (conn->key != NULL)
-    {
-      gpointer count = g_hash_table_lookup (backend->keys, conn->key);
-      g_hash_table_insert (backend->keys, g_strdup (conn->key),
-                           GINT_TO_POINTER (GPOINTER_TO_INT (count) + 1));
-    }
+  if (!conn->probe)
+    count_execution (conn);
   if (time_ms < 1)
     on_executed (conn);
   else
@@ -173,12 +184,20 @@
       fake_control_answer (conn, target);
       return;
     }
-  backend->stats.requests++;
+  conn->probe = strcmp (head->target, PROBE_PATH) == 0;
+  if (!conn->probe)
+    backend->stats.requests++;
   conn->head_only = strcmp (head->method, "HEAD") == 0;
   g_free (conn->echo);
   g_free (conn->key);
   conn->echo = g_strdup (http_headers_get (&head->headers, "X-Loadgen-Id"));
   conn->key = g_strdup (http_headers_get (&head->headers, "Idempotency-Key"));
+  if (conn->probe)
+    {
+      /* Probes have the faults of requests, but take no slot. */
+      execute (conn);
+      return;
+    }
   bool full = backend->running >= backend->options.slots;
   if (happens (backend, backend->faults.shed) || (full && backend->faults.shed_full != 0))
     {
--- a/tests/fakes/fake_backend.h
+++ b/tests/fakes/fake_backend.h
@@ -94,6 +94,7 @@
   io_deferred_t free;
   guint timer;
   bool running;
+  bool probe; /* the current request is one of the entry's probes */
   bool waiting;
   bool silent;
   bool head_only;
