--- a/src/entry_tasks.c
+++ b/src/entry_tasks.c
@@ -109,6 +109,8 @@
   if (tasks->trace == NULL)
     anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_VALUE, "--trace-file: cannot open '%s': %s",
                    entry_options.trace_file, g_strerror (errno));
+  else
+    setvbuf (tasks->trace, NULL, _IOLBF, 0);
   return tasks->trace != NULL;
 }
 
