--- a/src/control_tasks.h
+++ b/src/control_tasks.h
@@ -28,7 +28,7 @@
   replica_group_t claims_group;
   claim_machine_t claim_machine;
   replica_group_t *groups[3]; /* hosted here; ends with NULL */
-  rollout_t rollout; /* versions that members announce */
+  rollout_t rollout;          /* versions that members announce */
   io_timer_t rollout_timer;
   operator_server_t operators;
   supervisor_t supervisor;
--- a/src/entry_announce.h
+++ b/src/entry_announce.h
@@ -6,9 +6,9 @@
 /* entry_announce - announcements of backend servers, and resolve answers.
  *
  * POST /.anvillb/v1/announce takes the JSON object of design 2.3. The answer is {"lease_ms",
- * "echo"}; the backend server returns "echo" with its next announcement, together with "echo_held_ms",
- * the time since it got the echo. That round trip bounds the age of the announcement. An echo is
- * valid at the entry that issued it.
+ * "echo"}; the backend server returns "echo" with its next announcement, together with
+ * "echo_held_ms", the time since it got the echo. That round trip bounds the age of the
+ * announcement. An echo is valid at the entry that issued it.
  *
  * TARGET_LEASE passes an announcement on to the owner: [service, address, domain, slots,
  * connections, load, state, incarnation, seq, target_sent_us, age_us, sent_us]. */
--- a/src/entry_core.c
+++ b/src/entry_core.c
@@ -62,8 +62,8 @@
     ++*(size_t *)data;
 }
 
-/* A leaving entry gives up its targets only if another entry can take them: callers keep its address
- * for a while and must be served until then. */
+/* A leaving entry gives up its targets only if another entry can take them: callers keep its
+ * address for a while and must be served until then. */
 static bool
 has_successor (const entry_core_t *core)
 {
@@ -136,6 +136,17 @@
   review_targets (core);
 }
 
+void
+entry_core_on_silent (void *data, const char *address)
+{
+  entry_core_t *core = data;
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, core->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    entry_service_probe (value, address);
+}
+
 bool
 entry_core_is_ready (const entry_core_t *core)
 {
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -75,6 +75,9 @@
 void entry_core_on_member (void *data, swim_event_t event, const swim_member_t *member);
 void entry_core_on_install (void *data, uint64_t version, config_doc_t *doc);
 
+/* Handler for upstream_pool_options_t: probes the target on another connection. */
+void entry_core_on_silent (void *data, const char *address);
+
 /* Returns whether callers may be sent to this entry. */
 bool entry_core_is_ready (const entry_core_t *core);
 
--- a/src/entry_probe.c
+++ b/src/entry_probe.c
@@ -9,13 +9,21 @@
 #define PEER_PROBE_CONNECTIONS 1
 #define MIN_FAILED_STATUS 500
 
+typedef enum
+{
+  PROBE_HEALTH,  /* for the health of an own target */
+  PROBE_OPINION, /* for another entry */
+  PROBE_PATH,    /* only shows whether other connections to the target work */
+} probe_kind_t;
+
 typedef struct
 {
   upstream_exchange_t exchange; /* first member */
   list_node_t node;
   entry_service_t *service;
   uint64_t target_id;
-  uint64_t number; /* link to answer on; 0 for an own probe */
+  probe_kind_t kind;
+  uint64_t number; /* PROBE_OPINION: link to answer on */
   int64_t started_us;
   io_timer_t timer;
   char *text;
@@ -37,9 +45,9 @@
   entry_service_t *service = probe->service;
   int64_t now_us = entry_core_now (service->core);
 
-  if (probe->number == 0)
+  if (probe->kind == PROBE_HEALTH)
     assigned_service_probe_done (&service->decisions, now_us, probe->target_id, result);
-  else
+  else if (probe->kind == PROBE_OPINION)
     {
       health_opinion_t opinion = {
         .answered = result == HEALTH_OK,
@@ -107,14 +115,16 @@
 };
 
 static void
-start_probe (entry_service_t *service, uint64_t target_id, const char *address, int max_connections,
-             uint64_t number)
+start_probe (entry_service_t *service, probe_kind_t kind, uint64_t target_id, const char *address,
+             int max_connections, uint64_t number)
 {
   entry_core_t *core = service->core;
   probe_t *probe = g_new0 (probe_t, 1);
   probe->exchange.ops = &exchange_ops;
   probe->service = service;
   probe->target_id = target_id;
+  probe->kind = kind;
+  probe->exchange.fresh = kind == PROBE_PATH;
   probe->number = number;
   probe->started_us = entry_core_now (core);
   probe->text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: %s\r\nUser-Agent: anvillb-probe\r\n\r\n",
@@ -131,7 +141,19 @@
 entry_probe_start (entry_service_t *service, uint64_t target_id, const char *address,
                    int max_connections)
 {
-  start_probe (service, target_id, address, max_connections, 0);
+  start_probe (service, PROBE_HEALTH, target_id, address, max_connections, 0);
+}
+
+void
+entry_probe_path (entry_service_t *service, uint64_t target_id, const char *address,
+                  int max_connections)
+{
+  LIST_FOREACH (&service->probes, node)
+  {
+    if (LIST_ENTRY (node, probe_t, node)->target_id == target_id)
+      return;
+  }
+  start_probe (service, PROBE_PATH, target_id, address, max_connections, 0);
 }
 
 void
@@ -141,7 +163,7 @@
   char host[64];
   uint16_t port = 0;
   if (option_parse_address (address, host, sizeof (host), &port) && port != 0)
-    start_probe (service, target_id, address, PEER_PROBE_CONNECTIONS, number);
+    start_probe (service, PROBE_OPINION, target_id, address, PEER_PROBE_CONNECTIONS, number);
 }
 
 void
--- a/src/entry_probe.h
+++ b/src/entry_probe.h
@@ -12,6 +12,11 @@
 void entry_probe_start (entry_service_t *service, uint64_t target_id, const char *address,
                         int max_connections);
 
+/* Sends a probe whose only use is the progress that it makes on another connection; does nothing
+ * while a probe of the target is under way. */
+void entry_probe_path (entry_service_t *service, uint64_t target_id, const char *address,
+                       int max_connections);
+
 /* Probes a target for another entry and answers on the link NUMBER. */
 void entry_probe_for_peer (entry_service_t *service, uint64_t target_id, const char *address,
                            uint64_t number);
--- a/src/entry_service.c
+++ b/src/entry_service.c
@@ -332,6 +332,15 @@
   entry_service_pump (service);
 }
 
+void
+entry_service_probe (entry_service_t *service, const char *address)
+{
+  uint64_t id = entry_hash_id (address);
+  const service_target_t *target = g_hash_table_lookup (service->targets, &id);
+  if (target != NULL)
+    entry_probe_path (service, id, target->address, target->max_connections);
+}
+
 static void
 drop_old_peers (entry_service_t *service, GHashTable *current)
 {
--- a/src/entry_service.h
+++ b/src/entry_service.h
@@ -83,6 +83,9 @@
 /* Periodic work: health, floor, limiter exchange, actions. */
 void entry_service_tick (entry_service_t *service);
 
+/* Probes the target ADDRESS, if it is one of this service and no probe of it is under way. */
+void entry_service_probe (entry_service_t *service, const char *address);
+
 /* Updates the set of other assigned entries after a change of members. */
 void entry_service_update_peers (entry_service_t *service);
 
--- a/src/entry_tasks.c
+++ b/src/entry_tasks.c
@@ -137,6 +137,8 @@
     .loop = tasks->loop,
     .connect_timeout_us = entry_options.connect_timeout_ms * US_PER_MS,
     .idle_timeout_us = entry_options.upstream_idle_ms * US_PER_MS,
+    .on_silent = entry_core_on_silent,
+    .data = &tasks->core,
   };
   upstream_pool_init (&tasks->pool, &options);
   counter_register (&tasks->counters, &tasks->opened, COUNTER_KIND_COUNTER,
--- a/src/group_api.h
+++ b/src/group_api.h
@@ -12,7 +12,7 @@
  *
  * add and remove go to the leader; others redirect. */
 
-/* Answers CALL if it concerns groups. GROUPS ends with NULL; TLS tells how operators reach the members.
- * Returns whether it did. */
+/* Answers CALL if it concerns groups. GROUPS ends with NULL; TLS tells how operators reach the
+ * members. Returns whether it did. */
 bool group_api_handle (replica_group_t *const *groups, bool tls, operator_call_t *call,
                        const operator_request_t *request);
--- a/src/operator_server.h
+++ b/src/operator_server.h
@@ -40,6 +40,7 @@
                            GMainContext *context);
 void operator_server_destroy (operator_server_t *server);
 
-/* Answers with the JSON text BODY and, if it is not NULL, the header Location, and frees the call. */
+/* Answers with the JSON text BODY and, if it is not NULL, the header Location, and frees the call.
+ */
 void operator_call_respond (operator_call_t *call, int status, const char *location,
                             const char *body);
--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -92,6 +92,9 @@
   int64_t since_us = MAX (conn->last_progress_us, now_us - exchange->stall_us / 2);
   if (conn->target->last_progress_us <= since_us)
     {
+      const upstream_pool_options_t *options = &conn->pool->options;
+      if (options->on_silent != NULL)
+        options->on_silent (options->data, conn->target->address);
       io_timer_set (loop, &conn->timer, now_us + exchange->stall_us / 4);
       return;
     }
--- a/src/upstream_conn.h
+++ b/src/upstream_conn.h
@@ -46,6 +46,7 @@
   int64_t stall_us;      /* longest time without progress; 0 disables the check */
   bool ends_on_stall;    /* false: a stall is only noted in stalled */
   bool head_request;
+  bool fresh;        /* set by the user: do not reuse an idle connection if a new one is allowed */
   bool request_sent; /* set by the user after the last write */
   bool stalled;
   bool reused; /* the connection had carried another exchange */
--- a/src/upstream_pool.c
+++ b/src/upstream_pool.c
@@ -128,6 +128,18 @@
   exchange->stalled = false;
   exchange->reused = false;
   exchange->request_sent = false;
+  if (exchange->fresh)
+    {
+      /* Idle connections may be silent too. Without room for a new one, the oldest makes room. */
+      list_node_t *oldest = list_is_empty (&target->idle) ? NULL : target->idle.head.prev;
+      if (oldest != NULL && target->connections >= target->max_connections)
+        upstream_conn_close (LIST_ENTRY (oldest, upstream_conn_t, node));
+      if (target->connections < target->max_connections)
+        {
+          open_connection (target, exchange);
+          return;
+        }
+    }
   list_push_back (&target->waiting, &exchange->node);
   serve_waiting (target);
 }
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -14,6 +14,10 @@
   io_loop_t *loop;
   int64_t connect_timeout_us;
   int64_t idle_timeout_us; /* an idle connection is closed after this time */
+  /* A connection to ADDRESS is silent and no sibling shows whether the target is: a probe on
+   * another connection tells. May be NULL. */
+  void (*on_silent) (void *data, const char *address);
+  void *data;
 } upstream_pool_options_t;
 
 struct upstream_target
