health: a suspect target does not vouch for the others

When a whole service becomes slow, a few of its responses are still short, and each made its target count as normal, here and in the answers to other entries.

--- a/src/health_evidence.c
+++ b/src/health_evidence.c
@@ -253,7 +253,7 @@
       if (other == target || other->readmission.ejected)
         continue;
       others++;
-      normal += other->last_normal_start_us >= since_us;
+      normal += !other->suspect && other->last_normal_start_us >= since_us;
     }
   return others > 0 && 2 * normal >= others;
 }
--- a/src/health_target.h
+++ b/src/health_target.h
@@ -72,8 +72,9 @@
 /* Stores the logarithm of the median latency of the own targets. Returns false without any. */
 bool health_own_median_log (health_t *h, int64_t now_us, double *out);
 
-/* Returns whether half of the own targets other than TARGET (NULL: of all) have answered as usual a
- * request or probe that started at SINCE_US or later. */
+/* Returns whether half of the own targets other than TARGET (NULL: of all) are not suspect and have
+ * answered as usual a request or probe that started at SINCE_US or later. A suspect one does not
+ * count: in a slow service a few responses are still short. */
 bool health_others_are_normal (const health_t *h, const health_target_t *target, int64_t since_us);
 
 /* Returns whether the own median is above FACTOR times that of most targets of other entries. */
