entry_peers: second opinions say whether the prober's own targets are normal

An opinion of an entry whose own targets are slow proves nothing; the health module now asks for that flag.

--- a/src/entry_peers.c
+++ b/src/entry_peers.c
@@ -10,7 +10,7 @@
 
 #define SUMMARY_FIELDS 12
 #define PROBE_REQUEST_FIELDS 3
-#define PROBE_RESULT_FIELDS 5
+#define PROBE_RESULT_FIELDS 6
 #define NAME_SIZE 160
 
 static void
@@ -110,6 +110,7 @@
   wire_write_bool (&writer, opinion->answered);
   wire_write_int (&writer, opinion->latency_us);
   wire_write_int (&writer, opinion->reference_us);
+  wire_write_bool (&writer, opinion->normal);
   peer_network_reply_writer (service->core->options.network, number, &writer);
 }
 
@@ -200,6 +201,7 @@
   opinion.answered = wire_read_bool (reader);
   opinion.latency_us = wire_read_int (reader);
   opinion.reference_us = wire_read_int (reader);
+  opinion.normal = wire_read_bool (reader);
   entry_service_t *service
       = wire_reader_finish (reader, NULL) ? service_of_peer (core, link, name) : NULL;
   if (service != NULL)
--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -8,7 +8,7 @@
  *                    wait_us urgent, wait_us background, targets, median_latency_us, failure_rate]
  *   TEAM_USAGE      see limiter_wire
  *   PROBE_REQUEST   [service, address, target_id]
- *   PROBE_RESULT    [service, target_id, answered, latency_us, reference_us]
+ *   PROBE_RESULT    [service, target_id, answered, latency_us, reference_us, normal]
  *   TARGET_LEASE    see entry_announce */
 
 #define ENTRY_SUMMARY_PERIOD_US INT64_C (500000)
--- a/src/entry_probe.c
+++ b/src/entry_probe.c
@@ -53,6 +53,7 @@
         .answered = result == HEALTH_OK,
         .latency_us = now_us - probe->started_us,
         .reference_us = health_probe_reference_us (&service->decisions.health, now_us),
+        .normal = health_is_normal (&service->decisions.health, now_us),
       };
       entry_peers_send_opinion (service, probe->number, probe->target_id, &opinion);
     }
