ctl_members: status, founding and changes of groups

A group of several control instances could only be founded with hand-made calls of the groups' API. The new commands read the identities from the instances, found a group with the same first entry everywhere, complete a group that was founded in part, and add and remove members.

--- a/src/ctl_client.c
+++ b/src/ctl_client.c
@@ -99,6 +99,25 @@
   return NULL;
 }
 
+cJSON *
+ctl_client_call_at (ctl_client_t *client, const char *server, const char *method, const char *path,
+                    const char *body, unsigned *status, anv_error_t *err)
+{
+  gsize size = 0;
+  GBytes *answer = call_server (client, server, method, path, body, status, err);
+  if (answer == NULL)
+    return NULL;
+  const char *data = g_bytes_get_data (answer, &size);
+  cJSON *json = json_parse (size > 0 ? data : "", size, NULL);
+  g_bytes_unref (answer);
+  if (cJSON_IsObject (json) && *status != SOUP_STATUS_SERVICE_UNAVAILABLE)
+    return json;
+  anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_ANSWER, "%s answered %u: %s", server, *status,
+                 json_string (json, "error", "not a JSON object"));
+  cJSON_Delete (json);
+  return NULL;
+}
+
 cJSON *
 ctl_client_call (ctl_client_t *client, const char *method, const char *path, const char *body,
                  unsigned *status, anv_error_t *err)
@@ -109,18 +128,9 @@
       const char *server = g_ptr_array_index (servers, attempt % servers->len);
       if (attempt > 0)
         g_usleep ((gulong)client->options.retry_delay_ms * 1000);
-      GBytes *answer = call_server (client, server, method, path, body, status, err);
-      if (answer == NULL)
-        continue;
-      gsize size = 0;
-      const char *data = g_bytes_get_data (answer, &size);
-      cJSON *json = json_parse (size > 0 ? data : "", size, NULL);
-      g_bytes_unref (answer);
-      if (cJSON_IsObject (json) && *status != SOUP_STATUS_SERVICE_UNAVAILABLE)
-        return json;
-      anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_ANSWER, "%s answered %u: %s", server, *status,
-                     json_string (json, "error", "not a JSON object"));
-      cJSON_Delete (json);
+      cJSON *answer = ctl_client_call_at (client, server, method, path, body, status, err);
+      if (answer != NULL)
+        return answer;
     }
   anv_error_convert (err, ANV_ERROR_CTL, CTL_ERROR_CALL, "no answer after %d calls",
                      CTL_MAX_ATTEMPTS);
--- a/src/ctl_client.h
+++ b/src/ctl_client.h
@@ -48,7 +48,11 @@
 cJSON *ctl_client_call (ctl_client_t *client, const char *method, const char *path,
                         const char *body, unsigned *status, anv_error_t *err);
 
-/* The same for an answer that must have status 200. */
+/* Makes one call at SERVER and follows redirects. Returns the answer as ctl_client_call() does. */
+cJSON *ctl_client_call_at (ctl_client_t *client, const char *server, const char *method,
+                           const char *path, const char *body, unsigned *status, anv_error_t *err);
+
+/* ctl_client_call() for an answer that must have status 200. */
 cJSON *ctl_client_get (ctl_client_t *client, const char *path, anv_error_t *err);
 
 /* Fetches the records of all versions; elements are version_record_t and freed with the array.
--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "ctl_history.h"
+#include "ctl_members.h"
 #include "ctl_submit.h"
 #include "option.h"
 
@@ -56,9 +57,12 @@
 
 static const option_table_t table = {
   .program = "anvillbctl",
-  .summary = "Changes and explains the configuration of an anvillb fleet.\v"
+  .summary = "Changes and explains the configuration of an anvillb fleet, and the members of its "
+             "replicated logs.\v"
              "Commands: submit FILE, dry-run FILE, show, diff FROM TO, history, "
-             "explain METHOD HOST PATH, verify, report YYYY-MM. Options come before the command.",
+             "explain METHOD HOST PATH, verify, report YYYY-MM, members, "
+             "members found GROUP URL..., members add GROUP URL, members remove GROUP ID. "
+             "Options come before the command.",
   .positional = "COMMAND [ARGUMENT...]",
   .options = options,
 };
@@ -90,6 +94,8 @@
     return run_submit (client, count, arguments, err);
   if (ctl_history_has_command (arguments[0]))
     return ctl_history_run (client, &history, count, arguments, stdout, err);
+  if (strcmp (arguments[0], "members") == 0)
+    return ctl_members_run (client, count - 1, arguments + 1, stdout, err);
   return usage_error (err, "unknown command; see --help");
 }
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -123,7 +123,8 @@
 
     # Control.
 
-    def start_controls(self, count, arguments=()):
+    def start_controls(self, count, arguments=(), found=True):
+        """Starts control instances; FOUND tells whether they found their groups."""
         ports = [free_ports(2) for _ in range(count)]
         seeds = [f"--seed=127.0.0.1:{peer}" for peer, _ in ports]
         for number, (peer, operator) in enumerate(ports):
@@ -137,10 +138,25 @@
             self.controls.append(process.start())
         for process in self.controls:
             wait_until(lambda p=process: self.operator(p, "GET", "/v1/groups")[0] == 200, "control answers")
-        if count > 1:
+        if count > 1 and found:
             self.found_groups()
+        if found:
+            self.wait_leaders()
+
+    def wait_leaders(self):
         wait_until(lambda: self.leader("config") and self.leader("claims"), "both groups have a leader")
 
+    def ctl(self, *arguments, servers=None):
+        """Runs anvillbctl and returns (exit status, standard output, standard error)."""
+        scheme = "https" if self.tls else "http"
+        urls = [f"{scheme}://127.0.0.1:{process.ports['operator']}" for process in servers or self.controls]
+        done = subprocess.run(
+            [str(self.build / "src" / "anvillbctl"), f"--token-file={self.token_file}",
+             *[f"--server={url}" for url in urls],
+             *([f"--tls-ca={self.directory}/ca.pem"] if self.tls else []), *arguments],
+            capture_output=True, text=True, stdin=subprocess.DEVNULL, timeout=60)
+        return done.returncode, done.stdout, done.stderr
+
     def operator(self, process, method, path, body=None):
         """Returns (status, parsed answer) of an operator's call; follows a redirect to the leader."""
         port = process.ports["operator"]
--- a/tests/system/links_with_tls.py
+++ b/tests/system/links_with_tls.py
@@ -1,9 +1,10 @@
 """Guards against links and ports that do not work with TLS, and against a peer without a certificate that is
-let in."""
+let in, and against an operators' tool that does not work with TLS or accepts any certificate."""
 
 import json
 import socket
 import ssl
+import subprocess
 import urllib.request
 
 from fleet import CREW, TOKEN, wait_until
@@ -16,6 +17,7 @@
     start_control(fleet, context)
     body = {"base": 0, "patch_id": "first", "operator": "test", "reason": "test", "patch": CREW}
     say(f"patch over TLS: {fetch(context, fleet.controls[0].ports['operator'], '/v1/patches', body)['outcome']}")
+    say_tool(fleet, say)
     fleet.start_entries(3)
     fleet.wait_ready()
     ready = wait_until(lambda: fetch_text(context, fleet.entries[2].ports["admin"], "/readyz"), "ready")
@@ -24,6 +26,17 @@
     say(f"TLS without a certificate is closed: {is_closed(fleet.entries[0].ports['peer'], context)}")
 
 
+def say_tool(fleet, say):
+    status, output, error = fleet.ctl("members")
+    say(f"anvillbctl over TLS: exit {status}, leads {output.count(': leader, ')} groups {error}".strip())
+    # Without the option the authority is not among those of the system.
+    server = f"--server=https://127.0.0.1:{fleet.controls[0].ports['operator']}"
+    tool = [fleet.build / "src" / "anvillbctl", f"--token-file={fleet.token_file}", server, "members"]
+    refused = subprocess.run(tool, capture_output=True, text=True, stdin=subprocess.DEVNULL, timeout=60)
+    say(f"anvillbctl without the authority: exit {refused.returncode}, "
+        f"refuses the certificate: {'certificate' in refused.stdout.lower()}")
+
+
 def start_control(fleet, context):
     import fleet as module
     original = module.call
