tests/system: the scenario operators_tool replaces the leader

Which instance led was left to chance, so most runs replaced a follower and did not elect another leader.

--- a/tests/system/operators_tool.py
+++ b/tests/system/operators_tool.py
@@ -18,15 +18,15 @@
     found(fleet, tool, say)
     change(tool, say)
     read(fleet, tool, say)
-    replace(fleet, tool, say)
-    survive(fleet, tool, say)
+    replaced = replace(fleet, tool, say)
+    survive(fleet, tool, say, replaced)
 
 
 class Tool:
     """Runs anvillbctl and prints what does not vary from run to run."""
 
     def __init__(self, fleet, say):
-        self.fleet, self.say = fleet, say
+        self.fleet, self.say, self.names = fleet, say, {}
 
     def __call__(self, title, *arguments):
         status, output, error = self.fleet.ctl(*arguments)
@@ -40,7 +40,7 @@
         line = re.sub(r"\b[0-9a-f]{16}\b", "ID", line)
         line = re.sub(r"\d{4}-\d\d-\d\d \d\d:\d\d:\d\d UTC", "TIME", line)
         for process in self.fleet.controls:
-            line = line.replace(url(process), f"URL-{process.name}")
+            line = line.replace(url(process), f"URL-{self.names.get(process, process.name)}")
         return line
 
     def submit(self, title, file, base, patch_id, command="submit"):
@@ -114,12 +114,15 @@
 
 
 def replace(fleet, tool, say):
-    lost = fleet.controls[1]
+    """Replaces the leader of the group config, so that the group also elects another one."""
+    lost = fleet.leader("config")
+    tool.names[lost] = "replaced"
     old = {name: group["id"] for name, group in fleet.groups(lost).items()}
     lost.kill()
     shutil.rmtree(fleet.directory / lost.name)
     lost.start()
     wait_until(lambda: fleet.operator(lost, "GET", "/v1/groups")[0] == 200, "the instance answers")
+    fleet.wait_leaders()
     new = {name: group["id"] for name, group in fleet.groups(lost).items()}
     say(f"the instance has new identities: {all(old[name] != new[name] for name in GROUPS)}")
     for name in GROUPS:
@@ -130,6 +133,7 @@
     say("the replaced instance is a voter of both groups")
     tool("add it again", "members", "add", "config", url(lost))
     tool("remove an unknown identity", "members", "remove", "config", old["config"])
+    return lost
 
 
 def are_voters(fleet, process, identities):
@@ -150,14 +154,14 @@
     say(f"{action} a member of {name}: done")
 
 
-def survive(fleet, tool, say):
+def survive(fleet, tool, say, replaced):
     patch = fleet.directory / "last.json"
     patch.write_text(json.dumps({"team_default": {"rate": 40}}))
-    fleet.controls[2].kill()
+    next(process for process in fleet.controls if process is not replaced).kill()
     fleet.wait_leaders()
     tool.submit("submit with the replaced instance as part of the majority", patch, 2, "change-3")
     wait_version(fleet, 3)
-    status, output, error = fleet.ctl("history", servers=[fleet.controls[1]])
+    status, output, error = fleet.ctl("history", servers=[replaced])
     say(f"versions at the replaced instance: exit {status}, {len(re.findall('change-[0-9]', output))} {error}".strip())
     status, output, _ = fleet.ctl("members")
     say(f"status with a killed instance: exit {status}, no status {output.count('no status')}")
