--- a/src/config_api.c
+++ b/src/config_api.c
@@ -45,6 +45,25 @@
   return g_strconcat (api->tls ? "https://" : "http://", operator_address, NULL);
 }
 
+/* Returns whether the answer must hold all accepted versions. A follower may lag behind the leader.
+ */
+static bool
+is_read (const operator_request_t *request)
+{
+  return strcmp (request->method, "GET") == 0
+         && (g_str_has_prefix (request->path, "/v1/versions")
+             || g_str_has_prefix (request->path, "/v1/records"));
+}
+
+static void
+redirect (operator_call_t *call, const operator_request_t *request, const char *url)
+{
+  bool has_query = request->query != NULL;
+  g_autofree char *location = g_strconcat (url, request->path, has_query ? "?" : "",
+                                           has_query ? request->query : "", NULL);
+  operator_call_respond (call, 307, location, "{\"error\":\"not the leader\"}\n");
+}
+
 void
 config_api_handle (const config_api_t *api, operator_call_t *call,
                    const operator_request_t *request)
@@ -62,6 +81,11 @@
     .data = api->machine,
   };
   operator_response_t response = { 0 };
+  if (url != NULL && is_read (request))
+    {
+      redirect (call, request, url);
+      return;
+    }
   int64_t wall_ms = g_get_real_time () / 1000;
   if (operator_api_handle (&operators, request, wall_ms, call, &response))
     respond (call, &response);
--- a/src/config_routes.c
+++ b/src/config_routes.c
@@ -12,7 +12,7 @@
   { "class", FIELD_OTHER, true },
   { "idempotent", FIELD_BOOL, true, offsetof (config_route_t, idempotent) },
   { "timeout_ms", FIELD_UINT32, false, offsetof (config_route_t, timeout_ms), 1, 3600000, 10000 },
-  { "max_body_bytes", FIELD_UINT32, false, offsetof (config_route_t, max_body_bytes), 0, UINT32_MAX,
+  { "max_body_bytes", FIELD_UINT32, false, offsetof (config_route_t, max_body_bytes), 1, UINT32_MAX,
     1048576 },
   { NULL, FIELD_END },
 };
--- a/src/control_options.c
+++ b/src/control_options.c
@@ -15,9 +15,11 @@
   { "peer-advertise", OPTION_ADDRESS, &control_options.peer_advertise, NULL, 0, 0, NULL, false,
     "ADDRESS", "Address that other processes use; the listening address if not given" },
   { "operator-listen", OPTION_ADDRESS, &control_options.operator_listen, "127.0.0.1:8091", 0, 0,
-    NULL, false, "ADDRESS", "Address of the port for operators, metrics and health" },
+    NULL, false, "ADDRESS", "Address of the port for operators" },
   { "operator-advertise", OPTION_ADDRESS, &control_options.operator_advertise, NULL, 0, 0, NULL,
     false, "ADDRESS", "Address that operators are redirected to; the listening one if not given" },
+  { "admin-listen", OPTION_ADDRESS, &control_options.admin_listen, "127.0.0.1:8092", 0, 0, NULL,
+    false, "ADDRESS", "Address of the port for metrics and health" },
   { "token-file", OPTION_STRING, &control_options.token_file, NULL, 0, 0, NULL, true, "FILE",
     "File with the credential that operators' calls must carry" },
   { "instance", OPTION_STRING, &control_options.instance, "control", 0, 0, NULL, false, "ID",
@@ -36,8 +38,6 @@
     "Authority that signs the certificates of the fleet, in PEM format" },
   { "insecure-listen", OPTION_BOOL, &control_options.insecure_listen, "false", 0, 0, NULL, false,
     NULL, "Allow listening addresses other than loopback without TLS" },
-  { "found-alone", OPTION_BOOL, &control_options.found_alone, "false", 0, 0, NULL, false, NULL,
-    "With an empty data directory, found groups of which this instance is the only member" },
   { "max-claims", OPTION_INTEGER, &control_options.max_claims, "2000000", 1, 1e9, NULL, false,
     "COUNT", "Claims on record above which new ones are refused" },
   { "max-answer-bytes", OPTION_INTEGER, &control_options.max_answer_bytes, "1073741824", 0, 1e12,
@@ -93,6 +93,7 @@
   bool insecure = control_options.insecure_listen;
   return check_groups (err) && check_tls (err)
          && listen_check ("peer-listen", control_options.peer_listen, tls, insecure, err)
+         && listen_check ("admin-listen", control_options.admin_listen, tls, insecure, err)
          && listen_check ("operator-listen", control_options.operator_listen, tls, insecure, err);
 }
 
--- a/src/control_options.h
+++ b/src/control_options.h
@@ -15,6 +15,7 @@
   char *peer_advertise;
   char *operator_listen;
   char *operator_advertise;
+  char *admin_listen;
   char *token_file;
   char *instance;
   char *domain;
@@ -24,7 +25,6 @@
   char *tls_key;
   char *tls_ca;
   bool insecure_listen;
-  bool found_alone;
   int64_t max_claims;
   int64_t max_answer_bytes;
   int64_t log_level;
--- a/src/control_tasks.c
+++ b/src/control_tasks.c
@@ -229,7 +229,6 @@
     .name = name,
     .number = number,
     .member_name = tasks->member_name,
-    .found_alone = control_options.found_alone,
     .counters = &tasks->counters,
     .data = machine,
   };
@@ -268,6 +267,21 @@
     }
 }
 
+/* Ready: each group of this instance has a leader that this instance knows. */
+static bool
+is_ready (void *data)
+{
+  const control_tasks_t *tasks = data;
+  char leader[RAFT_NAME_SIZE];
+  for (replica_group_t *const *group = tasks->groups; *group != NULL; group++)
+    {
+      replica_group_leader (*group, leader);
+      if (leader[0] == '\0')
+        return false;
+    }
+  return tasks->stop_at_us == 0;
+}
+
 static void
 init_supervisor (control_tasks_t *tasks)
 {
@@ -288,12 +302,21 @@
     .data = tasks,
   };
   operator_server_init (&tasks->operators, &operator_options, NULL);
+  admin_server_options_t admin_options = {
+    .listen = control_options.admin_listen,
+    .certificate = tasks->tls.certificate,
+    .counters = &tasks->counters,
+    .is_ready = is_ready,
+    .data = tasks,
+  };
+  admin_server_init (&tasks->admin, &admin_options, NULL);
   supervisor_init (&tasks->supervisor, &options);
   supervisor_add (&tasks->supervisor, &tasks->network.task);
   supervisor_add (&tasks->supervisor, &tasks->membership.task);
   for (replica_group_t **group = tasks->groups; *group != NULL; group++)
     supervisor_add (&tasks->supervisor, &(*group)->task);
   supervisor_add (&tasks->supervisor, &tasks->operators.task);
+  supervisor_add (&tasks->supervisor, &tasks->admin.task);
 }
 
 bool
@@ -325,6 +348,7 @@
   supervisor_destroy (&tasks->supervisor);
   rollout_destroy (&tasks->rollout);
   operator_server_destroy (&tasks->operators);
+  admin_server_destroy (&tasks->admin);
   for (replica_group_t **group = tasks->groups; *group != NULL; group++)
     replica_group_destroy (*group);
   config_machine_destroy (&tasks->config_machine);
--- a/src/control_tasks.h
+++ b/src/control_tasks.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admin_server.h"
 #include "claim_machine.h"
 #include "config_machine.h"
 #include "file_posix.h"
@@ -31,6 +32,7 @@
   rollout_t rollout;          /* versions that members announce */
   io_timer_t rollout_timer;
   operator_server_t operators;
+  admin_server_t admin;
   supervisor_t supervisor;
   io_timer_t stop_timer;
   int64_t stop_at_us; /* 0 until the planned stop */
--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -14,7 +14,8 @@
 #define US_PER_S 1000000
 /* Connections to another entry for forwarded requests. */
 #define ENTRY_CONNECTIONS 64
-#define MAX_TEAM_SIZE 128
+/* Callers without a team have the default limit each, by address. */
+#define UNNAMED_TEAM_PREFIX "address:"
 
 static const struct
 {
@@ -36,11 +37,15 @@
   return 500;
 }
 
-static const char *
-team_of (const entry_request_t *r)
+/* Stores the team that the request counts for: the one that the caller names, or its address. */
+static void
+set_team (entry_request_t *r, const request_head_t *head)
 {
-  const char *team = http_headers_get (proxy_request_head (r->request)->headers, TEAM_HEADER);
-  return team != NULL && strlen (team) <= MAX_TEAM_SIZE ? team : "";
+  const char *team = http_headers_get (head->headers, TEAM_HEADER);
+  if (team != NULL)
+    g_strlcpy (r->team, team, sizeof (r->team));
+  else
+    g_snprintf (r->team, sizeof (r->team), "%s%s", UNNAMED_TEAM_PREFIX, head->caller_address);
 }
 
 /* Returns an entry that is assigned to the service and is not this one, the own failure domain
@@ -77,6 +82,8 @@
     }
   http_headers_init (&extra);
   http_headers_append (&extra, HOP_HEADER, "1");
+  /* The next entry sees the address of this one instead of the caller's. */
+  http_headers_append (&extra, TEAM_HEADER, r->team);
   request_dispatch_t dispatch = {
     .address = member->address,
     .max_connections = ENTRY_CONNECTIONS,
@@ -148,11 +155,10 @@
 check_limit (entry_request_t *r)
 {
   int64_t retry_after_us = 0;
-  const char *team = team_of (r);
-  if (r->limited || *team == '\0')
+  if (r->limited)
     return true;
   r->limited = true;
-  if (entry_service_admit (r->service, team, &retry_after_us))
+  if (entry_service_admit (r->service, r->team, &retry_after_us))
     return true;
   entry_service_cancel (r->service, r->waiter.id);
   entry_request_claim_end (r);
@@ -214,7 +220,11 @@
       return false;
     }
   r->doc = config_doc_ref (core->doc);
-  return true;
+  const char *team = http_headers_get (head->headers, TEAM_HEADER);
+  if (team == NULL || strlen (team) <= ENTRY_MAX_TEAM_SIZE)
+    return true;
+  entry_request_refuse (r, 400, "Anvillb-Team is too long", 0);
+  return false;
 }
 
 static void
@@ -226,6 +236,7 @@
 
   r->deadline_us = deadline_start (head->received_us, r->match.route->timeout_ms, deadline);
   r->hop = http_headers_get (head->headers, HOP_HEADER) != NULL;
+  set_team (r, head);
   proxy_request_set_deadline (r->request, r->deadline_us);
   if (!r->hop && !entry_core_is_assigned (core, service))
     {
--- a/src/entry_request.h
+++ b/src/entry_request.h
@@ -10,6 +10,7 @@
  * entry_request_answer.c the answers that the entry gives itself. */
 
 #define ENTRY_MAX_ATTEMPTS 3
+#define ENTRY_MAX_TEAM_SIZE 128
 
 typedef enum
 {
@@ -35,6 +36,7 @@
   entry_service_t *service;
   int64_t deadline_us;
   bool hop; /* came from another entry */
+  char team[ENTRY_MAX_TEAM_SIZE + 1];
   unsigned attempts;
   uint64_t tried[ENTRY_MAX_ATTEMPTS];
   bool retry_taken; /* the budget has granted the next attempt */
--- a/src/option.c
+++ b/src/option.c
@@ -11,6 +11,9 @@
 #define KEY_BASE 1000
 #define KEY_CHECK 900
 
+/* argp reads the version from a global variable. */
+static char *version_text;
+
 typedef struct
 {
   const option_table_t *table;
@@ -334,7 +337,11 @@
     .args_doc = table->positional,
     .doc = table->summary,
   };
+  version_text = g_strconcat (table->program, " " ANVILLB_VERSION, NULL);
+  argp_program_version = version_text;
   error_t status = argp_parse (&argp, argc, argv, ARGP_IN_ORDER, NULL, &state);
+  argp_program_version = NULL;
+  g_clear_pointer (&version_text, g_free);
   if (state.failed)
     return false;
   if (status != 0)
--- a/src/replica_group.c
+++ b/src/replica_group.c
@@ -147,18 +147,6 @@
   return id;
 }
 
-static bool
-found_alone (replica_group_t *group, anv_error_t *err)
-{
-  raft_status_t status;
-  raft_status (&group->raft, &status);
-  if (!group->options.found_alone || status.peer_count > 0 || status.last_index > 0)
-    return true;
-  raft_member_t self = { .id = status.id, .voter = true };
-  g_strlcpy (self.name, group->options.member_name, sizeof (self.name));
-  return raft_bootstrap (&group->raft, now_us (group), &self, 1, err);
-}
-
 static bool
 start (task_t *task, anv_error_t *err)
 {
@@ -173,8 +161,6 @@
   if (!raft_init (&group->raft, &options, &group->io, now_us (group), err))
     return false;
   group->started = true;
-  if (!found_alone (group, err))
-    return false;
   raft_status_t status;
   raft_status (&group->raft, &status);
   LOG_NOTICE ("member group=%s id=%016" G_GINT64_MODIFIER "x applied=%" G_GUINT64_FORMAT
@@ -305,16 +291,27 @@
   done (data, same ? result : NULL);
 }
 
+static bool
+check_running (const replica_group_t *group, anv_error_t *err)
+{
+  if (!group->started)
+    anv_error_set (err, ANV_ERROR_RAFT, RAFT_ERROR_STATE, "the group is restarting");
+  return group->started;
+}
+
 bool
 replica_group_found (replica_group_t *group, const raft_member_t *members, size_t count,
                      anv_error_t *err)
 {
-  return raft_bootstrap (&group->raft, now_us (group), members, count, err);
+  return check_running (group, err)
+         && raft_bootstrap (&group->raft, now_us (group), members, count, err);
 }
 
 bool
 replica_group_add (replica_group_t *group, const raft_member_t *member, anv_error_t *err)
 {
+  if (!check_running (group, err))
+    return false;
   bool added = raft_add_member (&group->raft, now_us (group), member, err);
   io_loop_defer (group->options.loop, &group->flush);
   return added;
@@ -323,6 +320,8 @@
 bool
 replica_group_remove (replica_group_t *group, uint64_t id, anv_error_t *err)
 {
+  if (!check_running (group, err))
+    return false;
   bool removed = raft_remove_member (&group->raft, now_us (group), id, err);
   io_loop_defer (group->options.loop, &group->flush);
   return removed;
--- a/src/replica_group.h
+++ b/src/replica_group.h
@@ -25,7 +25,6 @@
   const char *name;
   uint32_t number;
   const char *member_name; /* of this member */
-  bool found_alone;        /* an empty data directory founds a group of one */
   counter_registry_t *counters;
   /* Empties the state machine, before the log is applied from its start or its snapshot. */
   void (*reset) (void *data);
@@ -71,7 +70,8 @@
 void replica_group_applied (replica_group_t *group, uint64_t index, uint64_t term,
                             const void *result);
 
-/* Founds the group; see raft_bootstrap(). */
+/* Founds the group; see raft_bootstrap(). Only by an operator's command: a setting that founds a
+ * group when the data directory is empty would found a second one after the loss of a disk. */
 bool replica_group_found (replica_group_t *group, const raft_member_t *members, size_t count,
                           anv_error_t *err);
 
--- a/src/swim.c
+++ b/src/swim.c
@@ -168,7 +168,8 @@
     }
   sender->version = message->version;
   sender->digest = message->digest;
-  if (message->version > swim->version && swim->io->on_version != NULL)
+  bool differs = message->version == swim->version && message->digest != swim->digest;
+  if ((message->version > swim->version || differs) && swim->io->on_version != NULL)
     swim->io->on_version (swim->io, sender, message->version, message->digest);
 }
 
--- a/src/swim.h
+++ b/src/swim.h
@@ -54,7 +54,8 @@
   void (*send) (swim_io_t *io, const char *address, const swim_message_t *message);
   /* MEMBER is valid during the call. NULL if not needed. */
   void (*on_member) (swim_io_t *io, swim_event_t event, const swim_member_t *member);
-  /* MEMBER has a higher configuration version than this instance. NULL if not needed. */
+  /* MEMBER has a higher configuration version than this instance, or the same with another digest.
+   * NULL if not needed. */
   void (*on_version) (swim_io_t *io, const swim_member_t *member, uint64_t version,
                       uint64_t digest);
 };
