--- /dev/null
+++ b/bench/fleet_slopes.py
@@ -0,0 +1,215 @@
+"""Measures how the cost of the real programs grows with the fleet, on loopback.
+
+Usage: python3 bench/fleet_slopes.py BUILD_DIRECTORY idle|services|targets|spread [SIZE...]
+
+  idle      SIZE entries without services or load
+  services  12 entries in 12 failure domains, SIZE services, so that every entry is assigned to all
+  targets   3 entries in 3 failure domains, one service with SIZE targets
+  spread    SIZE entries; time from a patch until its version is in force on all entries
+
+Prints one table line per size: memory (VmRSS), processor time (schedstat of all threads), and the
+messages and bytes of the link counters, which leave out heartbeats and the headers of TCP and IP.
+Bytes and segments on the sockets come from `ss` and cover the sockets that were open over the whole
+window, so they are a lower bound.
+"""
+
+import pathlib
+import re
+import statistics
+import subprocess
+import sys
+import time
+from datetime import datetime, timezone
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "tests" / "support"))
+
+from fleet import Fleet, call, free_ports, wait_until  # noqa: E402
+
+CONTROLS = 3
+SETTLE_S = 12  # links without messages are closed after 10 s
+WINDOW_S = 20
+PATCHES = 20
+PATCH_INTERVAL_S = 0.5
+DOMAINS = 12
+DEFAULT_SIZES = {"idle": [4, 8, 16, 32], "services": [0, 10, 20, 40], "targets": [0, 12, 24, 48],
+                 "spread": [8, 32]}
+LIMITS = {"rate": 1000, "burst": 1000}
+EMPTY = {"services": {}, "routes": {}, "teams": {}, "team_default": LIMITS}
+
+
+def service_members(count):
+    return {f"service-{i:05d}": {"hosts": [f"service-{i:05d}.example"], "min_healthy_slots": 1,
+                                 "sensitivity": 0.5} for i in range(count)}
+
+
+def submit(fleet, patch):
+    base = submit.version
+    status, answer = fleet.submit(base, patch, f"patch-{base}")
+    assert status in (200, 201), answer
+    submit.version = answer["version"]
+    return submit.version
+
+
+def start(fleet, entries, domains=3):
+    submit.version = 0
+    fleet.start_controls(CONTROLS)
+    submit(fleet, EMPTY)
+    for number in range(entries):
+        ports = free_ports(3)
+        process = fleet.entry(number, *ports, [f"--domain=domain-{number % domains}"])
+        fleet.entries.append(process.start())
+    wait_until(lambda: all(in_force(p, submit.version) for p in fleet.entries), "all have the version")
+
+
+def in_force(process, version):
+    """Returns the time of day at which PROCESS installed VERSION or a later one, or None."""
+    for line in process.log().splitlines():
+        found = re.search(r">(\S+)Z .*configuration in force version=(\d+)", line)
+        if found and int(found.group(2)) >= version:
+            return datetime.fromisoformat(found.group(1)).replace(tzinfo=timezone.utc).timestamp()
+    return None
+
+
+def rss_kb(process):
+    status = pathlib.Path(f"/proc/{process.popen.pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", status).group(1))
+
+
+def cpu_s(process):
+    tasks = pathlib.Path(f"/proc/{process.popen.pid}/task").glob("*/schedstat")
+    return sum(int(path.read_text().split()[0]) for path in tasks) / 1e9
+
+
+def counters(process):
+    port = process.ports.get("admin", process.ports.get("operator"))
+    text = call(port, "GET", "/metrics")[2].decode()
+    values = {}
+    for line in text.splitlines():
+        if not line.startswith("#"):
+            name = line.split("{")[0].split(" ")[0]
+            values[name] = values.get(name, 0) + float(line.rsplit(" ", 1)[1])
+    return values
+
+
+def sockets(processes):
+    """Returns {pid: {socket: (bytes, segments)}} sent by the open TCP connections of PROCESSES."""
+    result = {p.popen.pid: {} for p in processes}
+    output = subprocess.run(["ss", "-tinpOH"], capture_output=True, text=True, check=True).stdout
+    for line in output.splitlines():
+        pid = re.search(r"pid=(\d+)", line)
+        sent = re.search(r"bytes_sent:(\d+)", line)
+        segments = re.search(r"segs_out:(\d+)", line)
+        if pid and sent and segments and int(pid.group(1)) in result:
+            name = tuple(line.split()[3:5])
+            result[int(pid.group(1))][name] = (int(sent.group(1)), int(segments.group(1)))
+    return result
+
+
+def sample(processes):
+    return {"time": time.monotonic(), "sockets": sockets(processes),
+            "counters": [counters(p) for p in processes], "cpu": [cpu_s(p) for p in processes]}
+
+
+def rates(processes, window_s):
+    """Returns one dictionary of figures for each process over WINDOW_S."""
+    before = sample(processes)
+    time.sleep(window_s)
+    after = sample(processes)
+    seconds = after["time"] - before["time"]
+    result = []
+    for i, process in enumerate(processes):
+        def grown(name):
+            return (after["counters"][i][name] - before["counters"][i][name]) / seconds
+        old, new = before["sockets"][process.popen.pid], after["sockets"][process.popen.pid]
+        both = [key for key in new if key in old]
+        result.append({
+            "rss_kb": rss_kb(process),
+            "cpu_percent": (after["cpu"][i] - before["cpu"][i]) / seconds * 100,
+            "messages": grown("anvillb_link_messages_sent_total"),
+            "bytes": grown("anvillb_link_bytes_sent_total"),
+            "links": after["counters"][i]["anvillb_links"],
+            "kept": len(both),
+            "socket_bytes": sum(new[key][0] - old[key][0] for key in both) / seconds,
+            "segments": sum(new[key][1] - old[key][1] for key in both) / seconds,
+        })
+    return result
+
+
+COLUMNS = [("rss_kb", 0), ("cpu_percent", 3), ("messages", 2), ("bytes", 0), ("links", 1), ("kept", 1),
+           ("socket_bytes", 0), ("segments", 1)]
+
+
+def print_header():
+    print("| size | role | " + " | ".join(name for name, _ in COLUMNS) + " | highest bytes |")
+    print("|---" * (len(COLUMNS) + 3) + "|", flush=True)
+
+
+def print_line(size, role, figures):
+    cells = [f"{statistics.mean(f[name] for f in figures):,.{digits}f}" for name, digits in COLUMNS]
+    print(f"| {size} | {role} | " + " | ".join(cells) + f" | {max(f['bytes'] for f in figures):,.0f} |", flush=True)
+
+
+def measure(fleet, size):
+    time.sleep(SETTLE_S)
+    figures = rates(fleet.entries + fleet.controls, WINDOW_S)
+    print_line(size, "entry", figures[:len(fleet.entries)])
+    print_line(size, "control", figures[len(fleet.entries):])
+
+
+def run_idle(build, sizes):
+    print_header()
+    for size in sizes:
+        with Fleet(build) as fleet:
+            start(fleet, size)
+            measure(fleet, size)
+
+
+def run_services(build, sizes):
+    print_header()
+    with Fleet(build) as fleet:
+        start(fleet, DOMAINS, DOMAINS)
+        for size in sizes:
+            if size > 0:
+                submit(fleet, {"services": service_members(size)})
+            measure(fleet, size)
+
+
+def run_targets(build, sizes):
+    print_header()
+    with Fleet(build) as fleet:
+        start(fleet, 3)
+        submit(fleet, {"services": service_members(1)})
+        for size in sizes:
+            fleet.start_backends(size - len(fleet.backends), service="service-00000", slots=2)
+            wait_until(lambda: fleet.owned_slots() == 2 * size, "each target has an owner")
+            measure(fleet, size)
+
+
+def run_spread(build, sizes):
+    print("| entries | patches | from sending: p50 ms | max ms | from the acceptance: p50 ms | max ms |")
+    print("|---|---|---|---|---|---|", flush=True)
+    for size in sizes:
+        with Fleet(build) as fleet:
+            start(fleet, size)
+            time.sleep(SETTLE_S)
+            from_sending, from_acceptance = [], []
+            for i in range(PATCHES):
+                sent = time.time()
+                version = submit(fleet, {"team_default": {"rate": 2000 + i}})
+                accepted = time.time()
+                wait_until(lambda: all(in_force(p, version) for p in fleet.entries), "version is in force")
+                last = max(in_force(p, version) for p in fleet.entries)
+                from_sending.append((last - sent) * 1000)
+                from_acceptance.append((last - accepted) * 1000)
+                time.sleep(PATCH_INTERVAL_S)
+            cells = [f"{f(v):.0f}" for v in (from_sending, from_acceptance) for f in (statistics.median, max)]
+            print(f"| {size} | {PATCHES} | " + " | ".join(cells) + " |", flush=True)
+
+
+def main(build, mode, sizes):
+    runs = {"idle": run_idle, "services": run_services, "targets": run_targets, "spread": run_spread}
+    runs[mode](build, sizes or DEFAULT_SIZES[mode])
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], sys.argv[2], [int(size) for size in sys.argv[3:]])
