--- a/bench/fleet_slopes.py
+++ b/bench/fleet_slopes.py
@@ -36,7 +36,7 @@
 PATCHES = 20
 PATCH_INTERVAL_S = 0.5
 DOMAINS = 12
-DEFAULT_SIZES = {"idle": [4, 8, 16, 32], "services": [0, 8, 16], "targets": [0, 12, 24],
+DEFAULT_SIZES = {"idle": [4, 8, 16, 32], "services": [0, 8, 16], "targets": [0, 12, 24, 48],
                  "spread": [8, 32], "calls": [0, 200]}
 LIMITS = {"rate": 1000, "burst": 1000}
 EMPTY = {"services": {}, "routes": {}, "teams": {}, "team_default": LIMITS}
