operator_server, admin_server: end each connection after its answer

Cause: SoupServer 3.2 keeps the descriptor of a connection that its caller closed between two calls; 200 calls left 200 open files, so control would stop accepting after about 970 calls. Ruled out: the pause of calls, as the admin port, which never pauses, leaked as well.

--- a/src/admin_server.c
+++ b/src/admin_server.c
@@ -10,6 +10,10 @@
 static void
 answer (SoupServerMessage *message, int status, const char *type, const char *body)
 {
+  /* SoupServer 3.2 keeps the descriptor of a connection that its caller has closed between two
+   * calls. */
+  soup_message_headers_replace (soup_server_message_get_response_headers (message), "Connection",
+                                "close");
   soup_server_message_set_status (message, (guint)status, NULL);
   soup_server_message_set_response (message, type, SOUP_MEMORY_COPY, body, strlen (body));
 }
--- a/src/operator_server.c
+++ b/src/operator_server.c
@@ -14,6 +14,15 @@
   SoupServerMessage *message;
 };
 
+/* SoupServer 3.2 keeps the descriptor of a connection that its caller has closed between two calls,
+ * so each answer ends its connection. */
+static void
+end_connection (SoupServerMessage *message)
+{
+  SoupMessageHeaders *headers = soup_server_message_get_response_headers (message);
+  soup_message_headers_replace (headers, "Connection", "close");
+}
+
 /* Compares without a data-dependent exit, so that the time does not tell how much matches. */
 static bool
 token_matches (const char *expected, const char *given)
@@ -41,6 +50,7 @@
   g_autofree char *body = g_strdup_printf ("{\"error\":\"%s\"}\n", text);
   /* The body that follows is not kept. */
   soup_message_body_set_accumulate (soup_server_message_get_request_body (message), FALSE);
+  end_connection (message);
   soup_server_message_set_status (message, (guint)status, NULL);
   soup_server_message_set_response (message, "application/json", SOUP_MEMORY_COPY, body,
                                     strlen (body));
@@ -98,6 +108,7 @@
   SoupMessageHeaders *headers = soup_server_message_get_response_headers (call->message);
   if (location != NULL)
     soup_message_headers_replace (headers, "Location", location);
+  end_connection (call->message);
   soup_server_message_set_status (call->message, (guint)status, NULL);
   soup_server_message_set_response (call->message, "application/json", SOUP_MEMORY_COPY, body,
                                     strlen (body));
