--- a/tests/http/run_data_path.py
+++ b/tests/http/run_data_path.py
@@ -8,6 +8,7 @@
 
 import json
 import os
+import pathlib
 import signal
 import socket
 import ssl
@@ -19,14 +20,16 @@
 import urllib.error
 import urllib.request
 
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "support"))
+
+from fleet import free_ports  # noqa: E402
+
 ENTRY, CONTROL, FAKE_BACKEND, LOADGEN = sys.argv[1:5]
 WAIT_S = 60
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    return free_ports(1)[0]
 
 
 def fetch(url, method="GET", data=None, context=None):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -17,15 +17,54 @@
 WAIT_LIMIT_S = 30
 
 
+class PortBlock:
+    """A range of ports for this process alone.
+
+    Tests run side by side, and a port that was free a moment ago may be taken by another test before its
+    program listens. The first port of the block stays bound as a lock; the others are handed out in
+    turn. All blocks are below the ports that the kernel gives to outgoing connections.
+    """
+
+    FIRST, SIZE, COUNT = 10000, 200, 110
+
+    def __init__(self):
+        self.lock, self.next = None, 0
+
+    def acquire(self):
+        for i in range(self.COUNT):
+            base = self.FIRST + (os.getpid() + i) % self.COUNT * self.SIZE
+            sock = socket.socket()
+            try:
+                sock.bind(("127.0.0.1", base))
+            except OSError:
+                sock.close()
+                continue
+            self.lock, self.base = sock, base
+            return
+        raise AssertionError("no free block of ports")
+
+    def take(self):
+        if self.lock is None:
+            self.acquire()
+        while True:
+            self.next += 1
+            if self.next == self.SIZE:
+                raise AssertionError("the block of ports is used up")
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind(("127.0.0.1", self.base + self.next))
+                except OSError:
+                    continue
+            return self.base + self.next
+
+
+PORTS = PortBlock()
+
+
 def free_ports(count):
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Returns ports that no other test uses."""
+    return [PORTS.take() for _ in range(count)]
 
 
 def wait_until(check, what, limit_s=WAIT_LIMIT_S):
