entry_core: a service takes its targets when it is configured after them

Cause: targets that announced themselves before the configuration named their service were reported to nobody, and later renewals did not report them again; a removed service was never freed. Announcements of unknown services are no longer stored, and a service ends with its last request. The scenario services_change fails before (no answer 200 within 30 s) and passes after. Ruled out: iterating the table when a service is created, which keeps targets of unknown services in memory.

--- a/src/entry_core.c
+++ b/src/entry_core.c
@@ -42,10 +42,20 @@
     entry_service_target (service, event, target);
 }
 
+static bool
+is_configured (const entry_core_t *core, const char *service)
+{
+  return core->doc != NULL && config_doc_find_service (core->doc, service) != NULL;
+}
+
+/* A target of a service that the configuration does not name is not owned. So it is reported as new
+ * when the service is added later. */
 static bool
 owns_target (void *data, const target_t *target)
 {
   entry_core_t *core = data;
+  if (!is_configured (core, target->service))
+    return false;
   const placement_member_t *owner = placement_owner (core->placement, target->service,
                                                      entry_core_per_domain (core, target->service),
                                                      target->address, target->domain);
@@ -105,7 +115,7 @@
     review_targets (core);
 }
 
-static void
+static gboolean
 reconfigure_service (gpointer key, gpointer value, gpointer data)
 {
   entry_core_t *core = data;
@@ -113,8 +123,15 @@
   const config_service_t *config = config_doc_find_service (core->doc, service->name);
   if (config != NULL)
     entry_service_configure (service, config);
-  /* Requests in flight still refer to a service that was removed, so it stays until they are done;
-   * no new request finds it, because routes name services of the document. */
+  return config == NULL && service->users == 0;
+}
+
+void
+entry_core_release (entry_core_t *core, entry_service_t *service)
+{
+  service->users--;
+  if (service->users == 0 && !is_configured (core, service->name))
+    g_hash_table_remove (core->services, service->name);
 }
 
 void
@@ -131,9 +148,9 @@
     config_doc_unref (old);
   else
     core->ready_after_us = entry_core_now (core) + SETTLE_US;
-  g_hash_table_foreach (core->services, reconfigure_service, core);
   update_self (core);
   review_targets (core);
+  g_hash_table_foreach_remove (core->services, reconfigure_service, core);
 }
 
 void
@@ -207,8 +224,8 @@
       core->placement, announcement->service, entry_core_per_domain (core, announcement->service),
       announcement->address, announcement->domain);
   bool owned = owner != NULL && strcmp (owner->id, core->options.instance) == 0;
-  target_result_t result
-      = target_table_announce (&core->targets, now_us, announcement, owned && core->doc != NULL);
+  target_result_t result = target_table_announce (
+      &core->targets, now_us, announcement, owned && is_configured (core, announcement->service));
 
   if (result == TARGET_FORWARD && owner != NULL && !owned && !relayed)
     {
--- a/src/entry_core.h
+++ b/src/entry_core.h
@@ -88,6 +88,10 @@
  * if there is no such service. */
 entry_service_t *entry_core_service (entry_core_t *core, const char *name);
 
+/* Ends the use of SERVICE by one request. A service that the configuration no longer names is freed
+ * with its last request. */
+void entry_core_release (entry_core_t *core, entry_service_t *service);
+
 /* Returns whether this entry is assigned to the service. */
 bool entry_core_is_assigned (entry_core_t *core, const char *service);
 
--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -244,6 +244,7 @@
       return;
     }
   r->service = entry_core_service (core, service);
+  r->service->users++;
   if (!entry_request_needs_claim (r))
     {
       entry_request_enqueue (r);
@@ -444,6 +445,8 @@
 {
   entry_request_t *r = proxy_request_data (request);
   withdraw (r);
+  if (r->service != NULL)
+    entry_core_release (r->core, r->service);
   if (r->record_headers != NULL)
     g_string_free (r->record_headers, TRUE);
   if (r->doc != NULL)
--- a/src/entry_service.h
+++ b/src/entry_service.h
@@ -26,6 +26,7 @@
   char *name;
   uint64_t id;
   unsigned entries_per_domain;
+  unsigned users; /* requests that refer to it */
   assigned_service_t decisions;
   limiter_t limiter;
   retry_budget_t budget;
