entry_request_claim: a booking has the same key on every way

Cause: an entry that forwards a request names unnamed callers by address in Anvillb-Team, and the team is part of the claim's key, so a resend through another entry had another key and ran again.

--- a/bench/measure_data_path.py
+++ b/bench/measure_data_path.py
@@ -7,44 +7,26 @@
 
 import json
 import os
+import pathlib
 import resource
-import signal
 import socket
 import statistics
 import subprocess
 import sys
 import time
 
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "tests" / "support"))
+
+from fleet import CREW, Fleet, wait_until  # noqa: E402
+
 REPEATS = 3
+BACKENDS = 2
+SLOTS = 64
 IDLE_CONNECTIONS = 5000
 RESOLVE = b"GET /.anvillb/v1/resolve?service=crew HTTP/1.1\r\nHost: entry\r\n\r\n"
 BUILD = sys.argv[1]
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def start_entry():
-    port = free_port()
-    entry = subprocess.Popen([f"{BUILD}/src/anvillb-entry", f"--listen=127.0.0.1:{port}",
-                              f"--admin-listen=127.0.0.1:{free_port()}", "--log-level=warning"])
-    while True:
-        with socket.socket() as probe:
-            if probe.connect_ex(("127.0.0.1", port)) == 0:
-                return entry, port
-        time.sleep(0.02)
-
-
-def start_backend(port):
-    backend = subprocess.Popen([f"{BUILD}/tests/fakes/fake-backend", "--service-ms=0",
-                                "--slots=64", "--connections=4800", f"--entry=127.0.0.1:{port}"],
-                               stdout=subprocess.PIPE, text=True)
-    return backend, int(backend.stdout.readline().split("=")[1])
-
-
 def cpu_us(pid):
     with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
         fields = file.read().split()
@@ -57,11 +39,11 @@
 
 
 def run_load(name, entry, options):
-    before = cpu_us(entry.pid)
+    before = cpu_us(entry.popen.pid)
     output = subprocess.run([f"{BUILD}/tests/fakes/loadgen", *options], check=True,
                             capture_output=True, text=True).stdout
     result = json.loads(output)
-    result["cpu_us"] = (cpu_us(entry.pid) - before) / result["sent"]
+    result["cpu_us"] = (cpu_us(entry.popen.pid) - before) / result["sent"]
     print(f"{name:22} {result['ok_per_s']:8.0f}/s p50 {result['p50_ms']:.3f} ms p99 "
           f"{result['p99_ms']:.3f} ms sent {result['sent']} ok {result['ok']} "
           f"entry CPU {result['cpu_us']:.1f} us")
@@ -98,14 +80,14 @@
 
 def measure_idle(entry, port):
     kept = open_connections(port, 200, True)
-    base = rss_bytes(entry.pid)
+    base = rss_bytes(entry.popen.pid)
     kept += open_connections(port, IDLE_CONNECTIONS, True)
-    used = rss_bytes(entry.pid)
+    used = rss_bytes(entry.popen.pid)
     print(f"idle after one request: {(used - base) / IDLE_CONNECTIONS:.0f} bytes a connection")
-    before = cpu_us(entry.pid)
+    before = cpu_us(entry.popen.pid)
     time.sleep(3)
     print(f"CPU with {len(kept)} idle connections: "
-          f"{(cpu_us(entry.pid) - before) / 3e6 * 100:.2f} % of a core")
+          f"{(cpu_us(entry.popen.pid) - before) / 3e6 * 100:.2f} % of a core")
     for connection in kept:
         connection.close()
 
@@ -113,20 +95,27 @@
 def main():
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-    entry, port = start_entry()
-    backends = [start_backend(port) for _ in range(2)]
-    time.sleep(0.5)
-    direct = [f"--direct=127.0.0.1:{backend_port}" for _, backend_port in backends]
-    through = [f"--entry=127.0.0.1:{port}"]
+    with Fleet(BUILD) as fleet:
+        fleet.start_controls(1)
+        fleet.submit(0, {**CREW, "team_default": {"rate": 1000000, "burst": 1000000}}, "first")
+        fleet.start_entries(1, ["--log-level=warning"])
+        fleet.wait_ready()
+        fleet.start_backends(BACKENDS, slots=SLOTS, service_ms=0, arguments=["--connections=4800"],
+                             domain="domain-0")
+        wait_until(lambda: fleet.owned_slots() == BACKENDS * SLOTS, "each target has an owner")
+        time.sleep(12)  # the slow start of new targets
+        measure(fleet)
+
+
+def measure(fleet):
+    entry = fleet.entries[0]
+    direct = [f"--direct=127.0.0.1:{backend.ports['listen']}" for backend in fleet.backends]
+    through = [f"--entry=127.0.0.1:{entry.ports['listen']}"]
     compare("260/s", entry, direct, through, ["--rate=260", "--duration-s=4"])
     compare("closed 1", entry, direct, through, ["--closed=1", "--duration-s=2"])
     compare("closed 16", entry, direct, through, ["--closed=16", "--duration-s=2"])
     compare("closed 64", entry, direct, through, ["--closed=64", "--duration-s=2"])
-    idle_entry, idle_port = start_entry()
-    measure_idle(idle_entry, idle_port)
-    for process in (entry, idle_entry, *(backend for backend, _ in backends)):
-        process.send_signal(signal.SIGTERM)
-        process.wait()
+    measure_idle(entry, entry.ports["listen"])
 
 
 if __name__ == "__main__":
--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -14,8 +14,6 @@
 #define US_PER_S 1000000
 /* Connections to another entry for forwarded requests. */
 #define ENTRY_CONNECTIONS 64
-/* Callers without a team have the default limit each, by address. */
-#define UNNAMED_TEAM_PREFIX "address:"
 
 static const struct
 {
@@ -45,7 +43,7 @@
   if (team != NULL)
     g_strlcpy (r->team, team, sizeof (r->team));
   else
-    g_snprintf (r->team, sizeof (r->team), "%s%s", UNNAMED_TEAM_PREFIX, head->caller_address);
+    g_snprintf (r->team, sizeof (r->team), "%s%s", ENTRY_UNNAMED_TEAM_PREFIX, head->caller_address);
 }
 
 /* Returns an entry that is assigned to the service and is not this one, the own failure domain
--- a/src/entry_request.h
+++ b/src/entry_request.h
@@ -11,6 +11,8 @@
 
 #define ENTRY_MAX_ATTEMPTS 3
 #define ENTRY_MAX_TEAM_SIZE 128
+/* Callers without a team have the default limit each, by address. */
+#define ENTRY_UNNAMED_TEAM_PREFIX "address:"
 
 typedef enum
 {
--- a/src/entry_request_claim.c
+++ b/src/entry_request_claim.c
@@ -42,7 +42,9 @@
   const request_head_t *head = proxy_request_head (r->request);
   const char *team = http_headers_get (head->headers, "Anvillb-Team");
   GChecksum *checksum = g_checksum_new (G_CHECKSUM_SHA256);
-  if (team == NULL)
+  /* The address of an unnamed caller depends on the way that the request took, and the key must
+   * not. */
+  if (team == NULL || g_str_has_prefix (team, ENTRY_UNNAMED_TEAM_PREFIX))
     team = "";
   add_text (checksum, r->match.service->name, strlen (r->match.service->name));
   add_text (checksum, r->match.route->id, strlen (r->match.route->id));
