entry_policy: ask the queue before claiming a booking

Cause: an entry that holds a claim cannot forward its request, so in a failure domain that had lost its backend servers every booking was refused (0 of 20) while lookups were forwarded. The queue now decides first, which also applies limits and early refusals before a claim is written. After: 20 of 20 bookings at each entry (scenario domain_without_targets, red before, green now).

--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -165,8 +165,9 @@
   return false;
 }
 
-void
-entry_request_enqueue (entry_request_t *r)
+/* Puts the request into the queue. Returns false if it was forwarded or answered instead. */
+static bool
+submit (entry_request_t *r)
 {
   bool urgent = r->match.route->request_class == CONFIG_CLASS_URGENT;
   scheduler_request_t request = {
@@ -180,16 +181,12 @@
   entry_service_t *service = r->service;
   scheduler_result_t result = entry_service_submit (service, &r->waiter, &request);
 
-  counter_inc (&service->requests[request.class_index]);
-  if (r->attempts == 0)
-    retry_budget_first (&service->budget, entry_core_now (r->core));
   switch (result.decision)
     {
     case SCHEDULER_QUEUED:
+      counter_inc (&service->requests[request.class_index]);
       r->state = ENTRY_REQUEST_QUEUED;
-      if (check_limit (r))
-        entry_service_pump (service);
-      break;
+      return check_limit (r);
     case SCHEDULER_FORWARD:
       forward (r, result.entry_id);
       break;
@@ -198,6 +195,28 @@
       on_refuse (&r->waiter, result.reason, result.retry_after_s);
       break;
     }
+  return false;
+}
+
+void
+entry_request_enqueue (entry_request_t *r)
+{
+  if (r->attempts == 0)
+    retry_budget_first (&r->service->budget, entry_core_now (r->core));
+  if (submit (r))
+    entry_service_pump (r->service);
+}
+
+/* Starts a request that needs a claim. The queue is asked first: an entry that holds the claim
+ * cannot forward the request, and one without usable targets would have to refuse it. */
+static void
+begin_claim (entry_request_t *r)
+{
+  if (!submit (r))
+    return;
+  entry_service_cancel (r->service, r->waiter.id);
+  r->state = ENTRY_REQUEST_READING;
+  proxy_request_read_body (r->request, r->match.route->max_body_bytes);
 }
 
 /* Finds the route. Returns false if the request was answered. */
@@ -243,13 +262,10 @@
     }
   r->service = entry_core_service (core, service);
   r->service->users++;
-  if (!entry_request_needs_claim (r))
-    {
-      entry_request_enqueue (r);
-      return;
-    }
-  r->state = ENTRY_REQUEST_READING;
-  proxy_request_read_body (r->request, r->match.route->max_body_bytes);
+  if (entry_request_needs_claim (r))
+    begin_claim (r);
+  else
+    entry_request_enqueue (r);
 }
 
 static void
