--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -71,7 +71,8 @@
   g_string_append_printf (text, "HTTP/1.1 %d Fake\r\nContent-Length: %zu\r\n%s", status, size,
                           extra);
   if (conn->echo != NULL)
-    g_string_append_printf (text, "X-Echo: %s\r\n", conn->echo);
+    g_string_append_printf (text, "X-Echo: %s%s\r\n", conn->echo,
+                            happens (conn->backend, conn->backend->faults.echo_wrong) ? "0" : "");
   g_string_append (text, "\r\n");
   if (!conn->head_only)
     g_string_append_len (text, body, (gssize)size);
@@ -102,6 +103,8 @@
     send_answer (conn, 200, "Content-Length: 1\r\n", "ok", 2);
   else if (is_bad_phase (backend) || happens (backend, backend->faults.error))
     send_answer (conn, 500, "", "error", 5);
+  else if (happens (backend, backend->faults.false_not_run))
+    send_answer (conn, 503, "Anvillb-Not-Run: 1\r\n", "", 0);
   else if (happens (backend, backend->faults.wrong))
     send_answer (conn, 200, "", "wrong", 5);
   else
--- a/tests/fakes/fake_backend.h
+++ b/tests/fakes/fake_backend.h
@@ -13,16 +13,18 @@
 
 typedef struct
 {
-  double slow;        /* factor on the service time */
-  double wrong;       /* share of answers without X-Sheet-Id and with another body */
-  double error;       /* share of answers with status 500 */
-  double truncate;    /* share of answers that are cut inside a chunked body */
-  double two_lengths; /* share of answers with two different Content-Length fields */
-  double shed;        /* share of requests refused with 503 and Anvillb-Shed */
-  double shed_full;   /* not 0: refuse instead of waiting for a slot */
-  double flap_ms;     /* period of alternating health: every second period answers 500 */
-  double cold_ms;     /* the service time is 10 times longer for this time after the switch */
-  double silence;     /* not 0: connections that are open now become silent for good */
+  double slow;          /* factor on the service time */
+  double wrong;         /* share of answers without X-Sheet-Id and with another body */
+  double error;         /* share of answers with status 500 */
+  double truncate;      /* share of answers that are cut inside a chunked body */
+  double two_lengths;   /* share of answers with two different Content-Length fields */
+  double shed;          /* share of requests refused with 503 and Anvillb-Shed */
+  double shed_full;     /* not 0: refuse instead of waiting for a slot */
+  double flap_ms;       /* period of alternating health: every second period answers 500 */
+  double cold_ms;       /* the service time is 10 times longer for this time after the switch */
+  double echo_wrong;    /* share of answers that look like another request's */
+  double false_not_run; /* share of executed requests that claim not to have run */
+  double silence;       /* not 0: connections that are open now become silent for good */
 } fake_faults_t;
 
 typedef enum
--- a/tests/fakes/fake_control.c
+++ b/tests/fakes/fake_control.c
@@ -19,6 +19,8 @@
   { "shed_full", offsetof (fake_faults_t, shed_full) },
   { "flap_ms", offsetof (fake_faults_t, flap_ms) },
   { "cold_ms", offsetof (fake_faults_t, cold_ms) },
+  { "echo_wrong", offsetof (fake_faults_t, echo_wrong) },
+  { "false_not_run", offsetof (fake_faults_t, false_not_run) },
   { "silence", offsetof (fake_faults_t, silence) },
 };
 
--- a/tests/http/run_data_path.py
+++ b/tests/http/run_data_path.py
@@ -239,6 +239,21 @@
         self.assertGreater(result["cut"], 0)
         self.assertGreater(result["unknown"], 0)
 
+    def test_checker_finds_planted_violations(self):
+        """Guards against checks of this file that cannot fail: without the entry, a backend server mixes up
+        answers, cuts them off and claims that requests were not run that it executed."""
+        self.start()
+        direct = [f"--direct=127.0.0.1:{self.backends[0].port}", "--rate=200", "--duration-s=0.5"]
+        load = lambda *options: json.loads(subprocess.run([LOADGEN, *direct, *options], check=True,
+                                                          capture_output=True, timeout=WAIT_S).stdout)
+        self.backends[0].control("echo_wrong=0.5")
+        self.assertGreater(load()["mismatched"], 0)
+        self.backends[0].control("echo_wrong=0&truncate=0.5")
+        self.assertGreater(load()["cut"], 0)
+        self.backends[0].control("truncate=0&false_not_run=0.5")
+        result = load("--mix=book:POST:/possessions:1:100")
+        self.assertGreater(self.backends[0].stats()["keys"] + result["not_run"], result["sent"])
+
     def test_silent_connections(self):
         """Guards against requests that stay on connections that became silent."""
         self.start()
--- a/tests/system/operators_race.py
+++ b/tests/system/operators_race.py
@@ -30,6 +30,7 @@
     say(f"rounds {ROUNDS}: accepted {accepted}, stale {stale}")
     say(f"resent patches with another answer than the first: {twice}")
     say(f"entries that went back to an older version: {watcher.reverted}")
+    say(f"the watcher finds a planted reversal: {finds_planted_reversal()}")
 
 
 def patch(number, operator):
@@ -55,6 +56,25 @@
     return results
 
 
+def finds_planted_reversal():
+    """Guards against a watcher that cannot fail."""
+    versions = iter([3, 4, 3, 4])
+
+    class Planted:
+        entries = [None]
+
+        def version(self, _):
+            value = next(versions, None)
+            if value is None:
+                watcher.stopping.set()
+            return value or 4
+
+    watcher = VersionWatcher(Planted())
+    watcher.start()
+    watcher.join()
+    return watcher.reverted == 1
+
+
 class VersionWatcher(threading.Thread):
     """Reads the version in force on each entry again and again."""
 
