--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -79,7 +79,7 @@
       return;
     }
   http_headers_init (&extra);
-  http_headers_append (&extra, HOP_HEADER, "1");
+  http_headers_append (&extra, HOP_HEADER, r->hops == 0 ? "1" : "2");
   /* The next entry sees the address of this one instead of the caller's. */
   http_headers_append (&extra, TEAM_HEADER, r->team);
   request_dispatch_t dispatch = {
@@ -138,13 +138,15 @@
 on_refuse (service_waiter_t *waiter, scheduler_reason_t reason, int64_t retry_after_s)
 {
   entry_request_t *r = (entry_request_t *)waiter;
-  bool untouched = r->attempts == 0 && !r->hop && !r->holds_claim;
+  bool untouched = r->attempts == 0 && r->hops < ENTRY_MAX_HOPS && !r->holds_claim;
   /* The targets went to other entries or ended while the request waited. */
   if (reason == SCHEDULER_REASON_NO_TARGET && untouched && choose_entry (r, 0) != NULL)
     {
       forward (r, 0);
       return;
     }
+  LOG_DEBUG ("refused service=%s route=%s reason=\"%s\" attempts=%u hops=%u", r->service->name,
+             r->match.route->id, reason_text (reason), r->attempts, r->hops);
   entry_request_claim_end (r);
   if (r->attempts > 0)
     {
@@ -181,7 +183,7 @@
     .id = r->waiter.id,
     .class_index = urgent ? SCHEDULER_URGENT : SCHEDULER_BACKGROUND,
     .deadline_us = r->deadline_us,
-    .forwarded = r->hop || r->attempts > 0 || r->holds_claim,
+    .forwarded = r->hops > 0 || r->attempts > 0 || r->holds_claim,
     .tried = r->tried,
     .tried_count = r->attempts,
   };
@@ -251,6 +253,17 @@
   return false;
 }
 
+/* A value that no entry sends counts as the last hop, so a caller cannot make a request go round.
+ */
+static unsigned
+count_hops (const request_head_t *head)
+{
+  const char *value = http_headers_get (head->headers, HOP_HEADER);
+  if (value == NULL)
+    return 0;
+  return strcmp (value, "1") == 0 ? 1 : ENTRY_MAX_HOPS;
+}
+
 static void
 begin_route (entry_request_t *r, const request_head_t *head)
 {
@@ -259,10 +272,10 @@
   const char *deadline = http_headers_get (head->headers, "Anvillb-Deadline-Ms");
 
   r->deadline_us = deadline_start (head->received_us, r->match.route->timeout_ms, deadline);
-  r->hop = http_headers_get (head->headers, HOP_HEADER) != NULL;
+  r->hops = count_hops (head);
   set_team (r, head);
   proxy_request_set_deadline (r->request, r->deadline_us);
-  if (!r->hop && !entry_core_is_assigned (core, service))
+  if (r->hops == 0 && !entry_core_is_assigned (core, service))
     {
       forward (r, 0);
       return;
--- a/src/entry_request.h
+++ b/src/entry_request.h
@@ -10,6 +10,9 @@
  * entry_request_answer.c the answers that the entry gives itself. */
 
 #define ENTRY_MAX_ATTEMPTS 3
+/* A request that was forwarded to an entry without targets, because it is leaving or has just lost
+ * them, is forwarded once more. */
+#define ENTRY_MAX_HOPS 2
 #define ENTRY_MAX_TEAM_SIZE 128
 /* Callers without a team have the default limit each, by address. */
 #define ENTRY_UNNAMED_TEAM_PREFIX "address:"
@@ -37,7 +40,7 @@
   route_match_t match;
   entry_service_t *service;
   int64_t deadline_us;
-  bool hop; /* came from another entry */
+  unsigned hops; /* entries that have forwarded it */
   char team[ENTRY_MAX_TEAM_SIZE + 1];
   unsigned attempts;
   uint64_t tried[ENTRY_MAX_ATTEMPTS];
--- a/tests/system/graceful_stop.py
+++ b/tests/system/graceful_stop.py
@@ -19,5 +19,6 @@
     say(f"exit status of the stopped entry: {stopped.popen.returncode}")
     say(f"requests cut off: {result['cut']}")
     say(f"requests with an unknown outcome: {result['unknown']}")
+    say(f"requests without an answer: {result['sent'] - sum(result['statuses'].values())}")
     say(f"answers other than 200: {dict((k, v) for k, v in result['statuses'].items() if k != '200')}")
     say(f"requests sent: {'many' if result['sent'] > 500 else result['sent']}")
