claim_client: start with the member that answered last

Cause: after the leader's failure the new leader answered the second message of each call without a hint, so every later call waited 250 ms for the dead member first.

--- a/src/claim_client.c
+++ b/src/claim_client.c
@@ -17,6 +17,7 @@
                         * time limit lost releases of a process that was stopped for longer */
   size_t attempts;     /* messages sent so far */
   int sent_at_once;    /* since the last timed attempt */
+  size_t asked;        /* number of the member asked last; the member count for a relay or a hint */
   char hint[CLAIM_MAX_ADDRESS_SIZE];
   claim_done_t done;
   void *data;
@@ -69,6 +70,7 @@
   wire_writer_t writer;
   claim_request_encode (&writer, call->id, relays > 0 ? MAX_RELAYS : 0, &call->command);
   const uint8_t *data = (const uint8_t *)writer.buffer.data;
+  call->asked = client->member_count;
 
   if (relays > 0)
     {
@@ -81,8 +83,8 @@
     }
   else
     {
-      size_t member = (client->preferred + call->attempts) % client->member_count;
-      io->ops->send_member (io, client->options.members[member], data, writer.buffer.size);
+      call->asked = (client->preferred + call->attempts) % client->member_count;
+      io->ops->send_member (io, client->options.members[call->asked], data, writer.buffer.size);
     }
   wire_writer_destroy (&writer);
   call->attempts++;
@@ -241,6 +243,10 @@
       send_at_once (client, now_us, call);
       return;
     }
+  /* Later calls start with the member that answers; otherwise each would wait for a dead one first.
+   */
+  if (call->asked < client->member_count)
+    client->preferred = call->asked;
   bool other_holds
       = result->type == CLAIM_RESULT_IN_PROGRESS || result->type == CLAIM_RESULT_UNKNOWN;
   if (call->command.type == CLAIM_COMMAND_GRANT && other_holds && call->attempts > 1)
--- a/src/claim_client.h
+++ b/src/claim_client.h
@@ -56,7 +56,7 @@
   list_t calls;
   GHashTable *by_id;
   uint64_t next_id;
-  size_t preferred;  /* member that was last named as leader */
+  size_t preferred;  /* member that answered last or was named as leader */
   size_t background; /* pending releases and outcomes */
 } claim_client_t;
 
--- a/tests/state/test_claim_client.cc
+++ b/tests/state/test_claim_client.cc
@@ -173,6 +173,18 @@
   EXPECT_EQ (fake.last_type, CLAIM_COMMAND_RELEASE);
 }
 
+// Guards against calls that each wait for a dead member first: after its failure the leader
+// answered without a hint, and bookings fell to 70 a second.
+TEST_F (ClaimClient, StartsWithTheMemberThatAnswered)
+{
+  uint64_t id = grant (1000 * MS);
+  claim_client_tick (&client, 100 * MS);
+  reply (110 * MS, id, CLAIM_RESULT_GRANTED);
+  fake.log.clear ();
+  claim_client_grant (&client, 200 * MS, key, nonce, digest, 1000 * MS, 1000, collect, &results);
+  EXPECT_EQ (fake.log, "2");
+}
+
 // Guards against a key that stays blocked: a delayed "in progress" reply ends the call although a
 // later copy of its claim was granted (found by ClaimFaults with seed 5355).
 TEST_F (ClaimClient, InProgressAfterSeveralAttemptsReleases)
