wire: one reader and writer for byte strings of claims

Cause: claim_wire and claim_store each had their own copies of the functions that write an optional byte string and read one of fixed size; entry_request_t had a field that nothing read. wire now has wire_write_blob, wire_read_blob and wire_read_fixed. Behaviour is unchanged.

--- a/src/claim_store.c
+++ b/src/claim_store.c
@@ -242,14 +242,6 @@
   return record != NULL;
 }
 
-static void
-write_bytes_or_empty (wire_writer_t *writer, GBytes *bytes)
-{
-  gsize size = 0;
-  const void *data = bytes != NULL ? g_bytes_get_data (bytes, &size) : NULL;
-  wire_write_bytes (writer, size > 0 ? data : "", size);
-}
-
 GByteArray *
 claim_store_snapshot (const claim_store_t *store)
 {
@@ -268,8 +260,8 @@
     wire_write_uint (&writer, record->status);
     wire_write_uint (&writer, record->deadline_at_ms);
     wire_write_uint (&writer, record->expires_at_ms);
-    write_bytes_or_empty (&writer, record->headers);
-    write_bytes_or_empty (&writer, record->body);
+    wire_write_blob (&writer, record->headers);
+    wire_write_blob (&writer, record->body);
     wire_write_uint (&writer, record->generation);
   }
   GByteArray *bytes = g_byte_array_sized_new ((guint)writer.buffer.size);
@@ -278,46 +270,29 @@
   return bytes;
 }
 
-static bool
-read_fixed (wire_reader_t *reader, uint8_t *out, size_t size)
-{
-  size_t actual = 0;
-  const uint8_t *data = wire_read_bytes (reader, &actual);
-  if (actual != size)
-    return false;
-  memcpy (out, data, size);
-  return true;
-}
-
-static GBytes *
-read_bytes_or_null (wire_reader_t *reader)
-{
-  size_t size = 0;
-  const uint8_t *data = wire_read_bytes (reader, &size);
-  return size > 0 ? g_bytes_new (data, size) : NULL;
-}
-
 static bool
 restore_record (claim_store_t *store, wire_reader_t *reader)
 {
-  uint8_t key[CLAIM_KEY_SIZE];
+  uint8_t key[CLAIM_KEY_SIZE] = { 0 };
   wire_read_array (reader);
-  if (!read_fixed (reader, key, sizeof (key)))
+  wire_read_fixed (reader, key, sizeof (key));
+  if (reader->failed)
     return false;
 
   claim_record_t *record = add_record (store, key);
-  bool valid = read_fixed (reader, record->nonce, CLAIM_NONCE_SIZE)
-               && read_fixed (reader, record->body_digest, CLAIM_DIGEST_SIZE);
+  wire_read_fixed (reader, record->nonce, CLAIM_NONCE_SIZE);
+  wire_read_fixed (reader, record->body_digest, CLAIM_DIGEST_SIZE);
   record->state = (claim_state_t)wire_read_uint (reader);
   record->status = (uint32_t)wire_read_uint (reader);
   record->deadline_at_ms = wire_read_uint (reader);
   record->expires_at_ms = wire_read_uint (reader);
-  record->headers = read_bytes_or_null (reader);
-  record->body = read_bytes_or_null (reader);
+  record->headers = wire_read_blob (reader);
+  record->body = wire_read_blob (reader);
   record->generation = (uint32_t)wire_read_uint (reader);
   store->answer_bytes += answer_size (record);
   wire_read_array_end (reader);
-  return valid && record->state >= CLAIM_STATE_GRANTED && record->state <= CLAIM_STATE_RELEASED;
+  return !reader->failed && record->state >= CLAIM_STATE_GRANTED
+         && record->state <= CLAIM_STATE_RELEASED;
 }
 
 bool
--- a/src/claim_wire.c
+++ b/src/claim_wire.c
@@ -5,33 +5,6 @@
 #define REQUEST_FIELDS 13
 #define REPLY_FIELDS 7
 
-static void
-write_optional (wire_writer_t *writer, GBytes *bytes)
-{
-  gsize size = 0;
-  const void *data = bytes != NULL ? g_bytes_get_data (bytes, &size) : NULL;
-  wire_write_bytes (writer, size > 0 ? data : "", size);
-}
-
-static GBytes *
-read_optional (wire_reader_t *reader)
-{
-  size_t size = 0;
-  const uint8_t *data = wire_read_bytes (reader, &size);
-  return size > 0 ? g_bytes_new (data, size) : NULL;
-}
-
-static void
-read_fixed (wire_reader_t *reader, uint8_t *out, size_t size)
-{
-  size_t actual = 0;
-  const uint8_t *data = wire_read_bytes (reader, &actual);
-  if (actual == size)
-    memcpy (out, data, size);
-  else
-    reader->failed = true;
-}
-
 static size_t
 bytes_size (GBytes *bytes)
 {
@@ -97,8 +70,8 @@
   wire_write_uint (writer, command->retention_ms);
   wire_write_uint (writer, command->advance_ms);
   wire_write_uint (writer, command->status);
-  write_optional (writer, command->headers);
-  write_optional (writer, command->body);
+  wire_write_blob (writer, command->headers);
+  wire_write_blob (writer, command->body);
 }
 
 bool
@@ -109,16 +82,16 @@
   *request_id = wire_read_uint (reader);
   *relays_left = (uint32_t)wire_read_uint (reader);
   command->type = (claim_command_type_t)wire_read_uint (reader);
-  read_fixed (reader, command->key, CLAIM_KEY_SIZE);
-  read_fixed (reader, command->nonce, CLAIM_NONCE_SIZE);
-  read_fixed (reader, command->body_digest, CLAIM_DIGEST_SIZE);
+  wire_read_fixed (reader, command->key, CLAIM_KEY_SIZE);
+  wire_read_fixed (reader, command->nonce, CLAIM_NONCE_SIZE);
+  wire_read_fixed (reader, command->body_digest, CLAIM_DIGEST_SIZE);
   command->generation = (uint32_t)wire_read_uint (reader);
   command->deadline_ms = wire_read_uint (reader);
   command->retention_ms = wire_read_uint (reader);
   command->advance_ms = wire_read_uint (reader);
   command->status = (uint32_t)wire_read_uint (reader);
-  command->headers = read_optional (reader);
-  command->body = read_optional (reader);
+  command->headers = wire_read_blob (reader);
+  command->body = wire_read_blob (reader);
 
   bool valid = command->type >= CLAIM_COMMAND_GRANT && command->type <= CLAIM_COMMAND_RELEASE
                && answer_fits (command->headers, command->body);
@@ -136,8 +109,8 @@
   wire_write_uint (writer, result->type);
   wire_write_uint (writer, result->generation);
   wire_write_uint (writer, result->status);
-  write_optional (writer, result->headers);
-  write_optional (writer, result->body);
+  wire_write_blob (writer, result->headers);
+  wire_write_blob (writer, result->body);
   wire_write_string (writer, result->leader_address);
 }
 
@@ -150,8 +123,8 @@
   result->type = (claim_result_type_t)wire_read_uint (reader);
   result->generation = (uint32_t)wire_read_uint (reader);
   result->status = (uint32_t)wire_read_uint (reader);
-  result->headers = read_optional (reader);
-  result->body = read_optional (reader);
+  result->headers = wire_read_blob (reader);
+  result->body = wire_read_blob (reader);
   wire_read_string_to (reader, result->leader_address, sizeof (result->leader_address));
 
   bool valid = result->type >= CLAIM_RESULT_GRANTED && result->type <= CLAIM_RESULT_UNAVAILABLE
--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -297,7 +297,6 @@
   r->waiter.id = ++policy->next_id;
   r->waiter.dispatch = on_dispatch;
   r->waiter.refuse = on_refuse;
-  r->policy = policy;
   r->core = policy->core;
   r->request = request;
   proxy_request_set_data (request, r);
--- a/src/entry_request.h
+++ b/src/entry_request.h
@@ -32,7 +32,6 @@
 typedef struct
 {
   service_waiter_t waiter; /* first member */
-  entry_policy_t *policy;
   entry_core_t *core;
   proxy_request_t *request;
   entry_request_state_t state;
--- a/src/wire.c
+++ b/src/wire.c
@@ -175,6 +175,14 @@
   msgpack_pack_bin_with_body (&writer->packer, data, size);
 }
 
+void
+wire_write_blob (wire_writer_t *writer, GBytes *bytes)
+{
+  gsize size = 0;
+  const void *data = bytes != NULL ? g_bytes_get_data (bytes, &size) : NULL;
+  wire_write_bytes (writer, size > 0 ? data : "", size);
+}
+
 void
 wire_write_array (wire_writer_t *writer, size_t count)
 {
@@ -329,6 +337,25 @@
   return object != NULL ? (const uint8_t *)object->via.bin.ptr : NULL;
 }
 
+GBytes *
+wire_read_blob (wire_reader_t *reader)
+{
+  size_t size = 0;
+  const uint8_t *data = wire_read_bytes (reader, &size);
+  return size > 0 ? g_bytes_new (data, size) : NULL;
+}
+
+void
+wire_read_fixed (wire_reader_t *reader, uint8_t *out, size_t size)
+{
+  size_t actual = 0;
+  const uint8_t *data = wire_read_bytes (reader, &actual);
+  if (data != NULL && actual == size)
+    memcpy (out, data, size);
+  else
+    reader->failed = true;
+}
+
 uint32_t
 wire_read_array (wire_reader_t *reader)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <glib.h>
 #include <msgpack.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -73,6 +74,9 @@
 void wire_write_string (wire_writer_t *writer, const char *text);
 void wire_write_bytes (wire_writer_t *writer, const void *data, size_t size);
 
+/* Writes the content of BYTES; no bytes if it is NULL. */
+void wire_write_blob (wire_writer_t *writer, GBytes *bytes);
+
 /* Starts a nested array of COUNT elements, which must follow. */
 void wire_write_array (wire_writer_t *writer, size_t count);
 
@@ -111,6 +115,12 @@
 /* Returns a pointer into the input, NULL with *SIZE 0 on failure. */
 const uint8_t *wire_read_bytes (wire_reader_t *reader, size_t *size);
 
+/* Returns a copy of the bytes, or NULL if there are none. Free with g_bytes_unref(). */
+GBytes *wire_read_blob (wire_reader_t *reader);
+
+/* Copies exactly SIZE bytes to OUT; another size is a failure and leaves OUT unchanged. */
+void wire_read_fixed (wire_reader_t *reader, uint8_t *out, size_t size);
+
 /* Opens a nested array and returns its element count; 0 on failure. Each opened array is closed
  * with wire_read_array_end(), which skips unread elements. */
 uint32_t wire_read_array (wire_reader_t *reader);
