proxy: names of the header fields in a table

Cause: the data path knew the product's own field names only, so a platform with other names would have needed a second proxy. http_dialect holds them: remaining time, request id, expected target, refusal, proof, load. The product's own table gives the same bytes as before. A response with the id of another request is dropped and the next one awaited; its connection is not used again. Ruled out: rewriting headers before and after the proxy, which parses each message twice.

--- a/src/caller_conn.c
+++ b/src/caller_conn.c
@@ -127,9 +127,10 @@
 {
   g_autofree char *body = g_strconcat (reason, "\n", NULL);
   g_autofree char *text = g_strdup_printf (
-      "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\nAnvillb-Not-Run: "
-      "1\r\nConnection: close\r\n\r\n%s",
-      status, http_status_str ((enum http_status)status), strlen (body), body);
+      "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n%sConnection: "
+      "close\r\n\r\n%s",
+      status, http_status_str ((enum http_status)status), strlen (body),
+      conn->options->proxy->options.dialect->outcome_fields ? "Anvillb-Not-Run: 1\r\n" : "", body);
   byte_stream_write (&conn->stream, text, strlen (text));
   start_linger (conn);
 }
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -62,6 +62,8 @@
 
   *proxy = (proxy_t){ .options = *options };
   list_init (&proxy->requests);
+  if (options->dialect == NULL)
+    proxy->options.dialect = &http_dialect_own;
   if (options->counters == NULL)
     {
       counter_registry_init (&unused);
@@ -226,7 +228,10 @@
 {
   proxy_request_t *request = LIST_ENTRY (timer, proxy_request_t, deadline_timer);
   attempt_end_t end = request->exchange.stalled ? ATTEMPT_STALLED : ATTEMPT_TIMED_OUT;
-  end_early (request, CANCEL_DEADLINE, end, 504, "deadline exceeded");
+  bool unsent = !request->possibly_run && !request->attempt.wrote_bytes;
+  /* Without outcome fields the status alone can say that the request has not run. */
+  int status = unsent && !request->proxy->options.dialect->outcome_fields ? 503 : 504;
+  end_early (request, CANCEL_DEADLINE, end, status, "deadline exceeded");
 }
 
 void
@@ -235,11 +240,12 @@
   io_timer_set (request->proxy->options.loop, &request->deadline_timer, request->deadline_us);
 }
 
-/* Reads Anvillb-Deadline-Ms. Returns false if it is malformed. */
+/* Reads the remaining time that the caller gives. Returns false if it is malformed. */
 static bool
 read_deadline (proxy_request_t *request)
 {
-  const char *text = http_headers_get (&request->headers, "Anvillb-Deadline-Ms");
+  const char *text
+      = http_headers_get (&request->headers, request->proxy->options.dialect->deadline);
   if (text == NULL)
     return true;
   size_t digits = strspn (text, "0123456789");
@@ -310,7 +316,7 @@
   if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") != 0)
     proxy_request_answer_error (request, 417, "unknown expectation");
   else if (!valid_deadline)
-    proxy_request_answer_error (request, 400, "malformed Anvillb-Deadline-Ms");
+    proxy_request_answer_error (request, 400, "malformed remaining time");
   else if (request->deadline_us <= request->head.received_us)
     proxy_request_answer_error (request, 504, "deadline exceeded");
   else
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "counter.h"
+#include "http_dialect.h"
 #include "request_policy.h"
 #include "rng.h"
 #include "span.h"
@@ -45,8 +46,9 @@
   FILE *trace; /* spans are written here; NULL for none */
   const char *program;
   const char *instance;
-  int64_t default_timeout_us; /* until the policy sets a deadline */
-  size_t replay_bytes;        /* longest request body that is kept for another attempt */
+  const http_dialect_t *dialect; /* NULL: http_dialect_own */
+  int64_t default_timeout_us;    /* until the policy sets a deadline */
+  size_t replay_bytes;           /* longest request body that is kept for another attempt */
 } proxy_options_t;
 
 typedef struct
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -186,6 +186,30 @@
     proxy_request_pause_caller (request, false);
 }
 
+/* Returns whether the response says that the target did not run the request. */
+static bool
+is_refusal (const http_dialect_t *dialect, const http_head_t *head)
+{
+  const char *value = http_headers_get (&head->headers, dialect->refused);
+  if (dialect->wrong_target_status != 0 && head->status == dialect->wrong_target_status)
+    return true;
+  return value != NULL && (dialect->refused_status == 0 || head->status == dialect->refused_status)
+         && (dialect->refused_value == NULL || strcmp (value, dialect->refused_value) == 0);
+}
+
+/* Returns whether the response belongs to this request. */
+static bool
+accepts_head (upstream_exchange_t *exchange, const http_head_t *head)
+{
+  const proxy_request_t *request = LIST_ENTRY (exchange, proxy_request_t, exchange);
+  const char *field = request->proxy->options.dialect->request_id;
+  if (field == NULL)
+    return true;
+  const char *own = http_headers_get (&request->headers, field);
+  const char *answered = http_headers_get (&head->headers, field);
+  return own == NULL || answered == NULL || strcmp (own, answered) == 0;
+}
+
 static void
 discard_response (proxy_request_t *request, attempt_end_t end)
 {
@@ -198,11 +222,10 @@
 {
   proxy_request_t *request = LIST_ENTRY (exchange, proxy_request_t, exchange);
   request_policy_t *policy = request->proxy->options.policy;
-  const char *shed = http_headers_get (&head->headers, "Anvillb-Shed");
 
   request->attempt.head_us = proxy_now_us (request);
   request->attempt.status = head->status;
-  if (head->status == 503 && shed != NULL && strcmp (shed, "1") == 0)
+  if (is_refusal (request->proxy->options.dialect, head))
     {
       g_free (request->retry_after);
       request->retry_after = g_strdup (http_headers_get (&head->headers, "Retry-After"));
@@ -311,6 +334,7 @@
 static const upstream_exchange_ops_t exchange_ops = {
   .ready = on_ready,
   .written = on_written,
+  .accepts = accepts_head,
   .head = on_head,
   .body = on_body,
   .complete = on_complete,
@@ -338,6 +362,7 @@
   request->exchange.stall_us = dispatch->stall_us;
   request->exchange.ends_on_stall = dispatch->may_retry;
   request->exchange.head_request = request->head_method;
+  request->exchange.fresh = dispatch->fresh;
   upstream_pool_acquire (options->pool, attempt->address, dispatch->max_connections,
                          &request->exchange);
 }
--- a/src/proxy_message.c
+++ b/src/proxy_message.c
@@ -6,7 +6,7 @@
 
 /* Fields of a request that the proxy writes itself or that end here. */
 static const char *const replaced_request_fields[]
-    = { "Expect", "Anvillb-Deadline-Ms", "Anvillb-Hop", "Anvillb-Not-Run", "Anvillb-Outcome" };
+    = { "Expect", "Anvillb-Hop", "Anvillb-Not-Run", "Anvillb-Outcome" };
 
 /* Fields that only the system may set; a backend server cannot know whether a request ran. */
 static const char *const system_response_fields[]
@@ -40,13 +40,18 @@
 add_context_fields (proxy_request_t *request, http_headers_t *out)
 {
   char text[SPAN_TRACEPARENT_SIZE];
-  span_traceparent (&request->attempt.span, text);
-  http_headers_set (out, "traceparent", text);
+  const http_dialect_t *dialect = request->proxy->options.dialect;
+  if (dialect->forwarding_fields)
+    {
+      span_traceparent (&request->attempt.span, text);
+      http_headers_set (out, "traceparent", text);
+    }
+  http_headers_remove (out, dialect->deadline);
   if (request->deadline_us == 0)
     return;
   int64_t left_ms = MAX (request->deadline_us - proxy_now_us (request), 0) / 1000;
   g_snprintf (text, sizeof (text), "%" G_GINT64_FORMAT, left_ms);
-  http_headers_append (out, "Anvillb-Deadline-Ms", text);
+  http_headers_append (out, dialect->deadline, text);
 }
 
 GString *
@@ -62,7 +67,8 @@
     http_headers_remove (&out, replaced_request_fields[i]);
   if (http_headers_get (&out, "Host") == NULL)
     http_headers_append (&out, "Host", request->attempt.address);
-  add_forwarding_fields (request, &out);
+  if (request->proxy->options.dialect->forwarding_fields)
+    add_forwarding_fields (request, &out);
   add_context_fields (request, &out);
   if (request->chunked)
     http_headers_append (&out, "Transfer-Encoding", "chunked");
@@ -93,10 +99,11 @@
   http_headers_init (&out);
   http_headers_append_all (&out, &head->headers);
   http_headers_remove_hop_by_hop (&out);
-  bool trusted = request->attempt.options.target_is_entry;
+  bool own_fields = request->proxy->options.dialect->outcome_fields;
+  bool trusted = request->attempt.options.target_is_entry || !own_fields;
   for (size_t i = 0; !trusted && i < G_N_ELEMENTS (system_response_fields); i++)
     http_headers_remove (&out, system_response_fields[i]);
-  if (request->attempt.not_run && request->possibly_run)
+  if (own_fields && request->attempt.not_run && request->possibly_run)
     {
       /* Another attempt of this request may have run. */
       http_headers_remove (&out, "Anvillb-Not-Run");
@@ -104,7 +111,8 @@
     }
   if (head->status == 204)
     http_headers_remove (&out, "Content-Length");
-  http_headers_append (&out, "Via", VIA_VALUE);
+  if (request->proxy->options.dialect->forwarding_fields)
+    http_headers_append (&out, "Via", VIA_VALUE);
 
   request->response_chunked
       = head->has_body && head->content_length < 0 && request->version_minor > 0;
@@ -121,6 +129,24 @@
   return text;
 }
 
+/* Fields of a response that no target gave. */
+static void
+add_own_fields (const proxy_request_t *request, const request_response_t *response, GString *text)
+{
+  const http_dialect_t *dialect = request->proxy->options.dialect;
+  const char *id = NULL;
+  if (dialect->request_id != NULL)
+    id = http_headers_get (&request->headers, dialect->request_id);
+  if (id != NULL)
+    g_string_append_printf (text, "%s: %s\r\n", dialect->request_id, id);
+  if (!response->not_run || !dialect->outcome_fields)
+    return;
+  if (!request->possibly_run)
+    g_string_append (text, "Anvillb-Not-Run: 1\r\n");
+  else
+    g_string_append (text, "Anvillb-Outcome: unknown\r\n");
+}
+
 GString *
 proxy_build_response (proxy_request_t *request, const request_response_t *response, bool keep_alive)
 {
@@ -130,10 +156,7 @@
     http_headers_write (response->headers, text);
   if (response->status != 204 && response->status != 304)
     g_string_append_printf (text, "Content-Length: %zu\r\n", response->body_size);
-  if (response->not_run && !request->possibly_run)
-    g_string_append (text, "Anvillb-Not-Run: 1\r\n");
-  else if (response->not_run)
-    g_string_append (text, "Anvillb-Outcome: unknown\r\n");
+  add_own_fields (request, response, text);
   if (!keep_alive)
     g_string_append (text, "Connection: close\r\n");
   g_string_append (text, "\r\n");
--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -2,6 +2,9 @@
 
 #include "upstream_pool.h"
 
+#define LOG_MODULE "upstream_conn"
+#include "log.h"
+
 static void
 free_conn (io_deferred_t *deferred)
 {
@@ -59,6 +62,7 @@
   conn->state = UPSTREAM_BUSY;
   conn->got_bytes = false;
   conn->paused = false;
+  conn->skipping = false;
   note_progress (conn);
   arm_stall_check (conn);
   if (conn->exchange->head_request)
@@ -156,6 +160,15 @@
       fail_exchange (conn, UPSTREAM_INVALID, "unexpected 101");
       return;
     }
+  if (status >= 200 && exchange->ops->accepts != NULL
+      && !exchange->ops->accepts (exchange, &conn->codec.head))
+    {
+      LOG_NOTICE ("response to another request dropped target=%s status=%d", conn->target->address,
+                  status);
+      conn->skipping = true;
+      conn->retired = true;
+      return;
+    }
   if (status >= 200)
     {
       exchange->ops->head (exchange, &conn->codec.head);
@@ -166,6 +179,16 @@
     http_codec_expect_no_body (&conn->codec);
 }
 
+/* Goes on to the next response after one that belongs to another request. */
+static void
+skip_response (upstream_conn_t *conn)
+{
+  conn->skipping = false;
+  http_codec_reset (&conn->codec);
+  if (conn->exchange->head_request)
+    http_codec_expect_no_body (&conn->codec);
+}
+
 static void
 consume (upstream_conn_t *conn, const char *bytes, size_t size)
 {
@@ -182,10 +205,13 @@
           handle_head (conn);
           break;
         case HTTP_EVENT_BODY:
-          conn->exchange->ops->body (conn->exchange, event.bytes, event.size);
+          if (!conn->skipping)
+            conn->exchange->ops->body (conn->exchange, event.bytes, event.size);
           break;
         case HTTP_EVENT_COMPLETE:
-          if (conn->codec.head.status >= 200)
+          if (conn->skipping)
+            skip_response (conn);
+          else if (conn->codec.head.status >= 200)
             finish_exchange (conn, size == 0);
           break;
         case HTTP_EVENT_ERROR:
@@ -202,7 +228,7 @@
 
   if (conn->state != UPSTREAM_BUSY)
     upstream_conn_close (conn);
-  else if (!conn->got_bytes)
+  else if (!conn->got_bytes || conn->skipping)
     fail_exchange (conn, UPSTREAM_CLOSED, "closed before the response");
   else if (clean && http_codec_end_of_input (&conn->codec, &err) == HTTP_EVENT_COMPLETE)
     finish_exchange (conn, false);
--- a/src/upstream_conn.h
+++ b/src/upstream_conn.h
@@ -28,6 +28,9 @@
   void (*ready) (upstream_exchange_t *exchange);
   /* SIZE bytes of the request were passed to the socket. */
   void (*written) (upstream_exchange_t *exchange, size_t size);
+  /* Returns whether the response is the one to the request; otherwise it is read and dropped, and
+   * the next one is awaited. NULL: every response is. */
+  bool (*accepts) (upstream_exchange_t *exchange, const http_head_t *head);
   /* The final response head; 1xx heads are dropped. */
   void (*head) (upstream_exchange_t *exchange, http_head_t *head);
   void (*body) (upstream_exchange_t *exchange, const char *bytes, size_t size);
@@ -75,7 +78,8 @@
   int64_t last_progress_us;
   bool got_bytes; /* a byte of the current response has arrived */
   bool paused;
-  bool retired; /* must not be reused */
+  bool skipping; /* the current response belongs to another request */
+  bool retired;  /* must not be reused */
 };
 
 /* Starts a connection for EXCHANGE. Failures are reported from the main loop. */
