config_doc: hosts, splits, ranks and attempts of routes; limits for callers; labels

Cause: a route could belong to the hosts of one service only, had two classes and no limit of attempts, and an operator could not number versions. Routes may now name a host, split their requests over services by weight, and have a rank, an objective and a number of attempts; documents have a label, limits for callers, and annotations that are kept unread. Documents without these members mean what they meant.

--- a/src/config_build.h
+++ b/src/config_build.h
@@ -28,6 +28,10 @@
   GArray *routes;   /* config_route_t, in the order of the document */
   GArray *teams;    /* config_team_t, by name */
   GArray *limits;   /* config_limit_t; the first is the default */
+  uint64_t label;
+  uint64_t label_base;
+  config_caller_limits_t caller_limits;
+  bool has_caller_limits;
   uint32_t schema;
   json_slice_t routes_text; /* values of the top-level members */
   json_slice_t teams_text;
@@ -38,11 +42,21 @@
 bool config_build_routes (config_doc_t *doc, json_slice_t value, anv_error_t *err);
 bool config_build_team_default (config_doc_t *doc, json_slice_t value, anv_error_t *err);
 bool config_build_teams (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+bool config_build_caller_limits (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+bool config_build_label (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+bool config_build_label_base (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+bool config_build_annotations (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+
+/* Checks the member "annotations" of OBJECT, which may be absent. */
+bool config_check_annotations (const field_context_t *context, const cJSON *object);
 
 /* Checks what concerns several routes: equal ids, unless they are keys of an object, and equal
  * prefixes and methods. */
 bool config_check_routes (const config_doc_t *doc, bool check_ids, anv_error_t *err);
 
+/* Returns SIZE zeroed bytes that live as long as the view. */
+void *config_build_list (config_doc_t *doc, size_t size);
+
 /* Copies TEXT into the view. */
 const char *config_build_string (config_doc_t *doc, const char *text);
 
--- a/src/config_doc.c
+++ b/src/config_doc.c
@@ -26,6 +26,10 @@
   { "team_default", config_build_team_default },
   { "routes", config_build_routes },
   { "teams", config_build_teams },
+  { "caller_limits", config_build_caller_limits },
+  { "label", config_build_label },
+  { "label_base", config_build_label_base },
+  { "annotations", config_build_annotations },
 };
 
 /* Limit of a team without its own if the document has no "team_default". */
@@ -38,6 +42,15 @@
   return g_string_chunk_insert (doc->strings, text);
 }
 
+void *
+config_build_list (config_doc_t *doc, size_t size)
+{
+  void *list = g_malloc0 (size);
+  g_ptr_array_add (doc->lists, list);
+  doc->string_bytes += size;
+  return list;
+}
+
 bool
 config_build_key (const field_context_t *context, json_slice_t key, json_slice_t *previous)
 {
@@ -201,6 +214,24 @@
   return doc->text;
 }
 
+uint64_t
+config_doc_label (const config_doc_t *doc)
+{
+  return doc->label;
+}
+
+uint64_t
+config_doc_label_base (const config_doc_t *doc)
+{
+  return doc->label_base;
+}
+
+const config_caller_limits_t *
+config_doc_caller_limits (const config_doc_t *doc)
+{
+  return doc->has_caller_limits ? &doc->caller_limits : NULL;
+}
+
 size_t
 config_doc_service_count (const config_doc_t *doc)
 {
--- a/src/config_doc.h
+++ b/src/config_doc.h
@@ -13,10 +13,15 @@
  * "$.routes[3].service: names no service". The view is immutable, so it may be shared by reference
  * and read while a newer one is built.
  *
- * Top-level keys, all optional: "services", "routes", "teams", "team_default". "routes" is either
- * an array of objects with "id", or an object keyed by route id, whose members need no "id". A
- * JSON Merge Patch replaces an array as a whole, so only the second form lets a patch name a single
- * route.
+ * Top-level keys, all optional: "services", "routes", "teams", "team_default", "caller_limits",
+ * "label",
+ * "label_base", "annotations". "routes" is either an array of objects with "id", or an object keyed
+ * by route id, whose members need no "id". A JSON Merge Patch replaces an array as a whole, so only
+ * the second form lets a patch name a single route.
+ *
+ * "label" is the number that an operator gives a version besides the one that the history counts,
+ * and "label_base" the label that the version was made from (see version_store). "annotations", in
+ * the document, a service or a route, is text that the system keeps and does not read.
  *
  * Memory: the view keeps a reference to the canonical text and points into it for the names of
  * teams. A team takes about 10 bytes besides the text and a route 80 (docs/measurements/config.md).
@@ -82,23 +87,47 @@
   uint32_t stall_ms;
   uint32_t slow_start_ms;
   uint32_t max_queue;               /* requests waiting for a slot at one assigned entry */
+  uint32_t max_connections;         /* of all entries to one target; 0: as the target announces */
+  const char *health_path;          /* NULL: none */
   const uint16_t *wrong_statuses;   /* statuses that count as a wrong response */
   size_t wrong_status_count;        /* 0: none */
   const char *wrong_require_header; /* header that a right response has; NULL: no such rule */
 } config_service_t;
 
+/* Part of the requests of a route that goes to one service. */
+typedef struct
+{
+  uint32_t service; /* index for config_doc_service() */
+  uint32_t weight;
+} config_split_t;
+
 typedef struct
 {
   const char *id;
-  const char *prefix; /* normalised, see route_table */
-  uint32_t service;   /* index for config_doc_service() */
+  const char *host;            /* lower case; NULL: the hosts of the service */
+  const char *prefix;          /* normalised, see route_table */
+  const config_split_t *split; /* NULL: all requests go to service */
+  uint32_t split_count;
+  uint32_t service; /* index for config_doc_service(); of the first part of a split */
   uint32_t timeout_ms;
+  uint32_t goal_ms; /* latency objective; 0: none */
   uint32_t max_body_bytes;
+  uint32_t max_attempts; /* targets that one request may be sent to */
+  uint32_t priority;     /* 0 is the most urgent */
   uint8_t methods;       /* set of config_method_t */
   uint8_t request_class; /* config_class_t */
   bool idempotent;
 } config_route_t;
 
+/* Bounds on what a caller may send, and how long it may take. */
+typedef struct
+{
+  uint32_t max_header_bytes;
+  uint32_t max_body_bytes;
+  uint32_t header_timeout_ms;
+  uint32_t idle_timeout_ms;
+} config_caller_limits_t;
+
 typedef struct config_doc config_doc_t;
 
 /* Checks canonical text (json_canonical()) against SCHEMA and builds the view, which keeps a
@@ -121,6 +150,13 @@
 /* Returns the canonical text. */
 GBytes *config_doc_text (const config_doc_t *doc);
 
+/* Returns the label, 0 without one, and the label that the document was made from. */
+uint64_t config_doc_label (const config_doc_t *doc);
+uint64_t config_doc_label_base (const config_doc_t *doc);
+
+/* Returns the limits, or NULL if the document has none. */
+const config_caller_limits_t *config_doc_caller_limits (const config_doc_t *doc);
+
 /* Services are in the order of their names. */
 size_t config_doc_service_count (const config_doc_t *doc);
 const config_service_t *config_doc_service (const config_doc_t *doc, size_t index);
--- a/src/config_routes.c
+++ b/src/config_routes.c
@@ -6,7 +6,10 @@
  * could be run twice. */
 static const field_t route_fields[] = {
   { "id", FIELD_OTHER, false },
-  { "service", FIELD_OTHER, true },
+  { "host", FIELD_OTHER, false },
+  { "service", FIELD_OTHER, false },
+  { "split", FIELD_OTHER, false },
+  { "annotations", FIELD_OTHER, false },
   { "methods", FIELD_OTHER, true },
   { "prefix", FIELD_OTHER, true },
   { "class", FIELD_OTHER, true },
@@ -14,6 +17,21 @@
   { "timeout_ms", FIELD_UINT32, false, offsetof (config_route_t, timeout_ms), 1, 3600000, 10000 },
   { "max_body_bytes", FIELD_UINT32, false, offsetof (config_route_t, max_body_bytes), 1, UINT32_MAX,
     1048576 },
+  { "goal_ms", FIELD_UINT32, false, offsetof (config_route_t, goal_ms), 0, 3600000, 0 },
+  { "max_attempts", FIELD_UINT32, false, offsetof (config_route_t, max_attempts), 1, 100, 3 },
+  { "priority", FIELD_UINT32, false, offsetof (config_route_t, priority), 0, 1000, 0 },
+  { NULL, FIELD_END },
+};
+
+#define MAX_SPLIT_PARTS 64
+#define MAX_SPLIT_WEIGHT 1000000
+
+/* An objective so far above the time limit is a mistake of the operator. */
+#define MAX_GOAL_EXCESS_MS 60000
+
+static const field_t split_fields[] = {
+  { "service", FIELD_OTHER, true },
+  { "weight", FIELD_UINT32, true, offsetof (config_split_t, weight), 0, MAX_SPLIT_WEIGHT, 0 },
   { NULL, FIELD_END },
 };
 
@@ -56,16 +74,83 @@
 
 static bool
 read_service_name (const field_context_t *context, config_doc_t *doc, const cJSON *object,
-                   config_route_t *route)
+                   uint32_t *index)
 {
   const config_service_t *service
       = config_doc_find_service (doc, member_string (object, "service"));
   if (service == NULL)
     return field_error (context, "service", "names no service");
-  route->service = (uint32_t)(service - config_doc_service (doc, 0));
+  *index = (uint32_t)(service - config_doc_service (doc, 0));
   return true;
 }
 
+static bool
+read_split (const field_context_t *context, config_doc_t *doc, const cJSON *array,
+            config_route_t *route)
+{
+  int count = cJSON_GetArraySize (array);
+  uint64_t weights = 0;
+  if (!cJSON_IsArray (array) || count == 0 || count > MAX_SPLIT_PARTS)
+    return field_error (context, "split", "must be a list of 1 to %d parts", MAX_SPLIT_PARTS);
+  config_split_t *parts = config_build_list (doc, (size_t)count * sizeof (config_split_t));
+  const cJSON *item = NULL;
+  cJSON_ArrayForEach (item, array)
+  {
+    field_context_t part = *context;
+    g_strlcat (part.path, ".split", sizeof (part.path));
+    config_split_t *split = &parts[route->split_count++];
+    if (!cJSON_IsObject (item))
+      return field_error (&part, NULL, "each part must be an object");
+    if (!field_read (&part, item, split_fields, split)
+        || !read_service_name (&part, doc, item, &split->service))
+      return false;
+    weights += split->weight;
+  }
+  if (weights == 0)
+    return field_error (context, "split", "must have a weight above 0");
+  route->split = parts;
+  route->service = parts[0].service;
+  return true;
+}
+
+static bool
+read_services (const field_context_t *context, config_doc_t *doc, const cJSON *object,
+               config_route_t *route)
+{
+  const cJSON *split = cJSON_GetObjectItemCaseSensitive (object, "split");
+  const cJSON *service = cJSON_GetObjectItemCaseSensitive (object, "service");
+  if (split != NULL && service != NULL)
+    return field_error (context, "split", "excludes \"service\"");
+  if (split != NULL)
+    return read_split (context, doc, split, route);
+  if (service == NULL)
+    return field_error (context, "service", "is required");
+  return read_service_name (context, doc, object, &route->service);
+}
+
+static bool
+read_host (const field_context_t *context, config_doc_t *doc, const cJSON *object,
+           config_route_t *route)
+{
+  const cJSON *host = cJSON_GetObjectItemCaseSensitive (object, "host");
+  if (host == NULL)
+    return true;
+  if (!cJSON_IsString (host) || !field_is_host (host->valuestring))
+    return field_error (context, "host", "must be a host name without port");
+  g_autofree char *lower = g_ascii_strdown (host->valuestring, -1);
+  route->host = config_build_string (doc, lower);
+  return true;
+}
+
+static bool
+check_goal (const field_context_t *context, const config_route_t *route)
+{
+  if (route->goal_ms < route->timeout_ms + MAX_GOAL_EXCESS_MS)
+    return true;
+  return field_error (context, "goal_ms", "must be less than %d above timeout_ms",
+                      MAX_GOAL_EXCESS_MS);
+}
+
 static bool
 read_methods (const field_context_t *context, const cJSON *object, config_route_t *route)
 {
@@ -119,9 +204,10 @@
     return false;
   bool ok = field_read (context, object, route_fields, &route)
             && read_id (context, doc, object, key, &route)
-            && read_service_name (context, doc, object, &route)
-            && read_methods (context, object, &route) && read_prefix (context, doc, object, &route)
-            && read_class (context, object, &route);
+            && read_services (context, doc, object, &route)
+            && read_host (context, doc, object, &route) && check_goal (context, &route)
+            && config_check_annotations (context, object) && read_methods (context, object, &route)
+            && read_prefix (context, doc, object, &route) && read_class (context, object, &route);
   cJSON_Delete (object);
   if (ok)
     g_array_append_val (doc->routes, route);
@@ -159,15 +245,18 @@
   return previous->has_member && order == 0 && json_slice_equal (previous->value, value);
 }
 
-/* Copies the current element of the previous document; returns false if its service is gone. */
+/* Copies the current element of the previous document; returns false if it must be read again,
+ * because its service is gone or it has several. */
 static bool
 reuse_route (config_doc_t *doc, const previous_t *previous)
 {
   config_route_t route = *config_doc_route (previous->doc, previous->index);
   const config_service_t *service
       = config_doc_find_service (doc, config_doc_service (previous->doc, route.service)->name);
-  if (service == NULL)
+  if (service == NULL || route.split != NULL)
     return false;
+  if (route.host != NULL)
+    route.host = config_build_string (doc, route.host);
   route.service = (uint32_t)(service - config_doc_service (doc, 0));
   route.id = config_build_string (doc, route.id);
   route.prefix = config_build_string (doc, route.prefix);
--- a/src/config_services.c
+++ b/src/config_services.c
@@ -19,6 +19,10 @@
   { "slow_start_ms", FIELD_UINT32, false, offsetof (config_service_t, slow_start_ms), 0,
     MAX_SERVICE_MS, 10000 },
   { "max_queue", FIELD_UINT32, false, offsetof (config_service_t, max_queue), 1, 1000000, 1000 },
+  { "max_connections", FIELD_UINT32, false, offsetof (config_service_t, max_connections), 0,
+    1000000, 0 },
+  { "health_path", FIELD_OTHER, false },
+  { "annotations", FIELD_OTHER, false },
   { NULL, FIELD_END },
 };
 
@@ -28,23 +32,14 @@
   { NULL, FIELD_END },
 };
 
-static void *
-own_list (config_doc_t *doc, size_t size)
-{
-  void *list = g_malloc0 (size);
-  g_ptr_array_add (doc->lists, list);
-  doc->string_bytes += size;
-  return list;
-}
-
 static bool
 read_hosts (const field_context_t *context, config_doc_t *doc, const cJSON *array,
             GHashTable *hosts, config_service_t *service)
 {
-  if (!cJSON_IsArray (array) || cJSON_GetArraySize (array) == 0)
-    return field_error (context, "hosts", "must be a list of at least one host");
+  if (!cJSON_IsArray (array))
+    return field_error (context, "hosts", "must be a list of hosts");
 
-  const char **list = own_list (doc, (size_t)cJSON_GetArraySize (array) * sizeof (char *));
+  const char **list = config_build_list (doc, (size_t)cJSON_GetArraySize (array) * sizeof (char *));
   const cJSON *item = NULL;
   cJSON_ArrayForEach (item, array)
   {
@@ -72,7 +67,7 @@
     return field_error (context, "wrong_answer.statuses", "must be a list of 1 to %d statuses",
                         MAX_WRONG_STATUSES);
 
-  uint16_t *list = own_list (doc, (size_t)count * sizeof (uint16_t));
+  uint16_t *list = config_build_list (doc, (size_t)count * sizeof (uint16_t));
   const cJSON *item = NULL;
   cJSON_ArrayForEach (item, array)
   {
@@ -111,6 +106,20 @@
   return true;
 }
 
+static bool
+read_health_path (const field_context_t *context, config_doc_t *doc, const cJSON *object,
+                  config_service_t *service)
+{
+  const cJSON *path = cJSON_GetObjectItemCaseSensitive (object, "health_path");
+  if (path == NULL)
+    return true;
+  if (!cJSON_IsString (path) || path->valuestring[0] != '/'
+      || strlen (path->valuestring) > CONFIG_MAX_PREFIX_SIZE)
+    return field_error (context, "health_path", "must be a path that starts with '/'");
+  service->health_path = config_build_string (doc, path->valuestring);
+  return true;
+}
+
 static bool
 read_service (const field_context_t *context, config_doc_t *doc, json_slice_t value,
               GHashTable *hosts, config_service_t *service)
@@ -122,7 +131,9 @@
             && read_hosts (context, doc, cJSON_GetObjectItemCaseSensitive (object, "hosts"), hosts,
                            service)
             && read_wrong_answer (
-                context, doc, cJSON_GetObjectItemCaseSensitive (object, "wrong_answer"), service);
+                context, doc, cJSON_GetObjectItemCaseSensitive (object, "wrong_answer"), service)
+            && read_health_path (context, doc, object, service)
+            && config_check_annotations (context, object);
   cJSON_Delete (object);
   return ok;
 }
--- a/src/config_unique.c
+++ b/src/config_unique.c
@@ -6,7 +6,7 @@
 typedef struct
 {
   uint32_t route;  /* index + 1; 0: empty */
-  uint8_t methods; /* of all routes with the same service and prefix */
+  uint8_t methods; /* of all routes with the same service or host, and prefix */
 } slot_t;
 
 typedef struct
@@ -56,7 +56,10 @@
 static bool
 equal_prefixes (const config_route_t *a, const config_route_t *b)
 {
-  return a->service == b->service && g_ascii_strcasecmp (a->prefix, b->prefix) == 0;
+  bool same_host = a->host == NULL || b->host == NULL
+                       ? a->host == b->host && a->service == b->service
+                       : strcmp (a->host, b->host) == 0;
+  return same_host && g_ascii_strcasecmp (a->prefix, b->prefix) == 0;
 }
 
 static bool
@@ -76,7 +79,8 @@
 add_prefix (const field_context_t *context, const route_set_t *set, uint32_t index)
 {
   const config_route_t *route = config_doc_route (set->doc, index);
-  slot_t *slot = find_slot (set, hash_text (route->service, route->prefix), route, equal_prefixes);
+  uint32_t host_hash = route->host != NULL ? hash_text (0, route->host) : route->service;
+  slot_t *slot = find_slot (set, hash_text (host_hash, route->prefix), route, equal_prefixes);
   if (slot->route != 0)
     {
       const config_route_t *other = config_doc_route (set->doc, slot->route - 1);
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -4,9 +4,10 @@
 
 /* route_table - selects the service and the route of a request.
  *
- * The host selects the service; letter case and port are ignored. Among the routes of the service
- * that have the method, the one with the longest prefix that ends at a '/' boundary of the path is
- * selected. The cost depends on the number of segments of the path, not on the number of routes.
+ * The host selects the service, or the routes that name the host themselves; letter case and port
+ * are ignored. Among the routes of the service or host that have the method, the one with the
+ * longest prefix that ends at a '/' boundary of the path is selected. The cost depends on the
+ * number of segments of the path, not on the number of routes.
  *
  * The request target is forwarded to the backend server as it came, and backend servers differ in
  * how they read a path. So two readings are matched: the literal one, and a loose one in which
@@ -36,8 +37,10 @@
 
 typedef struct
 {
-  const config_service_t *service; /* also set if only the route is missing */
-  const config_route_t *route;     /* NULL unless found */
+  /* Also set if only the route is missing, unless the host is named by routes. Of a route with a
+   * split it is the first part. */
+  const config_service_t *service;
+  const config_route_t *route; /* NULL unless found */
 } route_match_t;
 
 /* Builds the table for DOC and keeps a reference to it. */
