version_store: versions that the operator numbers, and whole documents

Cause: an operator whose numbers are given and uneven could only be served by a store of its own, without history and digests. A command with the base VERSION_BASE_BY_LABEL is checked against the label of the current document in the state machine, so of two changes on one number one wins. A whole document is recorded as the merge patch from its base, so history, digests and explain work as before. Commands in older logs are read as before.

--- a/src/version_codec.c
+++ b/src/version_codec.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#define COMMAND_FIELDS 7
+#define COMMAND_FIELDS 8
 #define RESULT_FIELDS 5
 #define RECORD_FIELDS 9
 
@@ -72,6 +72,7 @@
   wire_write_int (&writer, command->wall_ms);
   wire_write_bytes (&writer, command->patch, command->patch_size);
   wire_write_uint (&writer, command->schema);
+  wire_write_bool (&writer, command->replace);
   return version_writer_finish (&writer);
 }
 
@@ -92,6 +93,8 @@
   command->wall_ms = wire_read_int (&reader->reader);
   command->patch = (const char *)wire_read_bytes (&reader->reader, &command->patch_size);
   command->schema = (uint32_t)wire_read_uint (&reader->reader);
+  /* Commands in logs of earlier programs end here. */
+  command->replace = wire_read_more (&reader->reader) && wire_read_bool (&reader->reader);
   return finish_message (&reader->reader, err);
 }
 
--- a/src/version_codec.h
+++ b/src/version_codec.h
@@ -13,11 +13,14 @@
  * (32 bytes) Records are also JSON objects with the same members, digests in hexadecimal and the
  * patch as a string, for the operators' API. Fields that a newer program appends are ignored. */
 
+/* Base of commands whose operator numbers the versions. */
+#define VERSION_BASE_BY_LABEL UINT64_MAX
+
 /* A request to change the configuration. The strings belong to the caller. The leader sets the time
  * and the schema, so that members of different program versions apply the same rules. */
 typedef struct
 {
-  uint64_t base;
+  uint64_t base; /* VERSION_BASE_BY_LABEL: the labels of the documents are compared instead */
   const char *patch_id;
   const char *operator_name;
   const char *reason;
@@ -25,6 +28,7 @@
   const char *patch;
   size_t patch_size;
   uint32_t schema; /* CONFIG_SCHEMA of the leader */
+  bool replace;    /* PATCH is the whole new document */
 } version_command_t;
 
 typedef enum
--- a/src/version_store.c
+++ b/src/version_store.c
@@ -117,15 +117,27 @@
   return patch;
 }
 
+/* The record of a replacement holds the patch to its base, so the documents are compared. */
+static bool
+has_same_content (const version_command_t *command, const char *patch,
+                  const version_record_t *record)
+{
+  if (!command->replace)
+    return strcmp (patch, record->patch) == 0;
+  version_digest_t digest = version_text_digest (patch, strlen (patch));
+  return version_digest_equal (&digest, &record->document);
+}
+
 /* Compares COMMAND with the accepted VERSION that has its patch_id. */
 static void
 compare_repeat (version_store_t *store, const version_command_t *command, const char *patch,
                 uint64_t version, version_result_t *result)
 {
   const version_record_t *record = version_log_get (store->log, version);
-  bool same = command->base == version - 1 && strcmp (command->reason, record->reason) == 0
+  bool same_base = command->base == VERSION_BASE_BY_LABEL || command->base == version - 1;
+  bool same = same_base && strcmp (command->reason, record->reason) == 0
               && strcmp (command->operator_name, record->operator_name) == 0
-              && strcmp (patch, record->patch) == 0;
+              && has_same_content (command, patch, record);
   result->outcome = same ? VERSION_REPEATED : VERSION_CONFLICT;
   result->version = version;
   result->digest = record->digest;
@@ -135,16 +147,19 @@
                 version);
 }
 
-/* Returns the document that PATCH makes of the current one, or NULL with the broken rule. */
+/* Returns the document that PATCH makes of the current one, or the text REPLACEMENT if it is not
+ * NULL. Returns NULL with the broken rule. */
 static config_doc_t *
-make_document (const version_store_t *store, const cJSON *patch, uint32_t schema,
-               version_result_t *result)
+make_document (const version_store_t *store, const cJSON *patch, const char *replacement,
+               uint32_t schema, version_result_t *result)
 {
   anv_error_t err = { .domain = ANV_ERROR_NONE };
   json_slice_t base = { .data = NULL };
   base.data = g_bytes_get_data (config_doc_text (store->doc), &base.size);
   GString *text = g_string_sized_new (base.size + 256);
-  bool merged = config_patch_apply_text (base, patch, text);
+  bool merged = replacement != NULL || config_patch_apply_text (base, patch, text);
+  if (replacement != NULL)
+    g_string_append (text, replacement);
   gsize size = text->len;
   GBytes *bytes = g_bytes_new_take (g_string_free (text, FALSE), size);
   config_doc_t *doc = merged ? config_doc_new_after (store->doc, bytes, schema, &err) : NULL;
@@ -154,6 +169,32 @@
   return doc;
 }
 
+/* Returns the canonical text of the merge patch that leads from the current document to TO. */
+static char *
+make_patch (const version_store_t *store, const cJSON *to)
+{
+  gsize size = 0;
+  const char *text = g_bytes_get_data (config_doc_text (store->doc), &size);
+  cJSON *from = json_parse (text, size, NULL);
+  cJSON *patch = config_patch_diff (from, to);
+  char *canonical = json_canonical (patch);
+  cJSON_Delete (patch);
+  cJSON_Delete (from);
+  return canonical;
+}
+
+/* Returns whether the command was made from the current version. */
+static bool
+has_current_base (const version_store_t *store, const version_command_t *command,
+                  const cJSON *patch)
+{
+  int64_t label = 0;
+  if (command->base != VERSION_BASE_BY_LABEL)
+    return command->base == version_store_current (store);
+  const cJSON *base = cJSON_GetObjectItemCaseSensitive (patch, "label_base");
+  return json_exact_integer (base, &label) && (uint64_t)label == config_doc_label (store->doc);
+}
+
 static version_record_t *
 make_record (const version_store_t *store, const version_command_t *command, const char *patch,
              const config_doc_t *doc)
@@ -185,15 +226,24 @@
       compare_repeat (store, command, canonical, version, result);
       return false;
     }
-  if (command->base != version_store_current (store))
+  if (!has_current_base (store, command, patch))
     {
       result->outcome = VERSION_STALE;
       return false;
     }
-  candidate->doc = make_document (store, patch, command->schema, result);
+  const char *replacement = command->replace ? canonical : NULL;
+  candidate->doc = make_document (store, patch, replacement, command->schema, result);
   if (candidate->doc == NULL)
     return false;
-  candidate->record = make_record (store, command, canonical, candidate->doc);
+  if (command->base == VERSION_BASE_BY_LABEL
+      && config_doc_label (candidate->doc) <= config_doc_label (store->doc))
+    {
+      g_clear_pointer (&candidate->doc, config_doc_unref);
+      return invalid (result, "$.label: must be above the label of the current version");
+    }
+  g_autofree char *change = command->replace ? make_patch (store, patch) : NULL;
+  candidate->record
+      = make_record (store, command, change != NULL ? change : canonical, candidate->doc);
   candidate->seal = version_record_seal (candidate->record, &store->digest);
   candidate->record->digest = version_seal_digest (&candidate->seal);
   result->outcome = VERSION_ACCEPTED;
@@ -244,6 +294,12 @@
   version_record_free (candidate.record);
 }
 
+uint64_t
+version_store_find (const version_store_t *store, const char *patch_id)
+{
+  return version_log_find (store->log, patch_id);
+}
+
 uint64_t
 version_store_current (const version_store_t *store)
 {
--- a/src/version_store.h
+++ b/src/version_store.h
@@ -10,6 +10,12 @@
  * its base is the current version, its patch_id is new and the resulting document passes the check.
  * A patch_id that was accepted once gives the same number for ever, if base, operator, reason and
  * patch are the same (the time is not compared, because another leader may stamp a resend).
+ *
+ * With the base VERSION_BASE_BY_LABEL the operator numbers the versions: "label_base" of the patch
+ * must be the label of the current document, otherwise the command is stale, and "label" must be
+ * above it. A command may also replace the whole document; its record then holds the merge patch
+ * that leads from the old document to the new one.
+ *
  * Rejected commands leave no trace. */
 
 typedef struct version_store version_store_t;
@@ -36,6 +42,9 @@
 /* Returns the digest of the current version; all zero for version 0. */
 version_digest_t version_store_digest (const version_store_t *store);
 
+/* Returns the version that was accepted with PATCH_ID, 0 if there is none. */
+uint64_t version_store_find (const version_store_t *store, const char *patch_id);
+
 /* Returns the checked document of the current version; valid until the next command. */
 config_doc_t *version_store_doc (const version_store_t *store);
 
--- a/src/wire.c
+++ b/src/wire.c
@@ -380,6 +380,14 @@
   reader->depth--;
 }
 
+bool
+wire_read_more (const wire_reader_t *reader)
+{
+  if (reader->failed || reader->depth == 0)
+    return false;
+  return reader->stack[reader->depth - 1].next < reader->stack[reader->depth - 1].array->size;
+}
+
 bool
 wire_reader_finish (wire_reader_t *reader, anv_error_t *err)
 {
--- a/src/wire.h
+++ b/src/wire.h
@@ -48,6 +48,15 @@
   WIRE_RAFT_SNAPSHOT = 54,
   WIRE_RAFT_SNAPSHOT_REPLY = 55,
   WIRE_RAFT_TIMEOUT_NOW = 56,
+  WIRE_FLEET_STATUS = 60,
+  WIRE_FLEET_VIEW = 61,
+  WIRE_FLEET_CONFIG = 62,
+  WIRE_FLEET_TARGETS = 63,
+  WIRE_FLEET_DEPARTED = 64,
+  WIRE_FLEET_JOIN = 65,
+  WIRE_FLEET_PROPOSE = 66,
+  WIRE_FLEET_PROPOSED = 67,
+  WIRE_FLEET_LOAD = 68,
 } wire_type_t;
 
 typedef enum
@@ -126,6 +135,9 @@
 uint32_t wire_read_array (wire_reader_t *reader);
 void wire_read_array_end (wire_reader_t *reader);
 
+/* Returns whether the array that is being read has another element. */
+bool wire_read_more (const wire_reader_t *reader);
+
 /* Returns whether all reads succeeded; otherwise sets ANV_ERROR_WIRE. Unread fields at the end are
  * allowed, so that a newer sender can append fields. */
 bool wire_reader_finish (wire_reader_t *reader, anv_error_t *err);
