--- a/src/caller_listener.c
+++ b/src/caller_listener.c
@@ -167,9 +167,9 @@
   io_timer_init (&listener->retry, on_retry);
   task_init (&listener->task, &listener_ops, context);
   counter_register (options->counters, &listener->open, COUNTER_KIND_GAUGE,
-                    "anvillb_caller_connections", NULL, "Open connections of callers.");
+                    "anvillb_caller_connections", options->labels, "Open connections of callers.");
   counter_register (options->counters, &listener->accepted, COUNTER_KIND_COUNTER,
-                    "anvillb_caller_connections_total", NULL, "Accepted connections.");
+                    "anvillb_caller_connections_total", options->labels, "Accepted connections.");
 }
 
 void
--- a/src/caller_listener.h
+++ b/src/caller_listener.h
@@ -14,6 +14,7 @@
   GTlsCertificate *certificate; /* NULL for no TLS */
   size_t max_connections;
   counter_registry_t *counters;
+  const char *labels;         /* of the counters; NULL for none */
   caller_conn_options_t conn; /* closed and data are set by the listener */
 } caller_listener_options_t;
 
--- a/src/link.c
+++ b/src/link.c
@@ -12,6 +12,21 @@
 /* Bytes taken from one link in a turn, so that a busy link does not starve the others. */
 #define MAX_READ_PER_TURN (1024 * 1024)
 
+const link_timing_t link_timing_default = {
+  .heartbeat_us = INT64_C (500000),
+  .silence_us = INT64_C (2000000),
+  .idle_us = INT64_C (10000000),
+  .handshake_us = INT64_C (3000000),
+};
+
+const link_timing_t link_timing_fleet = {
+  .heartbeat_us = INT64_C (500000),
+  .silence_us = INT64_C (1300000),
+  .idle_us = INT64_C (10000000),
+  .handshake_us = INT64_C (900000),
+  .heartbeat_when_idle = true,
+};
+
 static int64_t
 now_us (const link_t *link)
 {
@@ -79,6 +94,7 @@
   wire_write_int (&writer, now_us (link));
   wire_write_int (&writer, link->peer_sent_us);
   wire_write_int (&writer, held_us);
+  link->sent_us = now_us (link);
   write_message (link, &writer);
 }
 
@@ -252,35 +268,37 @@
   link_t *link = LIST_ENTRY (timer, link_t, timer);
   int64_t now = now_us (link);
 
-  if (!link->open && now - link->opened_us >= LINK_HANDSHAKE_US)
+  if (!link->open && now - link->opened_us >= link->timing->handshake_us)
     {
       close_with (link, LINK_ERROR_SILENT, "no HELLO within the time limit");
       return;
     }
-  if (link->open && now - link->received_us >= LINK_SILENCE_US)
+  if (link->open && now - link->received_us >= link->timing->silence_us)
     {
       close_with (link, LINK_ERROR_SILENT, "no input within the time limit");
       return;
     }
-  if (link->open && now - link->used_us >= LINK_IDLE_US)
+  if (link->open && now - link->used_us >= link->timing->idle_us)
     {
       close_with (link, LINK_ERROR_CLOSED, "idle");
       return;
     }
-  if (link->open)
+  bool silent = now - link->sent_us >= link->timing->heartbeat_us / 2;
+  if (link->open && (silent || !link->timing->heartbeat_when_idle))
     send_heartbeat (link);
-  io_timer_set (link->loop, &link->timer, now + LINK_HEARTBEAT_US);
+  io_timer_set (link->loop, &link->timer, now + link->timing->heartbeat_us);
 }
 
 static link_t *
 new_link (const link_ops_t *ops, void *owner, io_loop_t *loop, const link_hello_t *self,
-          const tls_config_t *tls)
+          const link_timing_t *timing, const tls_config_t *tls)
 {
   link_t *link = g_new0 (link_t, 1);
   link->ops = ops;
   link->owner = owner;
   link->loop = loop;
   link->self = self;
+  link->timing = timing;
   link->tls = tls;
   link->early = g_byte_array_new ();
   list_node_init (&link->node);
@@ -291,13 +309,14 @@
   link->opened_us = now_us (link);
   link->received_us = link->opened_us;
   link->used_us = link->opened_us;
-  io_timer_set (loop, &link->timer, link->opened_us + LINK_HEARTBEAT_US);
+  io_timer_set (loop, &link->timer,
+                link->opened_us + MIN (timing->heartbeat_us, timing->handshake_us));
   return link;
 }
 
 link_t *
 link_accept (const link_ops_t *ops, void *owner, io_loop_t *loop, const link_hello_t *self,
-             const tls_config_t *tls, GSocket *socket)
+             const link_timing_t *timing, const tls_config_t *tls, GSocket *socket)
 {
   anv_error_t err = { 0 };
   g_autoptr (GIOStream) stream = NULL;
@@ -310,7 +329,7 @@
           return NULL;
         }
     }
-  link_t *link = new_link (ops, owner, loop, self, tls);
+  link_t *link = new_link (ops, owner, loop, self, timing, tls);
   byte_stream_open (&link->stream, &stream_ops, loop, socket, stream);
   start_reading (link);
   return link;
@@ -318,7 +337,8 @@
 
 link_t *
 link_connect (const link_ops_t *ops, void *owner, io_loop_t *loop, const link_hello_t *self,
-              const tls_config_t *tls, const char *address, anv_error_t *err)
+              const link_timing_t *timing, const tls_config_t *tls, const char *address,
+              anv_error_t *err)
 {
   char host[LINK_ADDRESS_SIZE];
   uint16_t port = 0;
@@ -328,7 +348,7 @@
       return NULL;
     }
   g_autoptr (GSocketAddress) target = g_inet_socket_address_new_from_string (host, port);
-  link_t *link = new_link (ops, owner, loop, self, tls);
+  link_t *link = new_link (ops, owner, loop, self, timing, tls);
   g_strlcpy (link->target, address, sizeof (link->target));
   if (byte_stream_connect (&link->stream, &stream_ops, loop, target, err))
     return link;
@@ -346,6 +366,7 @@
     return false;
 
   link->used_us = now_us (link);
+  link->sent_us = link->used_us;
   if (!link->open)
     {
       frame_append (link->early, data, size);
--- a/src/link.h
+++ b/src/link.h
@@ -12,15 +12,27 @@
 
 /* link - one connection between two of the project's own processes.
  *
- * Both sides send HELLO first and HEARTBEAT every LINK_HEARTBEAT_US. A link without input for
- * LINK_SILENCE_US is closed, because a connection can go silent for good while new ones work. A
- * link without messages for LINK_IDLE_US is closed too, so that a process has links only to the
- * peers it talks to. Heartbeats carry time stamps and echoes for link_clock. */
+ * Both sides send HELLO first, and HEARTBEAT when they have sent nothing else for the period of
+ * heartbeats. A link without input for the time of silence is closed, because a connection can go
+ * silent for good while new ones work. A link without messages for the idle time is closed too, so
+ * that a process has links only to the peers it talks to. Heartbeats carry time stamps and echoes
+ * for link_clock. */
 
-#define LINK_HEARTBEAT_US INT64_C (500000)
-#define LINK_SILENCE_US INT64_C (2000000)
-#define LINK_IDLE_US INT64_C (10000000)
-#define LINK_HANDSHAKE_US INT64_C (3000000)
+typedef struct
+{
+  int64_t heartbeat_us;
+  int64_t silence_us;
+  int64_t idle_us;
+  int64_t handshake_us;     /* until HELLO */
+  bool heartbeat_when_idle; /* other messages take the place of heartbeats */
+} link_timing_t;
+
+/* Of fleets with membership by gossip. */
+extern const link_timing_t link_timing_default;
+
+/* Of fleets with control instances: a silent link is replaced well within the 3 s after which a
+ * change must be in force again. */
+extern const link_timing_t link_timing_fleet;
 
 /* Output that is queued for a slow peer before messages are dropped. */
 #define LINK_MAX_PENDING (64U * 1024 * 1024)
@@ -75,12 +87,14 @@
   io_deferred_t free;
   const tls_config_t *tls; /* for a connection under way; NULL without TLS */
   const link_hello_t *self;
+  const link_timing_t *timing;
   link_hello_t peer;
   char target[LINK_ADDRESS_SIZE]; /* address that was connected to; "" if accepted */
   link_clock_t clock;
   int64_t opened_us;
   int64_t received_us;   /* last input */
   int64_t used_us;       /* last message in either direction */
+  int64_t sent_us;       /* last output */
   int64_t peer_sent_us;  /* time stamp in the peer's last heartbeat; 0 before */
   int64_t peer_stamp_us; /* when it arrived */
   GByteArray *early;     /* frames queued before the link is open */
@@ -90,11 +104,12 @@
 
 /* Takes over an accepted SOCKET. */
 link_t *link_accept (const link_ops_t *ops, void *owner, io_loop_t *loop, const link_hello_t *self,
-                     const tls_config_t *tls, GSocket *socket);
+                     const link_timing_t *timing, const tls_config_t *tls, GSocket *socket);
 
 /* Starts a connection to ADDRESS. Returns NULL with ANV_ERROR_LINK if that is not possible. */
 link_t *link_connect (const link_ops_t *ops, void *owner, io_loop_t *loop, const link_hello_t *self,
-                      const tls_config_t *tls, const char *address, anv_error_t *err);
+                      const link_timing_t *timing, const tls_config_t *tls, const char *address,
+                      anv_error_t *err);
 
 /* Queues a message. Returns false if it was dropped because the peer is too slow. */
 bool link_send (link_t *link, const uint8_t *data, size_t size);
--- a/src/option.c
+++ b/src/option.c
@@ -11,6 +11,8 @@
 #define KEY_BASE 1000
 #define KEY_CHECK 900
 
+#define SETTINGS_FILE_VARIABLE "ANVILLB_SETTINGS_FILE"
+
 /* argp reads the version from a global variable. */
 static char *version_text;
 
@@ -223,6 +225,113 @@
   return true;
 }
 
+const char *
+option_settings_file (void)
+{
+  return g_getenv (SETTINGS_FILE_VARIABLE);
+}
+
+static const option_t *
+find_by_variable (const option_table_t *table, const char *variable, size_t *index)
+{
+  for (size_t i = 0; table->options[i].name != NULL; i++)
+    {
+      g_autofree char *name = environment_name (table->options[i].name);
+      if (strcmp (name, variable) == 0)
+        {
+          *index = i;
+          return &table->options[i];
+        }
+    }
+  return NULL;
+}
+
+static bool
+file_error (const char *path, size_t line, const char *text, anv_error_t *err)
+{
+  anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_VALUE, "%s:%zu: %s", path, line, text);
+  return false;
+}
+
+/* Splits the line of a settings file. Returns false for an empty line or a comment. */
+static bool
+split_line (char *line, char **variable, char **value)
+{
+  g_strstrip (line);
+  *variable = line;
+  *value = strchr (line, '=');
+  if (*line == '\0' || *line == '#')
+    return false;
+  if (*value != NULL)
+    *(*value)++ = '\0';
+  return true;
+}
+
+static char *
+read_settings_file (const char *path, anv_error_t *err)
+{
+  char *text = NULL;
+  g_autoptr (GError) error = NULL;
+  if (!g_file_get_contents (path, &text, NULL, &error))
+    anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_VALUE, "%s: %s", SETTINGS_FILE_VARIABLE,
+                   error->message);
+  return text;
+}
+
+static bool
+apply_file (const option_table_t *table, bool *is_set, anv_error_t *err)
+{
+  const char *path = option_settings_file ();
+  char *variable = NULL;
+  char *value = NULL;
+  if (path == NULL)
+    return true;
+  g_autofree char *text = read_settings_file (path, err);
+  if (text == NULL)
+    return false;
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  for (size_t i = 0; lines[i] != NULL; i++)
+    {
+      size_t index = 0;
+      if (!split_line (lines[i], &variable, &value))
+        continue;
+      const option_t *option = find_by_variable (table, variable, &index);
+      if (value == NULL || option == NULL)
+        return file_error (path, i + 1, "expected NAME=VALUE with the name of a setting", err);
+      if (!store_value (option, variable, value, false, err))
+        return false;
+      is_set[index] = true;
+    }
+  return true;
+}
+
+GPtrArray *
+option_reload_addresses (const option_table_t *table, const char *name, anv_error_t *err)
+{
+  const char *path = option_settings_file ();
+  g_autofree char *wanted = environment_name (name);
+  g_autofree char *text = path != NULL ? read_settings_file (path, err) : NULL;
+  GPtrArray *list = NULL;
+  option_t option = { .name = name, .type = OPTION_ADDRESS_LIST, .target = &list };
+  char *variable = NULL;
+  char *value = NULL;
+  if (text == NULL)
+    return NULL;
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  for (size_t i = 0; lines[i] != NULL; i++)
+    {
+      if (!split_line (lines[i], &variable, &value) || value == NULL
+          || strcmp (variable, wanted) != 0)
+        continue;
+      if (store_list (&option, variable, value, false, err))
+        return list;
+      g_clear_pointer (&list, g_ptr_array_unref);
+      return NULL;
+    }
+  anv_error_set (err, ANV_ERROR_OPTION, OPTION_ERROR_MISSING, "%s: no %s", path, wanted);
+  return NULL;
+}
+
 static bool
 apply_environment (const option_table_t *table, bool *is_set, anv_error_t *err)
 {
@@ -325,7 +434,8 @@
   g_autofree bool *from_flag = g_new0 (bool, n + 1);
 
   *result = (option_result_t){ .first_argument = argc };
-  if (!apply_defaults (table, err) || !apply_environment (table, is_set, err))
+  if (!apply_defaults (table, err) || !apply_file (table, is_set, err)
+      || !apply_environment (table, is_set, err))
     return false;
 
   g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (g_free);
--- a/src/option.h
+++ b/src/option.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -9,7 +10,9 @@
 /* option - settings from flags and environment variables, described by one table per program.
  *
  * Each setting is the flag --NAME and the environment variable ANVILLB_NAME (upper case, '-' as
- * '_'). A flag overrides the environment, which overrides the default. Every value is checked
+ * '_'). The variable ANVILLB_SETTINGS_FILE may name a file with lines "ANVILLB_NAME=VALUE", empty
+ * lines and comments that start with '#'. A flag overrides the environment, which overrides the
+ * file, which overrides the default. Every value is checked
  * against its type and range when it is read; the error names the setting, where it came from, the
  * value and what is allowed. Besides the table every program has --check (check the settings and
  * exit), --help and --version. */
@@ -68,6 +71,14 @@
 bool option_parse (const option_table_t *table, int argc, char **argv, option_result_t *result,
                    anv_error_t *err);
 
+/* Path of the settings file, or NULL. */
+const char *option_settings_file (void);
+
+/* Reads the setting NAME, an OPTION_ADDRESS_LIST, from the settings file as it is now. Returns an
+ * array of char *, or NULL with ANV_ERROR_OPTION. */
+GPtrArray *option_reload_addresses (const option_table_t *table, const char *name,
+                                    anv_error_t *err);
+
 /* Frees the values that option_parse() allocated. */
 void option_free (const option_table_t *table);
 
--- a/src/peer_network.c
+++ b/src/peer_network.c
@@ -93,7 +93,7 @@
       if (!has_room (network))
         continue;
       link_t *link = link_accept (&link_ops, network, network->options.loop, &network->options.self,
-                                  network->options.tls, socket);
+                                  network->options.timing, network->options.tls, socket);
       if (link != NULL)
         add_link (network, link);
     }
@@ -183,6 +183,8 @@
                    GMainContext *context)
 {
   *network = (peer_network_t){ .options = *options };
+  if (options->timing == NULL)
+    network->options.timing = &link_timing_default;
   list_init (&network->links);
   network->by_number = g_hash_table_new (g_int64_hash, g_int64_equal);
   network->by_address = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -208,7 +210,7 @@
   if (!has_room (network))
     return NULL;
   link = link_connect (&link_ops, network, network->options.loop, &network->options.self,
-                       network->options.tls, address, &err);
+                       network->options.timing, network->options.tls, address, &err);
   if (link == NULL)
     {
       LOG_DEBUG ("no link address=%s error=\"%s\"", address, err.text);
@@ -261,6 +263,13 @@
   return sent;
 }
 
+bool
+peer_network_is_open (const peer_network_t *network, const char *address)
+{
+  const link_t *link = g_hash_table_lookup (network->by_address, address);
+  return link != NULL && link->open;
+}
+
 const char *
 peer_network_address (const peer_network_t *network)
 {
--- a/src/peer_network.h
+++ b/src/peer_network.h
@@ -23,10 +23,11 @@
 typedef struct
 {
   io_loop_t *loop;
-  const char *listen;      /* "IP:PORT"; port 0 chooses a free one */
-  const tls_config_t *tls; /* NULL for none */
-  size_t max_links;        /* accepted and connected */
-  link_hello_t self;       /* with an empty address, the listening address is used */
+  const char *listen;          /* "IP:PORT"; port 0 chooses a free one */
+  const tls_config_t *tls;     /* NULL for none */
+  const link_timing_t *timing; /* NULL: link_timing_default */
+  size_t max_links;            /* accepted and connected */
+  link_hello_t self;           /* with an empty address, the listening address is used */
   counter_registry_t *counters;
   peer_handler_t handler;
 } peer_network_options_t;
@@ -67,5 +68,8 @@
 void peer_network_send_writer (peer_network_t *network, const char *address, wire_writer_t *writer);
 bool peer_network_reply_writer (peer_network_t *network, uint64_t number, wire_writer_t *writer);
 
+/* Returns whether there is an open link to ADDRESS. */
+bool peer_network_is_open (const peer_network_t *network, const char *address);
+
 /* The address that peers use for this process; valid after the start. */
 const char *peer_network_address (const peer_network_t *network);
--- a/src/program.c
+++ b/src/program.c
@@ -2,6 +2,7 @@
 
 #include <glib-unix.h>
 #include <signal.h>
+#include <sys/stat.h>
 
 #define LOG_MODULE "program"
 #include "log.h"
@@ -9,6 +10,9 @@
 #define EXIT_FAILED 1
 #define EXIT_SETTINGS 2
 
+/* Period of the check of the settings file, for changes without a signal. */
+#define SETTINGS_CHECK_S 2
+
 const char *const program_log_levels[] = { "error", "warning", "notice", "info", "debug", NULL };
 
 static gboolean
@@ -19,6 +23,57 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Identity of the settings file, to notice a change without a signal. */
+static struct stat settings_stat;
+
+static bool
+settings_changed (void)
+{
+  struct stat now;
+  const char *path = option_settings_file ();
+  if (path == NULL || stat (path, &now) != 0)
+    return false;
+  bool changed = now.st_ino != settings_stat.st_ino || now.st_size != settings_stat.st_size
+                 || now.st_mtim.tv_sec != settings_stat.st_mtim.tv_sec
+                 || now.st_mtim.tv_nsec != settings_stat.st_mtim.tv_nsec;
+  settings_stat = now;
+  return changed;
+}
+
+static void
+reload (const program_t *program, const char *cause)
+{
+  LOG_NOTICE ("reload cause=%s", cause);
+  program->reload ();
+}
+
+static gboolean
+on_hangup (gpointer data)
+{
+  settings_changed ();
+  reload (data, "signal");
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+on_settings_timer (gpointer data)
+{
+  if (settings_changed ())
+    reload (data, "file");
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+watch_settings (const program_t *program)
+{
+  if (program->reload == NULL)
+    return;
+  settings_changed ();
+  g_unix_signal_add (SIGHUP, on_hangup, (gpointer)program);
+  if (option_settings_file () != NULL)
+    g_timeout_add_seconds (SETTINGS_CHECK_S, on_settings_timer, (gpointer)program);
+}
+
 static int
 run (const program_t *program)
 {
@@ -32,6 +87,7 @@
     {
       g_unix_signal_add (SIGTERM, on_terminate, (gpointer)program);
       g_unix_signal_add (SIGINT, on_terminate, (gpointer)program);
+      watch_settings (program);
       g_main_loop_run (main_loop);
       status = program->failed () ? EXIT_FAILED : 0;
     }
--- a/src/program.h
+++ b/src/program.h
@@ -17,8 +17,10 @@
   /* Starts everything and stores the main loop. */
   bool (*start) (GMainLoop **main_loop, anv_error_t *err);
   void (*terminate) (void); /* SIGTERM or SIGINT arrived */
-  bool (*failed) (void);    /* whether the main loop ended because of a failure */
-  void (*stop) (void);      /* stops and frees everything, also after a failed start */
+  /* SIGHUP arrived, or the settings file has changed; NULL if the program does not reload. */
+  void (*reload) (void);
+  bool (*failed) (void); /* whether the main loop ended because of a failure */
+  void (*stop) (void);   /* stops and frees everything, also after a failed start */
 } program_t;
 
 /* Choices of the setting for the least urgent level that is logged. */
--- a/src/raft.c
+++ b/src/raft.c
@@ -379,6 +379,16 @@
   };
 }
 
+bool
+raft_in_contact (const raft_t *r, int64_t now_us)
+{
+  if (r->failed || r->leader == 0)
+    return false;
+  if (r->role == RAFT_LEADER)
+    return raft_replication_has_quorum (r, now_us);
+  return now_us - r->leader_heard_us <= 2 * r->options.election_us;
+}
+
 const anv_error_t *
 raft_failure (const raft_t *r)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -254,6 +254,10 @@
 
 void raft_status (const raft_t *r, raft_status_t *status);
 
+/* Returns whether the member has heard from the leader within the longest election timeout, or
+ * leads and has heard from a majority. */
+bool raft_in_contact (const raft_t *r, int64_t now_us);
+
 /* Returns the storage failure that stopped this member, or NULL. */
 const anv_error_t *raft_failure (const raft_t *r);
 
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -47,6 +47,9 @@
 /* Returns whether PEER replied within an election timeout; the member itself always did. */
 bool raft_replication_in_contact (const raft_t *r, const raft_peer_t *peer, int64_t now_us);
 
+/* Returns whether a leader is in contact with a majority of the voters. */
+bool raft_replication_has_quorum (const raft_t *r, int64_t now_us);
+
 /* raft_read */
 void raft_read_finish (raft_t *r);
 void raft_read_abort (raft_t *r);
--- a/src/raft_replication.c
+++ b/src/raft_replication.c
@@ -48,8 +48,8 @@
   raft_replication_append (r, RAFT_ENTRY_NOOP, NULL, 0, NULL);
 }
 
-static bool
-has_quorum_contact (const raft_t *r, int64_t now_us)
+bool
+raft_replication_has_quorum (const raft_t *r, int64_t now_us)
 {
   size_t heard = 0;
   for (size_t i = 0; i < r->peer_count; i++)
@@ -60,7 +60,7 @@
 void
 raft_replication_tick (raft_t *r, int64_t now_us)
 {
-  if (!has_quorum_contact (r, now_us))
+  if (!raft_replication_has_quorum (r, now_us))
     {
       LOG_NOTICE ("stepping down without contact to a majority group=%s term=%" PRIu64,
                   r->options.name, r->meta.term);
--- a/src/replica_group.c
+++ b/src/replica_group.c
@@ -67,11 +67,12 @@
     wire_writer_destroy (&writer);
 }
 
+/* Ends all elements of *TABLE without a result. */
 static void
-lose_proposals (replica_group_t *group)
+lose_all (GHashTable **table)
 {
-  GHashTable *lost = group->proposals;
-  group->proposals = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  GHashTable *lost = *table;
+  *table = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   GHashTableIter iter;
   gpointer value = NULL;
   g_hash_table_iter_init (&iter, lost);
@@ -98,14 +99,29 @@
   counter_set (&group->is_leader, leading);
   counter_inc (&group->leader_changes);
   if (!leading)
-    lose_proposals (group);
+    lose_all (&group->proposals);
   if (group->options.on_leadership != NULL)
     group->options.on_leadership (group->options.data, leading);
 }
 
+static void
+on_read_done (raft_io_t *io, uint64_t read_id, bool ok)
+{
+  static const char confirmed[] = "confirmed";
+  replica_group_t *group = LIST_ENTRY (io, replica_group_t, io);
+  proposal_t *read = g_hash_table_lookup (group->reads, &read_id);
+  if (read == NULL)
+    return;
+  proposal_done_t done = read->done;
+  void *data = read->data;
+  g_hash_table_remove (group->reads, &read_id);
+  done (data, ok ? confirmed : NULL);
+}
+
 static const raft_io_ops_t io_ops = {
   .send = send_message,
   .role_changed = on_role_changed,
+  .read_done = on_read_done,
 };
 
 /* Returns whether the member still works; otherwise its supervisor restarts it from its files. */
@@ -156,8 +172,8 @@
   group->options.reset (group->options.data);
   options.name = group->options.name;
   options.group = group->options.number;
-  options.new_id = random_id ();
-  options.seed = options.new_id;
+  options.new_id = group->options.initial_id != 0 ? group->options.initial_id : random_id ();
+  options.seed = random_id ();
   if (!raft_init (&group->raft, &options, &group->io, now_us (group), err))
     return false;
   group->started = true;
@@ -186,7 +202,8 @@
   counter_set (&group->is_leader, 0);
   io_timer_cancel (&group->timer);
   io_deferred_cancel (&group->flush);
-  lose_proposals (group);
+  lose_all (&group->proposals);
+  lose_all (&group->reads);
   raft_destroy (&group->raft);
 }
 
@@ -204,6 +221,7 @@
   *group = (replica_group_t){ .options = *options };
   group->io = (raft_io_t){ .ops = &io_ops, .store = options->store, .machine = options->machine };
   group->proposals = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  group->reads = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   group->links = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   io_timer_init (&group->timer, on_timer);
   io_deferred_init (&group->flush, on_flush);
@@ -225,6 +243,7 @@
 {
   task_destroy (&group->task);
   g_clear_pointer (&group->proposals, g_hash_table_unref);
+  g_clear_pointer (&group->reads, g_hash_table_unref);
   g_clear_pointer (&group->links, g_hash_table_unref);
 }
 
@@ -277,6 +296,33 @@
   return true;
 }
 
+bool
+replica_group_read (replica_group_t *group, proposal_done_t done, void *data_for_done,
+                    anv_error_t *err)
+{
+  uint64_t id = ++group->next_read;
+  if (!group->started)
+    {
+      anv_error_set (err, ANV_ERROR_RAFT, RAFT_ERROR_NOT_LEADER, "the group is stopped");
+      return false;
+    }
+  if (!raft_read (&group->raft, now_us (group), id, err))
+    return false;
+  proposal_t *read = g_new0 (proposal_t, 1);
+  read->index = id;
+  read->done = done;
+  read->data = data_for_done;
+  g_hash_table_insert (group->reads, &read->index, read);
+  io_loop_defer (group->options.loop, &group->flush);
+  return true;
+}
+
+bool
+replica_group_in_contact (const replica_group_t *group)
+{
+  return group->started && raft_in_contact (&group->raft, now_us (group));
+}
+
 void
 replica_group_applied (replica_group_t *group, uint64_t index, uint64_t term, const void *result)
 {
--- a/src/replica_group.h
+++ b/src/replica_group.h
@@ -28,6 +28,7 @@
   counter_registry_t *counters;
   /* Empties the state machine, before the log is applied from its start or its snapshot. */
   void (*reset) (void *data);
+  uint64_t initial_id; /* identity for an empty data directory; 0: a random one */
   /* This member became leader or ceased to be it; may be NULL. */
   void (*on_leadership) (void *data, bool leading);
   void *data;
@@ -45,7 +46,9 @@
   io_timer_t timer;
   io_deferred_t flush;
   GHashTable *proposals; /* index -> proposal */
-  GHashTable *links;     /* member id -> link number of its last message */
+  GHashTable *reads;     /* read id -> proposal */
+  uint64_t next_read;
+  GHashTable *links; /* member id -> link number of its last message */
   char labels[64];
   counter_t is_leader;
   counter_t leader_changes;
@@ -66,6 +69,15 @@
 bool replica_group_propose (replica_group_t *group, const uint8_t *data, size_t size,
                             proposal_done_t done, void *data_for_done, anv_error_t *err);
 
+/* Asks to read the state as of now. DONE is called once, from the main loop, with a result that is
+ * not NULL if the state machine has all that was committed before. Returns false with
+ * ANV_ERROR_RAFT if this member does not lead; DONE is not called then. */
+bool replica_group_read (replica_group_t *group, proposal_done_t done, void *data_for_done,
+                         anv_error_t *err);
+
+/* Returns whether this member hears from the leader, or as leader from a majority. */
+bool replica_group_in_contact (const replica_group_t *group);
+
 /* For the state machine: the entry INDEX of TERM is applied. */
 void replica_group_applied (replica_group_t *group, uint64_t index, uint64_t term,
                             const void *result);
