--- /dev/null
+++ b/src/balancer.c
@@ -0,0 +1,600 @@
+#include "balancer.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Share of the requests that a faulty target fails, and that a sound one does. Gray failures that
+ * were seen fail between 0.4 and 0.9; targets return about 1 in 100 errors of their own. */
+#define FAULTY_FAILURES 0.65
+#define SOUND_FAILURES 0.015
+
+/* Log odds of a target without evidence: about one in twelve has a fault at any time. */
+#define PRIOR_ODDS (-2.4)
+#define MAX_ODDS 6.0
+#define MIN_ODDS (-5.0)
+
+/* Time in which evidence loses 63% of its weight. Faults last some seconds. */
+#define MEMORY_US 3000000.0
+
+/* A target above this suspicion is used only where no better one has a free slot. */
+#define SUSPECT 0.3
+
+/* An answer is late after the mean time plus this many mean deviations. */
+#define LATE_DEVIATIONS 5.0
+#define LATE_LEAST_US 60000
+#define LATENCY_GAIN 0.1
+#define DEVIATION_SHARE 0.4
+
+/* Targets that have just started take about twice the time. */
+#define COLD_FACTOR 2.0
+
+/* What another entry or the target says of its load is forgotten after this time. */
+#define REPORT_LIFE_US 400000
+#define MAX_PEERS 8
+
+/* Shortest wait that a refused caller is told. */
+#define LEAST_RETRY_US 50000
+
+typedef struct
+{
+  uint64_t peer; /* 0: not used */
+  uint32_t in_flight;
+} peer_flight_t;
+
+typedef struct
+{
+  balancer_target_t setting;
+  uint64_t id; /* key */
+  bool removed;
+  double odds; /* at odds_us */
+  int64_t odds_us;
+  uint32_t in_flight; /* of this entry */
+  peer_flight_t peers[MAX_PEERS];
+  uint32_t reported; /* requests of all entries, by the target itself */
+  int64_t reported_us;
+  double unshared; /* evidence that the other entries do not have */
+  uint32_t shared_flight;
+  bool share_due;
+} target_t;
+
+typedef struct
+{
+  uint64_t kind; /* key */
+  double mean_us;
+  double deviation_us;
+  bool sampled;
+} latency_t;
+
+/* A request that waits or is in flight. */
+typedef struct
+{
+  list_node_t node; /* in the queue */
+  balancer_request_t request;
+  int64_t since_us; /* arrival in the queue, or dispatch */
+  target_t *target; /* NULL while it waits */
+  bool counted_late;
+} flight_t;
+
+void
+balancer_init (balancer_t *b, const balancer_options_t *options, uint64_t seed)
+{
+  *b = (balancer_t){ .options = *options };
+  rng_init (&b->rng, seed);
+  b->targets = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  b->kinds = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  b->flights = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  list_init (&b->queue);
+}
+
+void
+balancer_destroy (balancer_t *b)
+{
+  g_clear_pointer (&b->targets, g_hash_table_unref);
+  g_clear_pointer (&b->kinds, g_hash_table_unref);
+  g_clear_pointer (&b->flights, g_hash_table_unref);
+}
+
+const char *
+balancer_verdict_name (balancer_verdict_t verdict)
+{
+  static const char *const names[] = { "dispatch", "no_time", "no_target" };
+  return names[verdict];
+}
+
+static latency_t *
+find_latency (balancer_t *b, uint64_t kind)
+{
+  latency_t *latency = g_hash_table_lookup (b->kinds, &kind);
+  if (latency != NULL)
+    return latency;
+  latency = g_new0 (latency_t, 1);
+  latency->kind = kind;
+  latency->mean_us = (double)b->options.default_latency_us;
+  latency->deviation_us = latency->mean_us * DEVIATION_SHARE;
+  g_hash_table_insert (b->kinds, &latency->kind, latency);
+  return latency;
+}
+
+static void
+sample_latency (balancer_t *b, uint64_t kind, int64_t latency_us)
+{
+  latency_t *latency = find_latency (b, kind);
+  double value = (double)latency_us;
+  if (!latency->sampled)
+    {
+      latency->sampled = true;
+      latency->mean_us = value;
+      latency->deviation_us = value * DEVIATION_SHARE;
+      return;
+    }
+  double error = value - latency->mean_us;
+  latency->mean_us += LATENCY_GAIN * error;
+  latency->deviation_us += LATENCY_GAIN * (fabs (error) - latency->deviation_us);
+}
+
+static int64_t
+late_after_us (balancer_t *b, uint64_t kind)
+{
+  const latency_t *latency = find_latency (b, kind);
+  double late_us = latency->mean_us + LATE_DEVIATIONS * latency->deviation_us;
+  return MAX ((int64_t)late_us, LATE_LEAST_US);
+}
+
+static double
+odds_now (const target_t *target, int64_t now_us)
+{
+  double age_us = (double)(now_us - target->odds_us);
+  return PRIOR_ODDS + (target->odds - PRIOR_ODDS) * exp (-age_us / MEMORY_US);
+}
+
+static double
+suspicion_of (const target_t *target, int64_t now_us)
+{
+  return 1.0 / (1.0 + exp (-odds_now (target, now_us)));
+}
+
+static void
+add_evidence (target_t *target, int64_t now_us, double ratio)
+{
+  target->odds = CLAMP (odds_now (target, now_us) + ratio, MIN_ODDS, MAX_ODDS);
+  target->odds_us = now_us;
+}
+
+static void
+add_own_evidence (target_t *target, int64_t now_us, double ratio)
+{
+  add_evidence (target, now_us, ratio);
+  target->unshared += ratio;
+  target->share_due = true;
+}
+
+static double
+failure_ratio (void)
+{
+  return log (FAULTY_FAILURES / SOUND_FAILURES);
+}
+
+static double
+success_ratio (void)
+{
+  return log ((1 - FAULTY_FAILURES) / (1 - SOUND_FAILURES));
+}
+
+void
+balancer_set_target (balancer_t *b, int64_t now_us, const balancer_target_t *setting)
+{
+  target_t *target = g_hash_table_lookup (b->targets, &setting->id);
+  if (target == NULL)
+    {
+      target = g_new0 (target_t, 1);
+      target->id = setting->id;
+      target->odds = PRIOR_ODDS;
+      target->odds_us = now_us;
+      g_hash_table_insert (b->targets, &target->id, target);
+    }
+  target->setting = *setting;
+  target->removed = false;
+}
+
+static void
+free_if_unused (balancer_t *b, target_t *target)
+{
+  if (target->removed && target->in_flight == 0)
+    g_hash_table_remove (b->targets, &target->id);
+}
+
+void
+balancer_remove_target (balancer_t *b, uint64_t id)
+{
+  target_t *target = g_hash_table_lookup (b->targets, &id);
+  if (target == NULL)
+    return;
+  target->removed = true;
+  free_if_unused (b, target);
+}
+
+void
+balancer_peer_share (balancer_t *b, int64_t now_us, uint64_t peer, const balancer_share_t *share)
+{
+  target_t *target = g_hash_table_lookup (b->targets, &share->target_id);
+  peer_flight_t *free_place = NULL;
+  if (target == NULL)
+    return;
+  if (share->evidence != 0)
+    add_evidence (target, now_us, share->evidence);
+  for (size_t i = 0; i < MAX_PEERS; i++)
+    {
+      peer_flight_t *place = &target->peers[i];
+      if (place->peer == peer)
+        {
+          place->in_flight = share->in_flight;
+          return;
+        }
+      if (place->peer == 0 && free_place == NULL)
+        free_place = place;
+    }
+  if (free_place != NULL)
+    *free_place = (peer_flight_t){ peer, share->in_flight };
+}
+
+void
+balancer_peer_gone (balancer_t *b, uint64_t peer)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, b->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      target_t *target = value;
+      for (size_t i = 0; i < MAX_PEERS; i++)
+        {
+          if (target->peers[i].peer == peer)
+            target->peers[i] = (peer_flight_t){ 0, 0 };
+        }
+    }
+}
+
+void
+balancer_reported (balancer_t *b, int64_t now_us, uint64_t id, uint32_t busy)
+{
+  target_t *target = g_hash_table_lookup (b->targets, &id);
+  if (target == NULL)
+    return;
+  target->reported = busy;
+  target->reported_us = now_us;
+}
+
+/* Requests that all entries have at the target, as far as this one knows. */
+static uint32_t
+busy_slots (const target_t *target, int64_t now_us)
+{
+  uint32_t busy = target->in_flight;
+  for (size_t i = 0; i < MAX_PEERS; i++)
+    busy += target->peers[i].in_flight;
+  /* Entries of other domains are known from the target's own reports alone. */
+  if (!target->setting.local && now_us - target->reported_us < REPORT_LIFE_US)
+    busy = MAX (busy, target->reported);
+  return busy;
+}
+
+void
+balancer_submit (balancer_t *b, int64_t now_us, const balancer_request_t *request)
+{
+  flight_t *flight = g_new0 (flight_t, 1);
+  flight->request = *request;
+  flight->since_us = now_us;
+  g_hash_table_insert (b->flights, &flight->request.id, flight);
+  list_node_t *node = b->queue.head.prev;
+  while (node != &b->queue.head && LIST_ENTRY (node, flight_t, node)->request.rank > request->rank)
+    node = node->prev;
+  list_insert_before (node->next, &flight->node);
+  b->queued++;
+}
+
+static bool
+was_tried (const balancer_request_t *request, uint64_t id)
+{
+  for (unsigned i = 0; i < MIN (request->tried_count, BALANCER_MAX_TRIED); i++)
+    {
+      if (request->tried[i] == id)
+        return true;
+    }
+  return false;
+}
+
+/* Expected loss of sending a request there, in parts of its worth: a failure costs all of it unless
+ * it can be repeated, another domain costs the transfer, a nearly full target some time. */
+static double
+cost_of (balancer_t *b, const target_t *target, const balancer_request_t *request, int64_t now_us,
+         uint32_t busy)
+{
+  double suspicion = suspicion_of (target, now_us);
+  double cost = suspicion * (request->idempotent ? 0.6 : 1.0);
+  if (!target->setting.local)
+    cost += 0.12;
+  if (was_tried (request, target->id))
+    cost += 1.0;
+  if (now_us < target->setting.warm_us)
+    cost += 0.08;
+  cost += 0.05 * busy / MAX (target->setting.slots, 1);
+  return cost + 0.02 * rng_unit (&b->rng);
+}
+
+/* Returns the best target with a free slot for REQUEST, or NULL. */
+static target_t *
+choose_target (balancer_t *b, const balancer_request_t *request, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+  target_t *best = NULL;
+  double best_cost = 0;
+  g_hash_table_iter_init (&iter, b->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      target_t *target = value;
+      uint32_t busy = busy_slots (target, now_us);
+      if (target->removed || busy >= target->setting.slots)
+        continue;
+      double cost = cost_of (b, target, request, now_us, busy);
+      if (best == NULL || cost < best_cost)
+        {
+          best = target;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+typedef struct
+{
+  uint32_t targets;
+  uint32_t slots; /* of targets that are not suspect; of all if there is none */
+} capacity_t;
+
+static capacity_t
+measure_capacity (balancer_t *b, int64_t now_us)
+{
+  capacity_t capacity = { 0, 0 };
+  uint32_t all = 0;
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, b->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const target_t *target = value;
+      if (target->removed)
+        continue;
+      capacity.targets++;
+      if (!target->setting.local)
+        continue;
+      all += target->setting.slots;
+      if (suspicion_of (target, now_us) < SUSPECT)
+        capacity.slots += target->setting.slots;
+    }
+  if (capacity.slots == 0)
+    capacity.slots = MAX (all, 1);
+  return capacity;
+}
+
+static double
+mean_service_us (balancer_t *b)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+  double sum_us = 0;
+  guint count = 0;
+  g_hash_table_iter_init (&iter, b->kinds);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      sum_us += ((const latency_t *)value)->mean_us;
+      count++;
+    }
+  return count > 0 ? sum_us / count : (double)b->options.default_latency_us;
+}
+
+static void
+unqueue (balancer_t *b, flight_t *flight)
+{
+  list_remove (&flight->node);
+  b->queued--;
+}
+
+static bool
+refuse (balancer_t *b, flight_t *flight, int64_t now_us, balancer_verdict_t verdict,
+        int64_t wait_us, balancer_decision_t *out)
+{
+  *out = (balancer_decision_t){
+    .verdict = verdict,
+    .request_id = flight->request.id,
+    .waited_us = now_us - flight->since_us,
+    .retry_after_us = MAX (wait_us, LEAST_RETRY_US),
+  };
+  unqueue (b, flight);
+  g_hash_table_remove (b->flights, &flight->request.id);
+  return true;
+}
+
+/* Refuses the first request in the queue that the ones before it leave no time. */
+static bool
+refuse_one (balancer_t *b, int64_t now_us, balancer_decision_t *out)
+{
+  capacity_t capacity = measure_capacity (b, now_us);
+  double service_us = mean_service_us (b);
+  double per_request_us = service_us / capacity.slots;
+  double before = 0.5;
+  LIST_FOREACH_SAFE (&b->queue, node)
+  {
+    flight_t *flight = LIST_ENTRY (node, flight_t, node);
+    double own_us = find_latency (b, flight->request.kind)->mean_us;
+    int64_t wait_us = (int64_t)(before * per_request_us);
+    before += 1;
+    if (capacity.targets == 0)
+      return refuse (b, flight, now_us, BALANCER_REFUSE_NO_TARGET, G_USEC_PER_SEC / 2, out);
+    if (now_us + wait_us + (int64_t)own_us > flight->request.limit_us)
+      return refuse (b, flight, now_us, BALANCER_REFUSE_NO_TIME, wait_us, out);
+  }
+  return false;
+}
+
+/* Returns the request to dispatch next. */
+static flight_t *
+choose_request (balancer_t *b, int64_t now_us)
+{
+  list_node_t *first = list_first (&b->queue);
+  if (first == NULL)
+    return NULL;
+  uint32_t rank = LIST_ENTRY (first, flight_t, node)->request.rank;
+  flight_t *late = NULL;
+  flight_t *lower = NULL;
+  flight_t *chosen = NULL;
+  LIST_FOREACH_SAFE (&b->queue, node)
+  {
+    flight_t *flight = LIST_ENTRY (node, flight_t, node);
+    int64_t own_us = (int64_t)find_latency (b, flight->request.kind)->mean_us;
+    if (flight->request.rank != rank)
+      {
+        lower = flight;
+        break;
+      }
+    if (chosen == NULL && now_us + own_us <= flight->request.goal_us)
+      chosen = flight;
+    if (late == NULL)
+      late = flight;
+  }
+  if (lower != NULL && ++b->urgent_in_a_row >= BALANCER_LOW_SHARE)
+    {
+      b->urgent_in_a_row = 0;
+      return lower;
+    }
+  return chosen != NULL ? chosen : late;
+}
+
+static void
+dispatch (balancer_t *b, flight_t *flight, target_t *target, int64_t now_us,
+          balancer_decision_t *out)
+{
+  int64_t expected_us = late_after_us (b, flight->request.kind);
+  if (now_us < target->setting.warm_us)
+    expected_us = (int64_t)((double)expected_us * COLD_FACTOR);
+  *out = (balancer_decision_t){
+    .verdict = BALANCER_DISPATCH,
+    .request_id = flight->request.id,
+    .target_id = target->id,
+    .waited_us = now_us - flight->since_us,
+    .expected_us = expected_us,
+    .suspicion = suspicion_of (target, now_us),
+  };
+  unqueue (b, flight);
+  flight->target = target;
+  flight->since_us = now_us;
+  target->in_flight++;
+  target->share_due = true;
+}
+
+bool
+balancer_next (balancer_t *b, int64_t now_us, balancer_decision_t *out)
+{
+  flight_t *flight = choose_request (b, now_us);
+  if (flight == NULL)
+    return false;
+  target_t *target = choose_target (b, &flight->request, now_us);
+  if (target == NULL)
+    return refuse_one (b, now_us, out);
+  dispatch (b, flight, target, now_us, out);
+  return true;
+}
+
+void
+balancer_done (balancer_t *b, int64_t now_us, uint64_t request_id, balancer_outcome_t outcome,
+               int64_t latency_us)
+{
+  flight_t *flight = g_hash_table_lookup (b->flights, &request_id);
+  if (flight == NULL || flight->target == NULL)
+    return;
+  target_t *target = flight->target;
+  target->in_flight--;
+  target->share_due = true;
+  if (outcome == BALANCER_OK)
+    {
+      add_own_evidence (target, now_us,
+                        success_ratio () - (flight->counted_late ? failure_ratio () / 2 : 0));
+      if (now_us >= target->setting.warm_us)
+        sample_latency (b, flight->request.kind, latency_us);
+    }
+  else if (outcome == BALANCER_FAILED)
+    add_own_evidence (target, now_us, failure_ratio ());
+  else if (outcome == BALANCER_LATE && !flight->counted_late)
+    add_own_evidence (target, now_us, failure_ratio ());
+  else if (outcome == BALANCER_REFUSED)
+    {
+      target->reported = MAX (target->setting.slots, target->reported);
+      target->reported_us = now_us;
+    }
+  g_hash_table_remove (b->flights, &request_id);
+  free_if_unused (b, target);
+}
+
+void
+balancer_cancel (balancer_t *b, uint64_t request_id)
+{
+  flight_t *flight = g_hash_table_lookup (b->flights, &request_id);
+  if (flight == NULL || flight->target != NULL)
+    return;
+  unqueue (b, flight);
+  g_hash_table_remove (b->flights, &request_id);
+}
+
+void
+balancer_tick (balancer_t *b, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, b->flights);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      flight_t *flight = value;
+      if (flight->target == NULL || flight->counted_late)
+        continue;
+      int64_t late_us = late_after_us (b, flight->request.kind);
+      if (now_us < flight->target->setting.warm_us)
+        late_us = (int64_t)((double)late_us * COLD_FACTOR);
+      if (now_us - flight->since_us < late_us)
+        continue;
+      flight->counted_late = true;
+      add_own_evidence (flight->target, now_us, failure_ratio ());
+    }
+}
+
+void
+balancer_take_shares (balancer_t *b, GArray *out)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, b->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      target_t *target = value;
+      if (!target->share_due)
+        continue;
+      target->share_due = false;
+      if (target->in_flight == target->shared_flight && target->unshared == 0)
+        continue;
+      balancer_share_t share = { target->id, target->in_flight, target->unshared };
+      target->shared_flight = target->in_flight;
+      target->unshared = 0;
+      g_array_append_val (out, share);
+    }
+}
+
+size_t
+balancer_busy (const balancer_t *b)
+{
+  return g_hash_table_size (b->flights);
+}
+
+double
+balancer_suspicion (const balancer_t *b, int64_t now_us, uint64_t id)
+{
+  const target_t *target = g_hash_table_lookup (b->targets, &id);
+  return target != NULL ? suspicion_of (target, now_us) : 1.0;
+}
--- /dev/null
+++ b/src/balancer.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "list.h"
+#include "rng.h"
+
+/* balancer - how the requests for one service wait, are refused and are placed at an entry; pure.
+ *
+ * Several entries of a failure domain share the targets there. They tell each other for each target
+ * the requests in flight and the evidence for a fault, so that all place requests by the same view.
+ *
+ * Health. Each target has the log odds that it is faulty. A failure or a late request raises them,
+ * a success lowers them, and without evidence they return to the prior within seconds, because gray
+ * failures come and go: a target that was avoided is tried again by itself. A target never leaves
+ * the choice altogether, so the floor of a service needs no separate rule: the least suspect target
+ * with a free slot is always usable.
+ *
+ * Placement. A request goes to the target with a free slot that most likely answers. Targets of the
+ * own failure domain come first; another domain is used when the own one has no free slot, or
+ * nothing but suspect targets.
+ *
+ * Queue. The more urgent rank first; within a rank the requests that can still meet their
+ * objective, in order of arrival, then the late ones. One dispatch in BALANCER_LOW_SHARE goes to a
+ * lower rank, so that none starves.
+ *
+ * Refusal. A request is refused at once when the requests before it leave no time for it. One that
+ * waits is refused as soon as that becomes certain because more urgent ones have come. */
+
+#define BALANCER_LOW_SHARE 8
+/* Targets that a request remembers as tried. */
+#define BALANCER_MAX_TRIED 8
+
+typedef struct
+{
+  uint64_t id;
+  uint32_t slots;
+  bool local;      /* in the failure domain of this entry */
+  int64_t warm_us; /* slow until then */
+} balancer_target_t;
+
+typedef struct
+{
+  uint64_t id;      /* unique among the requests of this entry */
+  uint64_t kind;    /* requests of one kind take a similar time */
+  uint32_t rank;    /* 0 is the most urgent */
+  int64_t goal_us;  /* time by which the answer is worth most */
+  int64_t limit_us; /* time by which it must be answered */
+  bool idempotent;  /* may be sent to another target after a failure */
+  uint64_t tried[BALANCER_MAX_TRIED];
+  unsigned tried_count;
+} balancer_request_t;
+
+typedef enum
+{
+  BALANCER_OK,
+  BALANCER_FAILED,    /* error, reset, no connection or malformed answer */
+  BALANCER_LATE,      /* given up after a multiple of the usual time */
+  BALANCER_REFUSED,   /* the target was full and did not run it */
+  BALANCER_ABANDONED, /* the caller left: no evidence */
+} balancer_outcome_t;
+
+typedef enum
+{
+  BALANCER_DISPATCH,
+  BALANCER_REFUSE_NO_TIME,   /* the requests before it leave no time */
+  BALANCER_REFUSE_NO_TARGET, /* no target is known */
+} balancer_verdict_t;
+
+typedef struct
+{
+  balancer_verdict_t verdict;
+  uint64_t request_id;
+  uint64_t target_id;
+  int64_t waited_us;
+  int64_t retry_after_us; /* of a refusal: when there is likely room */
+  int64_t expected_us;    /* of a dispatch: time after which the answer is unusually late */
+  double suspicion;       /* of a dispatch: probability that the target is faulty */
+} balancer_decision_t;
+
+/* What other entries of the domain need to know of a target. */
+typedef struct
+{
+  uint64_t target_id;
+  uint32_t in_flight;
+  double evidence; /* log-likelihood ratio since the last call */
+} balancer_share_t;
+
+typedef struct
+{
+  int64_t default_latency_us; /* of a kind without a sample */
+} balancer_options_t;
+
+typedef struct
+{
+  balancer_options_t options;
+  rng_t rng;
+  GHashTable *targets; /* id -> target */
+  GHashTable *kinds;   /* kind -> latency */
+  GHashTable *flights; /* request id -> flight */
+  list_t queue;        /* by rank, then by arrival */
+  size_t queued;
+  unsigned urgent_in_a_row;
+} balancer_t;
+
+void balancer_init (balancer_t *b, const balancer_options_t *options, uint64_t seed);
+void balancer_destroy (balancer_t *b);
+
+void balancer_set_target (balancer_t *b, int64_t now_us, const balancer_target_t *target);
+
+/* Ends new work of a target; requests in flight go on. */
+void balancer_remove_target (balancer_t *b, uint64_t id);
+
+/* Takes over what the entry PEER says of a target. */
+void balancer_peer_share (balancer_t *b, int64_t now_us, uint64_t peer,
+                          const balancer_share_t *share);
+
+/* Forgets the requests in flight of an entry that is gone. */
+void balancer_peer_gone (balancer_t *b, uint64_t peer);
+
+/* The target says that it runs and queues BUSY requests in total. */
+void balancer_reported (balancer_t *b, int64_t now_us, uint64_t id, uint32_t busy);
+
+/* Adds REQUEST to the queue; balancer_next() decides. */
+void balancer_submit (balancer_t *b, int64_t now_us, const balancer_request_t *request);
+
+/* Stores the next decision. Returns false if there is none now. */
+bool balancer_next (balancer_t *b, int64_t now_us, balancer_decision_t *out);
+
+/* Ends a dispatched request. LATENCY_US is the time at the target. */
+void balancer_done (balancer_t *b, int64_t now_us, uint64_t request_id, balancer_outcome_t outcome,
+                    int64_t latency_us);
+
+/* Forgets a request that waits. */
+void balancer_cancel (balancer_t *b, uint64_t request_id);
+
+/* Takes requests in flight that have become late as evidence. To be called some times a second
+ * while requests are in flight. */
+void balancer_tick (balancer_t *b, int64_t now_us);
+
+/* Stores the shares that changed since the last call (balancer_share_t). */
+void balancer_take_shares (balancer_t *b, GArray *out);
+
+/* Number of requests in flight and waiting. */
+size_t balancer_busy (const balancer_t *b);
+
+/* Probability that the target is faulty; 1 if it is unknown. */
+double balancer_suspicion (const balancer_t *b, int64_t now_us, uint64_t id);
+
+const char *balancer_verdict_name (balancer_verdict_t verdict);
--- /dev/null
+++ b/src/fleet_control.c
@@ -0,0 +1,691 @@
+#include "fleet_control.h"
+
+#include <string.h>
+
+#define LOG_MODULE "fleet_control"
+#include "group_keeper.h"
+#include "log.h"
+#include "raft_wire.h"
+
+#define MAX_LINKS 8192
+#define TICK_US INT64_C (100000)
+/* Renewed announcements are passed on together. */
+#define RENEWAL_PERIOD_US INT64_C (1000000)
+/* Announcements are lost for as long as a partition lasts, while callers' requests may still reach
+ * the target, so silence counts only after several of them. */
+#define TARGET_SILENCE_US INT64_C (30000000)
+/* Entries report every 500 ms to their feed and every second to the other instances. */
+#define ENTRY_SILENCE_US INT64_C (2200000)
+#define ENTRY_FORGET_US INT64_C (60000000)
+/* A configuration is sent again when the entry has not reported it by then. */
+#define RESEND_CONFIG_US INT64_C (400000)
+/* A member without a leader for this long asks whether it still is a member. */
+#define JOIN_AFTER_US INT64_C (1000000)
+#define JOINING_MEMORY_US INT64_C (1000000)
+#define MAX_PEERS 64
+#define JOIN_FIELDS 2
+
+/* An entry that takes the feed of this instance. */
+typedef struct
+{
+  char id[REGISTRY_NAME_SIZE];
+  char domain[REGISTRY_NAME_SIZE];
+  uint64_t link;
+  uint64_t version;      /* that it has reported */
+  uint64_t sent_version; /* that was sent last */
+  int64_t sent_us;
+} subscriber_t;
+
+static int64_t
+now_us (const fleet_control_t *control)
+{
+  return io_loop_now_us (control->options.loop);
+}
+
+static void
+send_config (fleet_control_t *control, subscriber_t *subscriber)
+{
+  version_seal_t seal = version_store_seal (control->machine.store);
+  bool resend = subscriber->sent_version != seal.version
+                || now_us (control) - subscriber->sent_us >= RESEND_CONFIG_US;
+  wire_writer_t writer;
+
+  if (seal.version == 0 || subscriber->version >= seal.version || !resend)
+    return;
+  fleet_config_encode (&seal, config_doc_text (version_store_doc (control->machine.store)),
+                       &writer);
+  subscriber->sent_version = seal.version;
+  subscriber->sent_us = now_us (control);
+  peer_network_reply_writer (&control->network, subscriber->link, &writer);
+}
+
+static void
+send_to_subscribers (fleet_control_t *control, const wire_writer_t *writer)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, control->subscribers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const subscriber_t *subscriber = value;
+      if (!peer_network_reply (&control->network, subscriber->link,
+                               (const uint8_t *)writer->buffer.data, writer->buffer.size))
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+push_targets (fleet_control_t *control, const GArray *targets)
+{
+  wire_writer_t writer;
+  if (g_hash_table_size (control->subscribers) == 0)
+    return;
+  fleet_targets_encode (targets, now_us (control), &writer);
+  send_to_subscribers (control, &writer);
+  wire_writer_destroy (&writer);
+}
+
+static void
+push_target (void *data, const registry_target_t *target)
+{
+  g_autoptr (GArray) targets = g_array_new (FALSE, FALSE, sizeof (registry_target_t));
+  LOG_INFO ("target id=%s service=%s address=%s domain=%s state=%s born_ms=%" G_GINT64_FORMAT,
+            target->id, target->service, target->address, target->domain,
+            registry_state_name (target->state), target->born_ms);
+  g_array_append_vals (targets, target, 1);
+  push_targets (data, targets);
+}
+
+static void
+on_version (void *data)
+{
+  fleet_control_t *control = data;
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, control->subscribers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    send_config (control, value);
+}
+
+static void
+push_departure (fleet_control_t *control, const registry_departure_t *departure)
+{
+  g_autoptr (GArray) departures = g_array_new (FALSE, FALSE, sizeof (registry_departure_t));
+  wire_writer_t writer;
+  g_array_append_vals (departures, departure, 1);
+  fleet_departed_encode (departures, &writer);
+  send_to_subscribers (control, &writer);
+  wire_writer_destroy (&writer);
+}
+
+static void
+on_departure (void *data, const char *id, int64_t born_ms, registry_state_t state)
+{
+  fleet_control_t *control = data;
+  registry_departure_t departure = { .born_ms = born_ms, .state = state };
+  const registry_target_t *target = target_registry_find (&control->registry, id);
+
+  g_strlcpy (departure.id, id, sizeof (departure.id));
+  LOG_INFO ("departure id=%s born_ms=%" G_GINT64_FORMAT " state=%s", id, born_ms,
+            registry_state_name (state));
+  counter_inc (&control->departures);
+  push_departure (control, &departure);
+  if (state == REGISTRY_GONE && target != NULL && target->born_ms <= born_ms)
+    target_registry_remove (&control->registry, id);
+}
+
+static void
+foreach_member (fleet_control_t *control, void (*visit) (fleet_control_t *, const char *, void *),
+                void *data)
+{
+  raft_status_t status;
+  char peer_address[LINK_ADDRESS_SIZE];
+  char call_address[LINK_ADDRESS_SIZE];
+  if (!control->group.started)
+    return;
+  raft_status (&control->group.raft, &status);
+  for (size_t i = 0; i < status.peer_count; i++)
+    {
+      replica_group_split_name (status.peers[i].member.name, peer_address, call_address);
+      if (strcmp (peer_address, control->options.peer_listen) != 0)
+        visit (control, peer_address, data);
+    }
+}
+
+static void
+send_copy (fleet_control_t *control, const char *address, void *data)
+{
+  const wire_writer_t *writer = data;
+  peer_network_send (&control->network, address, (const uint8_t *)writer->buffer.data,
+                     writer->buffer.size);
+}
+
+static void
+tell_members (fleet_control_t *control, const GArray *targets)
+{
+  wire_writer_t writer;
+  fleet_targets_encode (targets, now_us (control), &writer);
+  foreach_member (control, send_copy, &writer);
+  wire_writer_destroy (&writer);
+}
+
+/* Takes over an announcement from the target itself or from another instance. */
+static registry_result_t
+take_announcement (fleet_control_t *control, const registry_target_t *target)
+{
+  registry_result_t result
+      = target_registry_announce (&control->registry, target, push_target, control);
+  if (result == REGISTRY_NEW || result == REGISTRY_CHANGED)
+    push_target (control, target);
+  return result;
+}
+
+typedef struct
+{
+  fleet_done_t done;
+  void *data;
+} departure_call_t;
+
+static void
+on_departure_recorded (void *data, GBytes *result)
+{
+  departure_call_t *call = data;
+  call->done (call->data, result != NULL);
+  g_free (call);
+}
+
+static void
+record_departure (fleet_control_t *control, const char *id, int64_t born_ms, registry_state_t state,
+                  fleet_done_t done, void *data)
+{
+  registry_state_t recorded = target_registry_departed (&control->registry, id, born_ms);
+  if (recorded >= state)
+    {
+      done (data, true);
+      return;
+    }
+  departure_call_t *call = g_new (departure_call_t, 1);
+  *call = (departure_call_t){ done, data };
+  g_autoptr (GBytes) command = fleet_machine_departure (id, born_ms, state);
+  proposal_relay_submit (&control->relay, command,
+                         now_us (control) + control->options.call_timeout_us, on_departure_recorded,
+                         call);
+}
+
+void
+fleet_control_announce (fleet_control_t *control, const registry_target_t *target,
+                        fleet_done_t done, void *data)
+{
+  counter_inc (&control->announcements);
+  if (target->state != REGISTRY_READY)
+    {
+      record_departure (control, target->id, target->born_ms, REGISTRY_DRAINING, done, data);
+      return;
+    }
+  registry_result_t result = take_announcement (control, target);
+  if (result == REGISTRY_NEW || result == REGISTRY_CHANGED)
+    {
+      g_autoptr (GArray) targets = g_array_new (FALSE, FALSE, sizeof (registry_target_t));
+      g_array_append_vals (targets, target, 1);
+      tell_members (control, targets);
+    }
+  else if (result == REGISTRY_RENEWED)
+    g_array_append_vals (control->renewed, target, 1);
+  done (data, true);
+}
+
+void
+fleet_control_depart (fleet_control_t *control, const char *id, int64_t born_ms, fleet_done_t done,
+                      void *data)
+{
+  const registry_target_t *target = target_registry_find (&control->registry, id);
+  if (born_ms == 0 && target != NULL)
+    born_ms = target->born_ms;
+  record_departure (control, id, born_ms, REGISTRY_GONE, done, data);
+}
+
+typedef struct
+{
+  fleet_version_done_t done;
+  void *data;
+} version_call_t;
+
+static void
+on_version_result (void *data, GBytes *bytes)
+{
+  version_call_t *call = data;
+  version_result_t result;
+  gsize size = 0;
+  const uint8_t *encoded = bytes != NULL ? g_bytes_get_data (bytes, &size) : NULL;
+  anv_error_t err = { 0 };
+  bool known = encoded != NULL && version_result_decode (&result, encoded, size, &err);
+  call->done (call->data, known ? &result : NULL);
+  g_free (call);
+}
+
+void
+fleet_control_submit (fleet_control_t *control, const version_command_t *command,
+                      fleet_version_done_t done, void *data)
+{
+  version_call_t *call = g_new (version_call_t, 1);
+  *call = (version_call_t){ done, data };
+  g_autoptr (GBytes) bytes = fleet_machine_version_command (command);
+  proposal_relay_submit (&control->relay, bytes,
+                         now_us (control) + control->options.call_timeout_us, on_version_result,
+                         call);
+}
+
+typedef struct
+{
+  fleet_control_t *control;
+  fleet_read_done_t done;
+  void *data;
+} read_call_t;
+
+static void
+on_read (void *data, const void *result)
+{
+  read_call_t *call = data;
+  call->done (call->data, result != NULL ? version_store_doc (call->control->machine.store) : NULL);
+  g_free (call);
+}
+
+bool
+fleet_control_read (fleet_control_t *control, fleet_read_done_t done, void *data,
+                    char leader[LINK_ADDRESS_SIZE])
+{
+  char name[RAFT_NAME_SIZE];
+  char peer_address[LINK_ADDRESS_SIZE];
+  read_call_t *call = g_new (read_call_t, 1);
+  *call = (read_call_t){ control, done, data };
+  if (replica_group_read (&control->group, on_read, call, NULL))
+    return true;
+  g_free (call);
+  replica_group_leader (&control->group, name);
+  replica_group_split_name (name, peer_address, leader);
+  if (leader[0] != '\0' && strcmp (leader, control->options.call_address) != 0)
+    return false;
+  done (data, NULL);
+  return true;
+}
+
+size_t
+fleet_control_resolve (const fleet_control_t *control, const char *domain,
+                       const directory_entry_t **out, size_t max)
+{
+  return entry_directory_resolve (&control->directory, now_us (control), domain, out, max);
+}
+
+static void
+add_address (fleet_control_t *control, const char *address, void *data)
+{
+  g_ptr_array_add (data, g_strdup (address));
+}
+
+static void
+send_view (fleet_control_t *control, const link_t *link)
+{
+  const directory_entry_t *active[MAX_PEERS];
+  wire_writer_t writer;
+  fleet_view_t view = {
+    .current = replica_group_in_contact (&control->group) && !control->stopping,
+    .control = g_ptr_array_new_with_free_func (g_free),
+    .peers = g_ptr_array_new_with_free_func (g_free),
+  };
+  size_t count = entry_directory_active (&control->directory, now_us (control), link->peer.domain,
+                                         active, MAX_PEERS);
+  foreach_member (control, add_address, view.control);
+  g_ptr_array_add (view.control, g_strdup (control->options.peer_listen));
+  for (size_t i = 0; i < count; i++)
+    g_ptr_array_add (view.peers, g_strdup (active[i]->peer_address));
+  fleet_view_encode (&view, &writer);
+  peer_network_reply_writer (&control->network, link->number, &writer);
+  fleet_view_clear (&view);
+}
+
+static void
+collect_target (void *data, const registry_target_t *target)
+{
+  g_array_append_vals (data, target, 1);
+}
+
+static void
+collect_departure (void *data, const registry_departure_t *departure)
+{
+  g_array_append_vals (data, departure, 1);
+}
+
+/* Sends all targets and departures to a new subscriber. */
+static void
+send_all (fleet_control_t *control, const subscriber_t *subscriber)
+{
+  g_autoptr (GArray) targets = g_array_new (FALSE, FALSE, sizeof (registry_target_t));
+  g_autoptr (GArray) departures = g_array_new (FALSE, FALSE, sizeof (registry_departure_t));
+  wire_writer_t writer;
+
+  target_registry_foreach_departure (&control->registry, collect_departure, departures);
+  fleet_departed_encode (departures, &writer);
+  peer_network_reply_writer (&control->network, subscriber->link, &writer);
+  target_registry_foreach (&control->registry, collect_target, targets);
+  fleet_targets_encode (targets, now_us (control), &writer);
+  peer_network_reply_writer (&control->network, subscriber->link, &writer);
+}
+
+static void
+subscribe (fleet_control_t *control, const link_t *link, const fleet_status_t *status)
+{
+  subscriber_t *subscriber = g_hash_table_lookup (control->subscribers, link->peer.id);
+  bool fresh = subscriber == NULL || subscriber->link != link->number || status->resync;
+  if (subscriber == NULL)
+    {
+      subscriber = g_new0 (subscriber_t, 1);
+      g_strlcpy (subscriber->id, link->peer.id, sizeof (subscriber->id));
+      g_strlcpy (subscriber->domain, link->peer.domain, sizeof (subscriber->domain));
+      g_hash_table_insert (control->subscribers, subscriber->id, subscriber);
+    }
+  subscriber->link = link->number;
+  subscriber->version = status->version;
+  if (fresh)
+    {
+      subscriber->sent_version = 0;
+      send_all (control, subscriber);
+    }
+  send_config (control, subscriber);
+}
+
+static void
+receive_status (fleet_control_t *control, const link_t *link, wire_reader_t *reader)
+{
+  fleet_status_t status;
+  directory_entry_t entry = { .incarnation = link->peer.incarnation };
+  if (!fleet_status_decode (&status, reader))
+    return;
+  g_strlcpy (entry.id, link->peer.id, sizeof (entry.id));
+  g_strlcpy (entry.domain, link->peer.domain, sizeof (entry.domain));
+  g_strlcpy (entry.peer_address, link->peer.address, sizeof (entry.peer_address));
+  g_strlcpy (entry.caller_address, status.caller_address, sizeof (entry.caller_address));
+  entry.state = status.state;
+  entry.seen_us = now_us (control);
+  if (entry_directory_report (&control->directory, &entry))
+    LOG_INFO ("entry id=%s domain=%s address=%s state=%d incarnation=%" G_GUINT64_FORMAT, entry.id,
+              entry.domain, entry.caller_address, (int)entry.state, entry.incarnation);
+  if (status.feed)
+    subscribe (control, link, &status);
+  else
+    g_hash_table_remove (control->subscribers, link->peer.id);
+  if (status.want_view)
+    send_view (control, link);
+}
+
+static void
+receive_targets (fleet_control_t *control, wire_reader_t *reader)
+{
+  g_autoptr (GArray) targets = g_array_new (FALSE, TRUE, sizeof (registry_target_t));
+  if (!fleet_targets_decode (targets, now_us (control), reader))
+    return;
+  for (guint i = 0; i < targets->len; i++)
+    take_announcement (control, &g_array_index (targets, registry_target_t, i));
+}
+
+static void
+keep_members (fleet_control_t *control)
+{
+  raft_status_t status;
+  anv_error_t err = { 0 };
+  int64_t now = now_us (control);
+  bool joining = control->joining.id != 0 && now - control->joining_us <= JOINING_MEMORY_US;
+
+  raft_status (&control->group.raft, &status);
+  keeper_decision_t decision = group_keeper_decide (
+      &status, now, joining ? &control->joining : NULL, control->options.voters);
+  if (decision.action == KEEPER_NOTHING)
+    return;
+  bool done = decision.action == KEEPER_ADD
+                  ? replica_group_add (&control->group, &control->joining, &err)
+                  : replica_group_remove (&control->group, decision.id, &err);
+  LOG_NOTICE ("member %s id=%016" G_GINT64_MODIFIER "x joining=%s result=\"%s\"",
+              decision.action == KEEPER_ADD ? "added" : "removed",
+              decision.action == KEEPER_ADD ? control->joining.id : decision.id,
+              control->joining.name, done ? "proposed" : err.text);
+}
+
+static void
+receive_join (fleet_control_t *control, wire_reader_t *reader)
+{
+  raft_member_t member = { .id = wire_read_uint (reader) };
+  wire_read_string_to (reader, member.name, sizeof (member.name));
+  if (!wire_reader_finish (reader, NULL) || !control->group.leading)
+    return;
+  control->joining = member;
+  control->joining_us = now_us (control);
+  keep_members (control);
+}
+
+static void
+send_join (fleet_control_t *control, uint64_t id)
+{
+  wire_writer_t writer;
+  wire_writer_init (&writer, WIRE_FLEET_JOIN, JOIN_FIELDS);
+  wire_write_uint (&writer, id);
+  wire_write_string (&writer, control->member_name);
+  foreach_member (control, send_copy, &writer);
+  for (guint i = 0; i < control->options.seeds->len; i++)
+    {
+      const char *seed = g_ptr_array_index (control->options.seeds, i);
+      if (seed != NULL && strcmp (seed, control->options.peer_listen) != 0)
+        send_copy (control, seed, &writer);
+    }
+  wire_writer_destroy (&writer);
+}
+
+/* Asks to join while this instance is not a member, or might not be one any more. */
+static void
+check_membership (fleet_control_t *control)
+{
+  raft_status_t status;
+  bool member = false;
+  raft_status (&control->group.raft, &status);
+  for (size_t i = 0; i < status.peer_count; i++)
+    member = member || status.peers[i].member.id == status.id;
+  if (status.leader != 0)
+    control->leader_us = now_us (control);
+  if (!member || now_us (control) - control->leader_us >= JOIN_AFTER_US)
+    send_join (control, status.id);
+}
+
+static void
+on_message (void *data, link_t *link, wire_type_t type, wire_reader_t *reader,
+            const uint8_t *message, size_t size)
+{
+  fleet_control_t *control = data;
+  raft_wire_message_t decoded;
+  anv_error_t err = { 0 };
+
+  if (raft_wire_is_type (type))
+    {
+      if (raft_wire_decode (&decoded, message, size, &err))
+        replica_group_receive (&control->group, link, &decoded.message);
+      else
+        LOG_WARNING ("malformed message peer=%s error=\"%s\"", link->peer.id, err.text);
+      raft_wire_destroy (&decoded);
+    }
+  else if (type == WIRE_FLEET_STATUS)
+    receive_status (control, link, reader);
+  else if (type == WIRE_FLEET_TARGETS)
+    receive_targets (control, reader);
+  else if (type == WIRE_FLEET_JOIN)
+    receive_join (control, reader);
+  else if (!proposal_relay_receive (&control->relay, link, type, reader))
+    LOG_DEBUG ("unexpected message peer=%s type=%d", link->peer.id, (int)type);
+}
+
+static void
+on_timer (io_timer_t *timer)
+{
+  fleet_control_t *control = LIST_ENTRY (timer, fleet_control_t, timer);
+  int64_t now = now_us (control);
+  int64_t ticks = now / TICK_US;
+
+  if (control->group.started)
+    {
+      check_membership (control);
+      keep_members (control);
+    }
+  if (ticks % (RENEWAL_PERIOD_US / TICK_US) == 0)
+    {
+      if (control->renewed->len > 0)
+        tell_members (control, control->renewed);
+      g_array_set_size (control->renewed, 0);
+      target_registry_expire (&control->registry, now - TARGET_SILENCE_US, push_target, control);
+      entry_directory_prune (&control->directory, now - ENTRY_FORGET_US);
+      counter_set (&control->targets_known, g_hash_table_size (control->registry.targets));
+    }
+  io_timer_set (control->options.loop, timer, now + TICK_US);
+}
+
+static void
+init_network (fleet_control_t *control)
+{
+  peer_network_options_t options = {
+    .loop = control->options.loop,
+    .listen = control->options.peer_listen,
+    .max_links = MAX_LINKS,
+    .timing = &link_timing_fleet,
+    .counters = control->options.counters,
+    .handler = { .received = on_message, .data = control },
+  };
+  g_strlcpy (options.self.id, control->options.instance, sizeof (options.self.id));
+  g_strlcpy (options.self.domain, control->options.domain, sizeof (options.self.domain));
+  g_strlcpy (options.self.address, control->options.peer_listen, sizeof (options.self.address));
+  options.self.incarnation = (uint64_t)(g_get_real_time () / 1000);
+  peer_network_init (&control->network, &options, NULL);
+}
+
+static void
+init_group (fleet_control_t *control)
+{
+  replica_group_options_t options = {
+    .loop = control->options.loop,
+    .network = &control->network,
+    .store = control->options.store,
+    .machine = &control->machine.machine,
+    .name = "fleet",
+    .number = 1,
+    .member_name = control->member_name,
+    .counters = control->options.counters,
+    .initial_id
+    = control->options.found_group ? group_keeper_founder_id (control->options.peer_listen) : 0,
+    .reset = fleet_machine_reset,
+    .data = &control->machine,
+  };
+  replica_group_init (&control->group, &options, NULL);
+  fleet_machine_options_t machine_options = {
+    .group = &control->group,
+    .registry = &control->registry,
+    .loop = control->options.loop,
+    .on_version = on_version,
+    .on_departure = on_departure,
+    .data = control,
+  };
+  fleet_machine_init (&control->machine, &machine_options);
+  proposal_relay_options_t relay_options = {
+    .loop = control->options.loop,
+    .network = &control->network,
+    .group = &control->group,
+  };
+  proposal_relay_init (&control->relay, &relay_options);
+}
+
+static void
+register_counters (fleet_control_t *control)
+{
+  counter_registry_t *registry = control->options.counters;
+  counter_register (registry, &control->announcements, COUNTER_KIND_COUNTER,
+                    "anvillb_announcements_total", NULL, "Announcements of targets.");
+  counter_register (registry, &control->departures, COUNTER_KIND_COUNTER,
+                    "anvillb_departures_total", NULL, "Recorded departures of targets.");
+  counter_register (registry, &control->targets_known, COUNTER_KIND_GAUGE, "anvillb_targets", NULL,
+                    "Targets in the registry.");
+}
+
+void
+fleet_control_init (fleet_control_t *control, const fleet_control_options_t *options)
+{
+  directory_options_t directory_options = {
+    .active_per_domain = options->active_per_domain,
+    .silence_us = ENTRY_SILENCE_US,
+  };
+  *control = (fleet_control_t){ .options = *options };
+  control->member_name = g_strdup_printf ("%s/%s", options->peer_listen, options->call_address);
+  control->subscribers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  control->renewed = g_array_new (FALSE, FALSE, sizeof (registry_target_t));
+  target_registry_init (&control->registry);
+  entry_directory_init (&control->directory, &directory_options);
+  init_network (control);
+  init_group (control);
+  register_counters (control);
+  io_timer_init (&control->timer, on_timer);
+}
+
+void
+fleet_control_destroy (fleet_control_t *control)
+{
+  io_timer_cancel (&control->timer);
+  proposal_relay_destroy (&control->relay);
+  replica_group_destroy (&control->group);
+  fleet_machine_destroy (&control->machine);
+  peer_network_destroy (&control->network);
+  entry_directory_destroy (&control->directory);
+  target_registry_destroy (&control->registry);
+  g_clear_pointer (&control->subscribers, g_hash_table_unref);
+  g_clear_pointer (&control->renewed, g_array_unref);
+  g_clear_pointer (&control->member_name, g_free);
+}
+
+/* All seeds found the group with the same list, so that none of them has to be up first. */
+static void
+found_group (fleet_control_t *control)
+{
+  raft_member_t members[RAFT_MAX_MEMBERS] = { 0 };
+  raft_status_t status;
+  anv_error_t err = { 0 };
+  size_t count = 0;
+  bool included = false;
+
+  raft_status (&control->group.raft, &status);
+  if (status.last_index > 0 || status.term > 1)
+    return;
+  for (guint i = 0; i < control->options.seeds->len && count < RAFT_MAX_MEMBERS; i++)
+    {
+      const char *seed = g_ptr_array_index (control->options.seeds, i);
+      if (seed == NULL)
+        continue;
+      const char *port = strrchr (control->options.call_address, ':');
+      const char *end = strrchr (seed, ':');
+      raft_member_t *member = &members[count++];
+      member->id = group_keeper_founder_id (seed);
+      g_snprintf (member->name, sizeof (member->name), "%s/%.*s%s", seed, (int)(end - seed), seed,
+                  port);
+      included = included || strcmp (seed, control->options.peer_listen) == 0;
+    }
+  if (!included)
+    return;
+  bool founded = replica_group_found (&control->group, members, count, &err);
+  LOG_NOTICE ("group founded members=%zu result=\"%s\"", count, founded ? "done" : err.text);
+}
+
+void
+fleet_control_start (fleet_control_t *control)
+{
+  control->leader_us = now_us (control);
+  if (control->options.found_group)
+    found_group (control);
+  io_timer_set (control->options.loop, &control->timer, now_us (control) + TICK_US);
+}
+
+void
+fleet_control_stop (fleet_control_t *control)
+{
+  control->stopping = true;
+  replica_group_hand_over (&control->group);
+}
--- /dev/null
+++ b/src/fleet_entry_tasks.c
@@ -0,0 +1,335 @@
+#include "fleet_entry_tasks.h"
+
+#define LOG_MODULE "fleet_entry"
+#include "fleet_options.h"
+#include "gateway_policy.h"
+#include "log.h"
+#include "metrics_page.h"
+#include "program.h"
+#include "supervisor.h"
+
+#define US_PER_MS 1000
+#define MAX_LINKS 1024
+#define READY_CONNECTIONS 64
+#define MAX_CALL_BODY 4096
+#define CALL_TIMEOUT_US INT64_C (1000000)
+/* Before the configuration gives a limit. */
+#define DEFAULT_TIMEOUT_US INT64_C (30000000)
+#define HEADER_TIMEOUT_US INT64_C (10000000)
+#define IDLE_TIMEOUT_US INT64_C (60000000)
+#define REPLAY_BYTES (256 * 1024)
+#define DRAIN_CHECK_US INT64_C (50000)
+/* The process ends this long before it would be killed. */
+#define GRACE_MARGIN_US INT64_C (300000)
+
+typedef struct
+{
+  const call_adapter_t *adapter;
+  GMainLoop *main_loop;
+  io_loop_t *loop;
+  counter_registry_t counters;
+  rng_t rng;
+  GPtrArray *seeds; /* peer addresses */
+  peer_network_t network;
+  upstream_pool_t pool;
+  gateway_core_t core;
+  gateway_policy_t policy;
+  proxy_t proxy;
+  caller_listener_t listener;
+  call_server_t ready;
+  call_server_t metrics;
+  supervisor_t supervisor;
+  io_timer_t drain_timer;
+  int64_t drain_us; /* SIGTERM arrived; 0: not */
+  bool closed;      /* no longer accepting */
+  bool initialised;
+  bool failed;
+  counter_t opened;
+  counter_t reused;
+} tasks_t;
+
+static tasks_t tasks;
+
+static int64_t
+now_us (void)
+{
+  return io_loop_now_us (tasks.loop);
+}
+
+static void
+on_message (void *data, link_t *link, wire_type_t type, wire_reader_t *reader,
+            const uint8_t *message, size_t size)
+{
+  if (!gateway_core_receive (&tasks.core, link, type, reader))
+    LOG_DEBUG ("unexpected message peer=%s type=%d", link->peer.id, (int)type);
+}
+
+static void
+on_limits (void *data, const config_caller_limits_t *limits)
+{
+  tasks.listener.options.conn.header_timeout_us = (int64_t)limits->header_timeout_ms * US_PER_MS;
+  tasks.listener.options.conn.idle_timeout_us = (int64_t)limits->idle_timeout_ms * US_PER_MS;
+}
+
+static void
+handle_ready (void *data, call_t *call, const call_request_t *request)
+{
+  tasks.adapter->ready (gateway_core_is_ready (&tasks.core), call, request);
+}
+
+static void
+handle_metrics (void *data, call_t *call, const call_request_t *request)
+{
+  counter_set (&tasks.opened, (int64_t)tasks.pool.opened);
+  counter_set (&tasks.reused, (int64_t)tasks.pool.reused);
+  metrics_page_answer (&tasks.counters, call, request);
+}
+
+static void
+init_network (void)
+{
+  peer_network_options_t options = {
+    .loop = tasks.loop,
+    .listen = fleet_options.peer_listen,
+    .max_links = MAX_LINKS,
+    .timing = &link_timing_fleet,
+    .counters = &tasks.counters,
+    .handler = { .received = on_message },
+  };
+  g_strlcpy (options.self.id, fleet_options.instance, sizeof (options.self.id));
+  g_strlcpy (options.self.domain, fleet_options.domain, sizeof (options.self.domain));
+  g_strlcpy (options.self.address, fleet_options.peer_listen, sizeof (options.self.address));
+  options.self.incarnation = (uint64_t)(g_get_real_time () / 1000);
+  peer_network_init (&tasks.network, &options, NULL);
+}
+
+static void
+init_core (void)
+{
+  upstream_pool_options_t pool_options = {
+    .loop = tasks.loop,
+    .connect_timeout_us = fleet_options.connect_timeout_ms * US_PER_MS,
+    .idle_timeout_us = fleet_options.upstream_idle_ms * US_PER_MS,
+  };
+  upstream_pool_init (&tasks.pool, &pool_options);
+  counter_register (&tasks.counters, &tasks.opened, COUNTER_KIND_COUNTER,
+                    "anvillb_upstream_connections_total", NULL, "Connections opened to targets.");
+  counter_register (&tasks.counters, &tasks.reused, COUNTER_KIND_COUNTER,
+                    "anvillb_upstream_reuses_total", NULL, "Attempts on a reused connection.");
+  gateway_core_options_t options = {
+    .loop = tasks.loop,
+    .network = &tasks.network,
+    .counters = &tasks.counters,
+    .rng = &tasks.rng,
+    .domain = fleet_options.domain,
+    .caller_address = fleet_options.listen,
+    .seeds = tasks.seeds,
+    .retry_share = fleet_options.retry_share,
+    .retry_minimum_rate = fleet_options.retry_rate,
+    .default_latency_us = fleet_options.default_latency_ms * US_PER_MS,
+    .on_limits = on_limits,
+  };
+  gateway_core_init (&tasks.core, &options);
+  gateway_policy_init (&tasks.policy, &tasks.core, tasks.adapter->dialect, &tasks.counters);
+}
+
+static void
+init_proxy (void)
+{
+  proxy_options_t options = {
+    .loop = tasks.loop,
+    .pool = &tasks.pool,
+    .policy = &tasks.policy.policy,
+    .counters = &tasks.counters,
+    .rng = &tasks.rng,
+    .program = "anvillb-fleet-entry",
+    .instance = fleet_options.instance,
+    .dialect = tasks.adapter->dialect,
+    .default_timeout_us = DEFAULT_TIMEOUT_US,
+    .replay_bytes = REPLAY_BYTES,
+  };
+  proxy_init (&tasks.proxy, &options);
+  caller_listener_options_t listener_options = {
+    .listen = fleet_options.listen,
+    .max_connections = (size_t)fleet_options.max_connections,
+    .counters = &tasks.counters,
+    .conn = {
+      .loop = tasks.loop,
+      .proxy = &tasks.proxy,
+      .header_timeout_us = HEADER_TIMEOUT_US,
+      .idle_timeout_us = IDLE_TIMEOUT_US,
+    },
+  };
+  caller_listener_init (&tasks.listener, &listener_options, NULL);
+}
+
+static void
+init_server (call_server_t *server, const char *listen, const char *labels,
+             void (*handle) (void *data, call_t *call, const call_request_t *request))
+{
+  call_server_options_t options = {
+    .loop = tasks.loop,
+    .listen = listen,
+    .max_connections = READY_CONNECTIONS,
+    .max_body_bytes = MAX_CALL_BODY,
+    .timeout_us = CALL_TIMEOUT_US,
+    .counters = &tasks.counters,
+    .labels = labels,
+    .rng = &tasks.rng,
+    .handle = handle,
+  };
+  call_server_init (server, &options);
+}
+
+static void
+on_give_up (void *data, const anv_error_t *err)
+{
+  LOG_ERROR ("giving up error=\"%s\"", err->text);
+  tasks.failed = true;
+  g_main_loop_quit (tasks.main_loop);
+}
+
+static void
+init_supervisor (void)
+{
+  supervisor_options_t options = {
+    .max_restarts = 5,
+    .window_us = 60 * G_USEC_PER_SEC,
+    .min_delay_us = G_USEC_PER_SEC / 10,
+    .max_delay_us = 5 * G_USEC_PER_SEC,
+    .on_give_up = on_give_up,
+  };
+  supervisor_init (&tasks.supervisor, &options);
+  supervisor_add (&tasks.supervisor, &tasks.network.task);
+  supervisor_add (&tasks.supervisor, &tasks.listener.task);
+  supervisor_add (&tasks.supervisor, &tasks.ready.listener.task);
+  if (fleet_options.metrics_listen != NULL)
+    supervisor_add (&tasks.supervisor, &tasks.metrics.listener.task);
+}
+
+static void
+finish (const char *reason)
+{
+  LOG_NOTICE ("shutdown complete reason=%s in_flight=%zu connections=%zu", reason,
+              proxy_in_flight (&tasks.proxy), caller_listener_open (&tasks.listener));
+  g_main_loop_quit (tasks.main_loop);
+}
+
+static void
+on_drain_timer (io_timer_t *timer)
+{
+  int64_t grace_us = fleet_options.grace_s * G_USEC_PER_SEC;
+  int64_t since_us = now_us () - tasks.drain_us;
+  if (!tasks.closed && since_us >= grace_us / 2 - GRACE_MARGIN_US)
+    {
+      tasks.closed = true;
+      caller_listener_drain (&tasks.listener);
+      LOG_NOTICE ("no longer accepting connections=%zu in_flight=%zu",
+                  caller_listener_open (&tasks.listener), proxy_in_flight (&tasks.proxy));
+    }
+  if (tasks.closed && caller_listener_open (&tasks.listener) == 0)
+    finish ("idle");
+  else if (since_us >= grace_us - GRACE_MARGIN_US)
+    finish ("grace period");
+  else
+    io_timer_set (tasks.loop, timer, now_us () + DRAIN_CHECK_US);
+}
+
+static bool
+start (GMainLoop **main_loop, anv_error_t *err)
+{
+  tasks.main_loop = g_main_loop_new (NULL, FALSE);
+  tasks.loop = io_loop_new (NULL);
+  *main_loop = tasks.main_loop;
+  counter_registry_init (&tasks.counters);
+  rng_init (&tasks.rng, (uint64_t)g_get_real_time () ^ g_str_hash (fleet_options.instance));
+  tasks.seeds = fleet_options_peer_addresses (fleet_options.seeds);
+  init_network ();
+  init_core ();
+  init_proxy ();
+  init_server (&tasks.ready, fleet_options.ready_listen, "port=\"ready\"", handle_ready);
+  init_server (&tasks.metrics, fleet_options.metrics_listen, "port=\"metrics\"", handle_metrics);
+  init_supervisor ();
+  io_timer_init (&tasks.drain_timer, on_drain_timer);
+  tasks.initialised = true;
+  if (!supervisor_start (&tasks.supervisor, err))
+    return false;
+  gateway_core_start (&tasks.core);
+  LOG_NOTICE ("started instance=%s domain=%s listen=%s peer=%s seeds=%u adapter=%s version=%s",
+              fleet_options.instance, fleet_options.domain, fleet_options.listen,
+              fleet_options.peer_listen, tasks.seeds->len, tasks.adapter->name, ANVILLB_VERSION);
+  return true;
+}
+
+static void
+terminate (void)
+{
+  if (tasks.drain_us != 0)
+    return;
+  LOG_NOTICE ("shutting down connections=%zu in_flight=%zu", caller_listener_open (&tasks.listener),
+              proxy_in_flight (&tasks.proxy));
+  tasks.drain_us = now_us ();
+  tasks.proxy.draining = true;
+  gateway_core_leave (&tasks.core);
+  io_timer_set (tasks.loop, &tasks.drain_timer, now_us () + DRAIN_CHECK_US);
+}
+
+static void
+reload (void)
+{
+  anv_error_t err = { 0 };
+  GPtrArray *calls = option_reload_addresses (&fleet_entry_option_table, "seed", &err);
+  if (calls == NULL)
+    {
+      LOG_WARNING ("settings not read again error=\"%s\"", err.text);
+      return;
+    }
+  g_ptr_array_unref (tasks.seeds);
+  tasks.seeds = fleet_options_peer_addresses (calls);
+  feed_client_add_seeds (&tasks.core.feed, tasks.seeds);
+  g_ptr_array_unref (calls);
+}
+
+static bool
+failed (void)
+{
+  return tasks.failed;
+}
+
+static void
+stop (void)
+{
+  if (tasks.initialised)
+    {
+      io_timer_cancel (&tasks.drain_timer);
+      supervisor_destroy (&tasks.supervisor);
+      caller_listener_destroy (&tasks.listener);
+      call_server_destroy (&tasks.ready);
+      call_server_destroy (&tasks.metrics);
+      proxy_destroy (&tasks.proxy);
+      upstream_pool_destroy (&tasks.pool);
+      gateway_core_destroy (&tasks.core);
+      peer_network_destroy (&tasks.network);
+      g_ptr_array_unref (tasks.seeds);
+    }
+  io_loop_free (tasks.loop);
+  g_main_loop_unref (tasks.main_loop);
+  LOG_NOTICE ("stopped instance=%s", fleet_options.instance);
+}
+
+int
+fleet_entry_run (const call_adapter_t *adapter, int argc, char **argv)
+{
+  const program_t program = {
+    .table = &fleet_entry_option_table,
+    .check = fleet_entry_options_check,
+    .log_level = &fleet_options.log_level,
+    .start = start,
+    .terminate = terminate,
+    .reload = reload,
+    .failed = failed,
+    .stop = stop,
+  };
+  tasks.adapter = adapter;
+  return program_run (&program, argc, argv);
+}
--- /dev/null
+++ b/src/fleet_options.c
@@ -0,0 +1,169 @@
+#include "fleet_options.h"
+
+#include <string.h>
+
+#include "listen_check.h"
+#include "program.h"
+
+fleet_options_t fleet_options;
+
+#define MS_PER_DAY 86400000.0
+
+#define COMMON_OPTIONS                                                                              \
+  {                                                                                                 \
+    "instance", OPTION_STRING, &fleet_options.instance, NULL, 0, 0, NULL, true, "ID", "Instance id" \
+  },                                                                                                \
+      { "domain",                                                                                   \
+        OPTION_STRING,                                                                              \
+        &fleet_options.domain,                                                                      \
+        NULL,                                                                                       \
+        0,                                                                                          \
+        0,                                                                                          \
+        NULL,                                                                                       \
+        true,                                                                                       \
+        "NAME",                                                                                     \
+        "Failure domain of this instance" },                                                        \
+      { "peer-listen",                                                                              \
+        OPTION_ADDRESS,                                                                             \
+        &fleet_options.peer_listen,                                                                 \
+        NULL,                                                                                       \
+        0,                                                                                          \
+        0,                                                                                          \
+        NULL,                                                                                       \
+        true,                                                                                       \
+        "ADDRESS",                                                                                  \
+        "Address of the port for other processes of the fleet; the port is the same on all "        \
+        "instances" },                                                                              \
+      { "metrics-listen",                                                                           \
+        OPTION_ADDRESS,                                                                             \
+        &fleet_options.metrics_listen,                                                              \
+        NULL,                                                                                       \
+        0,                                                                                          \
+        0,                                                                                          \
+        NULL,                                                                                       \
+        false,                                                                                      \
+        "ADDRESS",                                                                                  \
+        "Address of the port for metrics; none if not given" },                                     \
+      { "seed",                                                                                     \
+        OPTION_ADDRESS_LIST,                                                                        \
+        &fleet_options.seeds,                                                                       \
+        NULL,                                                                                       \
+        0,                                                                                          \
+        0,                                                                                          \
+        NULL,                                                                                       \
+        true,                                                                                       \
+        "ADDRESS",                                                                                  \
+        "Call address of a control instance; may be repeated" },                                    \
+      { "insecure-listen",                                                                          \
+        OPTION_BOOL,                                                                                \
+        &fleet_options.insecure_listen,                                                             \
+        "false",                                                                                    \
+        0,                                                                                          \
+        0,                                                                                          \
+        NULL,                                                                                       \
+        false,                                                                                      \
+        NULL,                                                                                       \
+        "Allow listening addresses other than loopback without TLS" },                              \
+  {                                                                                                 \
+    "log-level", OPTION_ENUM, &fleet_options.log_level, "info", 0, 0, program_log_levels, false,    \
+        "LEVEL", "Least urgent level that is logged"                                                \
+  }
+
+static const option_t entry_table[] = {
+  COMMON_OPTIONS,
+  { "listen", OPTION_ADDRESS, &fleet_options.listen, NULL, 0, 0, NULL, true, "ADDRESS",
+    "Address of the port for callers, also told to them" },
+  { "ready-listen", OPTION_ADDRESS, &fleet_options.ready_listen, NULL, 0, 0, NULL, true, "ADDRESS",
+    "Address of the port that tells whether this instance is ready" },
+  { "grace-s", OPTION_INTEGER, &fleet_options.grace_s, "10", 1, 86400, NULL, false, "SECONDS",
+    "Time from SIGTERM to the end of the process" },
+  { "max-connections", OPTION_INTEGER, &fleet_options.max_connections, "2048", 1, 1000000, NULL,
+    false, "COUNT", "Open connections of callers" },
+  { "connect-timeout-ms", OPTION_INTEGER, &fleet_options.connect_timeout_ms, "250", 1, MS_PER_DAY,
+    NULL, false, "MS", "Time limit for a connection to a target" },
+  { "upstream-idle-ms", OPTION_INTEGER, &fleet_options.upstream_idle_ms, "9000", 1, MS_PER_DAY,
+    NULL, false, "MS", "Time for which an idle connection to a target is kept" },
+  { "retry-share", OPTION_NUMBER, &fleet_options.retry_share, "0.1", 0, 1, NULL, false, "SHARE",
+    "Most retries of a service in parts of its first attempts, at this instance" },
+  { "retry-rate", OPTION_NUMBER, &fleet_options.retry_rate, "0.3", 0, 1000, NULL, false, "RATE",
+    "Retries a second that a service may always have, at this instance" },
+  { "default-latency-ms", OPTION_INTEGER, &fleet_options.default_latency_ms, "150", 1, MS_PER_DAY,
+    NULL, false, "MS", "Expected time of a request of a kind that was never seen" },
+  { 0 },
+};
+
+static const option_t control_table[] = {
+  COMMON_OPTIONS,
+  { "call-listen", OPTION_ADDRESS, &fleet_options.call_listen, NULL, 0, 0, NULL, true, "ADDRESS",
+    "Address of the port for operators and targets" },
+  { "directory-listen", OPTION_ADDRESS, &fleet_options.directory_listen, NULL, 0, 0, NULL, true,
+    "ADDRESS", "Address of the port that tells callers which entries to use" },
+  { "data-dir", OPTION_STRING, &fleet_options.data_dir, NULL, 0, 0, NULL, true, "DIR",
+    "Directory for the state that must survive" },
+  { "found-group", OPTION_BOOL, &fleet_options.found_group, "false", 0, 0, NULL, false, NULL,
+    "First start of the whole fleet: the seeds found the control group. A lost disk is no first "
+    "start" },
+  { "tolerated-failures", OPTION_INTEGER, &fleet_options.tolerated_failures, "1", 0, 4, NULL, false,
+    "COUNT", "Control instances that may be lost at once; the group has twice that and one" },
+  { "active-per-domain", OPTION_INTEGER, &fleet_options.active_per_domain, "2", 1, 64, NULL, false,
+    "COUNT", "Entries of a failure domain that callers are sent to" },
+  { "resolve-ttl-ms", OPTION_INTEGER, &fleet_options.resolve_ttl_ms, "2000", 100, MS_PER_DAY, NULL,
+    false, "MS", "Time for which callers may keep the addresses of entries" },
+  { "call-timeout-ms", OPTION_INTEGER, &fleet_options.call_timeout_ms, "900", 1, MS_PER_DAY, NULL,
+    false, "MS", "Time for the control group to record what a call asks for" },
+  { 0 },
+};
+
+const option_table_t fleet_entry_option_table = {
+  .program = "anvillb-fleet-entry",
+  .summary = "Proxy between callers and targets, with control instances.",
+  .options = entry_table,
+};
+
+const option_table_t fleet_control_option_table = {
+  .program = "anvillb-fleet-control",
+  .summary = "Control instance: configuration, targets and the directory of entries.",
+  .options = control_table,
+};
+
+static bool
+check_address (const char *name, const char *address, anv_error_t *err)
+{
+  return address == NULL || listen_check (name, address, false, fleet_options.insecure_listen, err);
+}
+
+static bool
+check_common (anv_error_t *err)
+{
+  return check_address ("peer-listen", fleet_options.peer_listen, err)
+         && check_address ("metrics-listen", fleet_options.metrics_listen, err);
+}
+
+bool
+fleet_entry_options_check (anv_error_t *err)
+{
+  return check_common (err) && check_address ("listen", fleet_options.listen, err)
+         && check_address ("ready-listen", fleet_options.ready_listen, err);
+}
+
+bool
+fleet_control_options_check (anv_error_t *err)
+{
+  return check_common (err) && check_address ("call-listen", fleet_options.call_listen, err)
+         && check_address ("directory-listen", fleet_options.directory_listen, err);
+}
+
+GPtrArray *
+fleet_options_peer_addresses (const GPtrArray *calls)
+{
+  GPtrArray *peers = g_ptr_array_new_with_free_func (g_free);
+  const char *port = strrchr (fleet_options.peer_listen, ':');
+  for (guint i = 0; calls != NULL && i < calls->len; i++)
+    {
+      const char *call = g_ptr_array_index (calls, i);
+      const char *end = call != NULL ? strrchr (call, ':') : NULL;
+      if (end != NULL)
+        g_ptr_array_add (peers, g_strdup_printf ("%.*s%s", (int)(end - call), call, port));
+    }
+  return peers;
+}
--- /dev/null
+++ b/src/fleet_options.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "option.h"
+
+/* fleet_options - settings of the programs of a fleet with control instances. */
+
+typedef struct
+{
+  char *instance;
+  char *domain;
+  char *peer_listen;
+  char *metrics_listen;
+  GPtrArray *seeds; /* call addresses of control instances */
+  bool insecure_listen;
+  int64_t log_level;
+
+  /* entry */
+  char *listen;
+  char *ready_listen;
+  int64_t grace_s;
+  int64_t max_connections;
+  int64_t connect_timeout_ms;
+  int64_t upstream_idle_ms;
+  double retry_share;
+  double retry_rate;
+  int64_t default_latency_ms;
+
+  /* control */
+  char *call_listen;
+  char *directory_listen;
+  char *data_dir;
+  bool found_group;
+  int64_t tolerated_failures;
+  int64_t active_per_domain;
+  int64_t resolve_ttl_ms;
+  int64_t call_timeout_ms;
+} fleet_options_t;
+
+extern fleet_options_t fleet_options;
+extern const option_table_t fleet_entry_option_table;
+extern const option_table_t fleet_control_option_table;
+
+bool fleet_entry_options_check (anv_error_t *err);
+bool fleet_control_options_check (anv_error_t *err);
+
+/* Returns the peer addresses of the instances with the call addresses CALLS: the port for peers is
+ * the same on all instances. */
+GPtrArray *fleet_options_peer_addresses (const GPtrArray *calls);
--- /dev/null
+++ b/src/fleet_wire.c
@@ -0,0 +1,232 @@
+#include "fleet_wire.h"
+
+#include "deflate.h"
+#include "version_codec.h"
+
+#define STATUS_FIELDS 6
+#define VIEW_FIELDS 3
+#define CONFIG_FIELDS (VERSION_SEAL_FIELDS + 1)
+#define TARGET_FIELDS 11
+#define DEPARTURE_FIELDS 3
+#define LOAD_FIELDS 3
+/* Largest configuration text in a message. */
+#define MAX_TEXT_SIZE (31U << 20)
+
+void
+fleet_status_encode (const fleet_status_t *status, wire_writer_t *writer)
+{
+  wire_writer_init (writer, WIRE_FLEET_STATUS, STATUS_FIELDS);
+  wire_write_string (writer, status->caller_address);
+  wire_write_uint (writer, status->state);
+  wire_write_uint (writer, status->version);
+  wire_write_bool (writer, status->feed);
+  wire_write_bool (writer, status->resync);
+  wire_write_bool (writer, status->want_view);
+}
+
+bool
+fleet_status_decode (fleet_status_t *status, wire_reader_t *reader)
+{
+  wire_read_string_to (reader, status->caller_address, sizeof (status->caller_address));
+  uint64_t state = wire_read_uint (reader);
+  status->version = wire_read_uint (reader);
+  status->feed = wire_read_bool (reader);
+  status->resync = wire_read_bool (reader);
+  status->want_view = wire_read_bool (reader);
+  status->state = (entry_state_t)MIN (state, (uint64_t)ENTRY_LEAVING);
+  return wire_reader_finish (reader, NULL);
+}
+
+static void
+write_strings (wire_writer_t *writer, const GPtrArray *strings)
+{
+  wire_write_array (writer, strings->len);
+  for (guint i = 0; i < strings->len; i++)
+    wire_write_string (writer, g_ptr_array_index (strings, i));
+}
+
+static GPtrArray *
+read_strings (wire_reader_t *reader)
+{
+  GPtrArray *strings = g_ptr_array_new_with_free_func (g_free);
+  uint32_t count = wire_read_array (reader);
+  for (uint32_t i = 0; i < count && !reader->failed; i++)
+    g_ptr_array_add (strings, wire_read_string (reader));
+  wire_read_array_end (reader);
+  return strings;
+}
+
+void
+fleet_view_encode (const fleet_view_t *view, wire_writer_t *writer)
+{
+  wire_writer_init (writer, WIRE_FLEET_VIEW, VIEW_FIELDS);
+  wire_write_bool (writer, view->current);
+  write_strings (writer, view->control);
+  write_strings (writer, view->peers);
+}
+
+bool
+fleet_view_decode (fleet_view_t *view, wire_reader_t *reader)
+{
+  view->current = wire_read_bool (reader);
+  view->control = read_strings (reader);
+  view->peers = read_strings (reader);
+  return wire_reader_finish (reader, NULL);
+}
+
+void
+fleet_view_clear (fleet_view_t *view)
+{
+  g_clear_pointer (&view->control, g_ptr_array_unref);
+  g_clear_pointer (&view->peers, g_ptr_array_unref);
+}
+
+void
+fleet_config_encode (const version_seal_t *seal, GBytes *text, wire_writer_t *writer)
+{
+  gsize size = 0;
+  const void *data = g_bytes_get_data (text, &size);
+  GBytes *packed = deflate_pack (data, size);
+  data = g_bytes_get_data (packed, &size);
+  wire_writer_init (writer, WIRE_FLEET_CONFIG, CONFIG_FIELDS);
+  version_seal_write (writer, seal);
+  wire_write_bytes (writer, data, size);
+  g_bytes_unref (packed);
+}
+
+GBytes *
+fleet_config_decode (version_seal_t *seal, wire_reader_t *reader)
+{
+  size_t size = 0;
+  version_seal_read (reader, seal);
+  const uint8_t *data = wire_read_bytes (reader, &size);
+  if (!wire_reader_finish (reader, NULL))
+    return NULL;
+  return deflate_unpack (data, size, MAX_TEXT_SIZE);
+}
+
+static void
+write_target (wire_writer_t *writer, const registry_target_t *target, int64_t now_us)
+{
+  wire_write_array (writer, TARGET_FIELDS);
+  wire_write_string (writer, target->id);
+  wire_write_string (writer, target->service);
+  wire_write_string (writer, target->address);
+  wire_write_string (writer, target->domain);
+  wire_write_string (writer, target->software);
+  wire_write_uint (writer, target->slots);
+  wire_write_int (writer, target->born_ms);
+  wire_write_uint (writer, target->sequence);
+  wire_write_uint (writer, target->state);
+  wire_write_int (writer, MAX (target->warm_us - now_us, 0));
+  wire_write_int (writer, now_us - target->seen_us);
+}
+
+static void
+read_target (wire_reader_t *reader, registry_target_t *target, int64_t now_us)
+{
+  wire_read_array (reader);
+  wire_read_string_to (reader, target->id, sizeof (target->id));
+  wire_read_string_to (reader, target->service, sizeof (target->service));
+  wire_read_string_to (reader, target->address, sizeof (target->address));
+  wire_read_string_to (reader, target->domain, sizeof (target->domain));
+  wire_read_string_to (reader, target->software, sizeof (target->software));
+  target->slots = (uint32_t)wire_read_uint (reader);
+  target->born_ms = wire_read_int (reader);
+  target->sequence = wire_read_uint (reader);
+  uint64_t state = wire_read_uint (reader);
+  target->state = (registry_state_t)MIN (state, (uint64_t)REGISTRY_GONE);
+  target->warm_us = now_us + wire_read_int (reader);
+  target->seen_us = now_us - wire_read_int (reader);
+  wire_read_array_end (reader);
+}
+
+void
+fleet_targets_encode (const GArray *targets, int64_t now_us, wire_writer_t *writer)
+{
+  wire_writer_init (writer, WIRE_FLEET_TARGETS, 1);
+  wire_write_array (writer, targets->len);
+  for (guint i = 0; i < targets->len; i++)
+    write_target (writer, &g_array_index (targets, registry_target_t, i), now_us);
+}
+
+bool
+fleet_targets_decode (GArray *targets, int64_t now_us, wire_reader_t *reader)
+{
+  uint32_t count = wire_read_array (reader);
+  for (uint32_t i = 0; i < count && !reader->failed; i++)
+    {
+      registry_target_t target = { .slots = 0 };
+      read_target (reader, &target, now_us);
+      g_array_append_val (targets, target);
+    }
+  wire_read_array_end (reader);
+  return wire_reader_finish (reader, NULL);
+}
+
+void
+fleet_departed_encode (const GArray *departures, wire_writer_t *writer)
+{
+  wire_writer_init (writer, WIRE_FLEET_DEPARTED, 1);
+  wire_write_array (writer, departures->len);
+  for (guint i = 0; i < departures->len; i++)
+    {
+      const registry_departure_t *departure = &g_array_index (departures, registry_departure_t, i);
+      wire_write_array (writer, DEPARTURE_FIELDS);
+      wire_write_string (writer, departure->id);
+      wire_write_int (writer, departure->born_ms);
+      wire_write_uint (writer, departure->state);
+    }
+}
+
+bool
+fleet_departed_decode (GArray *departures, wire_reader_t *reader)
+{
+  uint32_t count = wire_read_array (reader);
+  for (uint32_t i = 0; i < count && !reader->failed; i++)
+    {
+      registry_departure_t departure = { .order = 0 };
+      wire_read_array (reader);
+      wire_read_string_to (reader, departure.id, sizeof (departure.id));
+      departure.born_ms = wire_read_int (reader);
+      uint64_t state = wire_read_uint (reader);
+      departure.state = (registry_state_t)MIN (state, (uint64_t)REGISTRY_GONE);
+      wire_read_array_end (reader);
+      g_array_append_val (departures, departure);
+    }
+  wire_read_array_end (reader);
+  return wire_reader_finish (reader, NULL);
+}
+
+void
+fleet_load_encode (const GArray *loads, wire_writer_t *writer)
+{
+  wire_writer_init (writer, WIRE_FLEET_LOAD, 1);
+  wire_write_array (writer, loads->len);
+  for (guint i = 0; i < loads->len; i++)
+    {
+      const fleet_load_t *load = &g_array_index (loads, fleet_load_t, i);
+      wire_write_array (writer, LOAD_FIELDS);
+      wire_write_uint (writer, load->target_id);
+      wire_write_uint (writer, load->in_flight);
+      wire_write_double (writer, load->evidence);
+    }
+}
+
+bool
+fleet_load_decode (GArray *loads, wire_reader_t *reader)
+{
+  uint32_t count = wire_read_array (reader);
+  for (uint32_t i = 0; i < count && !reader->failed; i++)
+    {
+      fleet_load_t load;
+      wire_read_array (reader);
+      load.target_id = wire_read_uint (reader);
+      load.in_flight = (uint32_t)wire_read_uint (reader);
+      load.evidence = wire_read_double (reader);
+      wire_read_array_end (reader);
+      g_array_append_val (loads, load);
+    }
+  wire_read_array_end (reader);
+  return wire_reader_finish (reader, NULL);
+}
--- /dev/null
+++ b/src/gateway_policy.c
@@ -0,0 +1,419 @@
+#include "gateway_policy.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_MODULE "gateway_policy"
+#include "log.h"
+
+/* Connections of this entry to one target: its slots and one that is being replaced, per entry. */
+#define EXTRA_CONNECTIONS 2
+/* A caller that is told to come back when no target or no configuration is known. */
+#define UNREADY_RETRY_US INT64_C (300000)
+/* Time that must be left for another attempt, in parts of the latency objective. */
+#define RETRY_GOAL_SHARE 4
+#define MAX_HEADER_TEXT 96
+
+typedef enum
+{
+  GATEWAY_NEW,
+  GATEWAY_QUEUED,
+  GATEWAY_DISPATCHED,
+  GATEWAY_ENDED,
+} gateway_state_t;
+
+typedef struct
+{
+  gateway_waiter_t waiter; /* first member */
+  gateway_policy_t *policy;
+  proxy_request_t *request;
+  config_doc_t *doc; /* keeps the route valid */
+  const config_route_t *route;
+  gateway_service_t *service;
+  balancer_request_t balanced;
+  gateway_state_t state;
+  unsigned attempts;
+  bool possibly_run;
+  bool retry_taken; /* the budget has granted the next attempt */
+  bool fresh;       /* the next attempt uses a new connection */
+  uint64_t target_id;
+  char target[REGISTRY_ID_SIZE];
+  int status; /* of the last response of a target */
+} gateway_request_t;
+
+static int64_t
+now_us (const gateway_request_t *r)
+{
+  return gateway_core_now (r->policy->core);
+}
+
+/* Id of the request in the log, quoted. */
+static const char *
+request_id (const gateway_request_t *r, char buffer[MAX_HEADER_TEXT])
+{
+  const char *field = r->policy->dialect->request_id;
+  const char *id = NULL;
+  if (field != NULL)
+    id = http_headers_get (proxy_request_head (r->request)->headers, field);
+  return log_quote (id != NULL ? id : "", buffer, MAX_HEADER_TEXT);
+}
+
+static void
+respond (gateway_request_t *r, int status, const char *text, int64_t retry_after_us)
+{
+  char seconds[G_ASCII_DTOSTR_BUF_SIZE];
+  char id[MAX_HEADER_TEXT];
+  http_headers_t headers;
+  http_headers_init (&headers);
+  http_headers_append (&headers, "Content-Type", "text/plain");
+  if (retry_after_us > 0)
+    {
+      g_ascii_formatd (seconds, sizeof (seconds), "%.3f", (double)retry_after_us / G_USEC_PER_SEC);
+      http_headers_append (&headers, "Retry-After", seconds);
+    }
+  LOG_INFO ("answered id=%s status=%d reason=\"%s\" route=%s attempts=%u possibly_run=%d "
+            "age_ms=%" G_GINT64_FORMAT " version=%" G_GUINT64_FORMAT,
+            request_id (r, id), status, text, r->route != NULL ? r->route->id : "", r->attempts,
+            r->possibly_run, (now_us (r) - proxy_request_head (r->request)->received_us) / 1000,
+            r->policy->core->version);
+  request_response_t response = {
+    .status = status,
+    .headers = &headers,
+    .body = text,
+    .body_size = strlen (text),
+    .not_run = !r->possibly_run,
+  };
+  r->state = GATEWAY_ENDED;
+  proxy_request_respond (r->request, &response);
+  http_headers_destroy (&headers);
+}
+
+static void
+dispatch (gateway_request_t *r, const balancer_decision_t *decision,
+          const registry_target_t *target)
+{
+  const http_dialect_t *dialect = r->policy->dialect;
+  const config_service_t *service = config_doc_find_service (r->doc, r->service->name);
+  char id[MAX_HEADER_TEXT];
+  http_headers_t extra;
+
+  bool may_repeat = r->route->idempotent && r->attempts + 1 < r->route->max_attempts;
+  int connections = (int)target->slots + EXTRA_CONNECTIONS;
+  if (service != NULL && service->max_connections > 0)
+    connections = MIN (connections, (int)service->max_connections);
+  http_headers_init (&extra);
+  if (dialect->expected_target != NULL)
+    http_headers_append (&extra, dialect->expected_target, target->id);
+  request_dispatch_t described = {
+    .address = target->address,
+    .max_connections = connections,
+    .deadline_us = r->balanced.limit_us,
+    .attempt_us = may_repeat ? decision->expected_us : 0,
+    .may_retry = may_repeat,
+    .fresh = r->fresh,
+    .extra_headers = &extra,
+  };
+  r->attempts++;
+  r->retry_taken = false;
+  r->target_id = decision->target_id;
+  r->state = GATEWAY_DISPATCHED;
+  g_strlcpy (r->target, target->id, sizeof (r->target));
+  if (r->balanced.tried_count < BALANCER_MAX_TRIED)
+    r->balanced.tried[r->balanced.tried_count++] = decision->target_id;
+  counter_observe_ms (&r->policy->queue_wait, (double)decision->waited_us / 1000);
+  LOG_INFO ("dispatch id=%s route=%s service=%s target=%s attempt=%u waited_ms=%" G_GINT64_FORMAT
+            " suspicion=%.2f version=%" G_GUINT64_FORMAT,
+            request_id (r, id), r->route->id, r->service->name, target->id, r->attempts,
+            decision->waited_us / 1000, decision->suspicion, r->policy->core->version);
+  proxy_request_dispatch (r->request, &described);
+  http_headers_destroy (&extra);
+}
+
+static void
+on_decided (gateway_waiter_t *waiter, const balancer_decision_t *decision,
+            const registry_target_t *target)
+{
+  gateway_request_t *r = (gateway_request_t *)waiter;
+  if (decision->verdict == BALANCER_DISPATCH && target != NULL)
+    {
+      dispatch (r, decision, target);
+      return;
+    }
+  counter_inc (&r->policy->refused[decision->verdict]);
+  if (r->possibly_run && !r->route->idempotent)
+    respond (r, 502, "no answer of the target", 0);
+  else
+    respond (r, 503, balancer_verdict_name (decision->verdict), decision->retry_after_us);
+}
+
+static void
+enqueue (gateway_request_t *r)
+{
+  r->state = GATEWAY_QUEUED;
+  r->balanced.id = ++r->policy->core->next_request;
+  gateway_core_submit (r->policy->core, r->service, &r->waiter, &r->balanced);
+}
+
+static void
+describe (gateway_request_t *r, const request_head_t *head)
+{
+  const config_route_t *route = r->route;
+  int64_t limit_us = head->received_us + (int64_t)route->timeout_ms * 1000;
+  int64_t goal_ms = route->goal_ms > 0 ? route->goal_ms : route->timeout_ms;
+  if (head->deadline_us != 0)
+    limit_us = MIN (limit_us, head->deadline_us);
+  r->balanced = (balancer_request_t){
+    .kind = g_str_hash (route->id),
+    .rank = route->priority,
+    .goal_us = head->received_us + goal_ms * 1000,
+    .limit_us = limit_us,
+    .idempotent = route->idempotent,
+  };
+  proxy_request_set_deadline (r->request, limit_us);
+}
+
+static void
+begin (request_policy_t *base, proxy_request_t *request, const request_head_t *head)
+{
+  gateway_policy_t *policy = (gateway_policy_t *)base;
+  gateway_core_t *core = policy->core;
+  gateway_request_t *r = g_new0 (gateway_request_t, 1);
+  route_match_t match;
+
+  r->waiter.decided = on_decided;
+  r->policy = policy;
+  r->request = request;
+  proxy_request_set_data (request, r);
+  if (core->doc == NULL)
+    {
+      respond (r, 503, "no configuration", UNREADY_RETRY_US);
+      return;
+    }
+  route_result_t result = route_table_lookup (
+      core->routes, head->method, head->host != NULL ? head->host : "", head->target, &match);
+  if (result != ROUTE_FOUND)
+    {
+      respond (r, 404, route_result_text (result), 0);
+      return;
+    }
+  r->doc = config_doc_ref (core->doc);
+  r->route = match.route;
+  const config_caller_limits_t *limits = config_doc_caller_limits (core->doc);
+  if (limits != NULL && head->content_length > (int64_t)limits->max_body_bytes)
+    {
+      respond (r, 413, "request body too large", 0);
+      return;
+    }
+  r->service = gateway_core_service (core, gateway_core_choose_service (core, match.route)->name);
+  describe (r, head);
+  retry_budget_first (&r->service->budget, now_us (r));
+  enqueue (r);
+}
+
+static void
+body (request_policy_t *policy, proxy_request_t *request, const char *bytes, size_t size)
+{
+}
+
+static void
+cancelled (request_policy_t *policy, proxy_request_t *request, cancel_reason_t reason)
+{
+  gateway_request_t *r = proxy_request_data (request);
+  char id[MAX_HEADER_TEXT];
+  if (r->state == GATEWAY_QUEUED)
+    gateway_core_cancel (r->policy->core, r->service, r->balanced.id);
+  r->state = GATEWAY_ENDED;
+  LOG_INFO ("cancelled id=%s reason=%s attempts=%u", request_id (r, id),
+            reason == CANCEL_CALLER_GONE ? "caller_gone"
+            : reason == CANCEL_DEADLINE  ? "deadline"
+                                         : "caller_error",
+            r->attempts);
+}
+
+static void
+first_byte (request_policy_t *policy, proxy_request_t *request)
+{
+}
+
+/* Returns whether another attempt may be made now, and takes it from the budget. ARRIVED: the last
+ * attempt has reached its target, so the next one counts as a repetition. */
+static bool
+take_retry (gateway_request_t *r, bool arrived)
+{
+  int64_t left_us = r->balanced.limit_us - now_us (r);
+  int64_t goal_us = (int64_t)r->route->goal_ms * 1000;
+  if (r->retry_taken)
+    return true;
+  if (r->attempts >= r->route->max_attempts || left_us < goal_us / RETRY_GOAL_SHARE)
+    return false;
+  if (arrived && !retry_budget_take (&r->service->budget, now_us (r)))
+    {
+      counter_inc (&r->policy->retries_denied);
+      return false;
+    }
+  r->retry_taken = true;
+  return true;
+}
+
+static void
+note_load (gateway_request_t *r, const http_headers_t *headers)
+{
+  const char *field = r->policy->dialect->load;
+  const char *text = field != NULL ? http_headers_get (headers, field) : NULL;
+  char *end = NULL;
+  if (text == NULL)
+    return;
+  unsigned long running = strtoul (text, &end, 10);
+  if (*end != ',')
+    return;
+  unsigned long waiting = strtoul (end + 1, &end, 10);
+  if (*end != ',' || running + waiting > UINT16_MAX)
+    return;
+  /* The answered request is one of those that the target counts as running. */
+  unsigned long busy = running + waiting;
+  balancer_reported (&r->service->balancer, now_us (r), r->target_id,
+                     (uint32_t)(busy > 0 ? busy - 1 : 0));
+}
+
+/* Returns whether a success is complete and in the target's own form. */
+static bool
+is_genuine (const gateway_request_t *r, const http_headers_t *headers)
+{
+  const char *proof = r->policy->dialect->proof;
+  return proof == NULL
+         || (http_headers_get (headers, proof) != NULL
+             && http_headers_get (headers, "Content-Encoding") == NULL);
+}
+
+static bool
+response (request_policy_t *policy, proxy_request_t *request, int status,
+          const http_headers_t *headers)
+{
+  gateway_request_t *r = proxy_request_data (request);
+  r->status = status;
+  note_load (r, headers);
+  if (status >= 200 && status < 300)
+    return is_genuine (r, headers);
+  return status < 500 || !r->route->idempotent || !take_retry (r, true);
+}
+
+static balancer_outcome_t
+outcome_of (const gateway_request_t *r, const attempt_result_t *result)
+{
+  switch (result->end)
+    {
+    case ATTEMPT_COMPLETE:
+      return result->status >= 500 ? BALANCER_FAILED : BALANCER_OK;
+    case ATTEMPT_SHED:
+      return BALANCER_REFUSED;
+    case ATTEMPT_CALLER_GONE:
+    case ATTEMPT_CALLER_ERROR:
+    case ATTEMPT_CLOSED_REUSED: /* the target may have closed an idle connection */
+      return BALANCER_ABANDONED;
+    case ATTEMPT_STALLED:
+    case ATTEMPT_TIMED_OUT:
+      return BALANCER_LATE;
+    default:
+      return BALANCER_FAILED;
+    }
+}
+
+static void
+give_up (gateway_request_t *r, const attempt_result_t *result)
+{
+  switch (result->end)
+    {
+    case ATTEMPT_SHED:
+    case ATTEMPT_CONNECT_FAILED:
+      if (!r->possibly_run)
+        respond (r, 503, "no target took the request", UNREADY_RETRY_US);
+      else
+        respond (r, 502, "no answer of the target", 0);
+      break;
+    case ATTEMPT_STALLED:
+    case ATTEMPT_TIMED_OUT:
+      respond (r, 504, "the target did not answer in time", 0);
+      break;
+    default:
+      respond (r, r->possibly_run ? 502 : 503, "no valid answer of the target",
+               r->possibly_run ? 0 : UNREADY_RETRY_US);
+      break;
+    }
+}
+
+static void
+ended (request_policy_t *policy, proxy_request_t *request, const attempt_result_t *result)
+{
+  gateway_request_t *r = proxy_request_data (request);
+  gateway_core_t *core = r->policy->core;
+  const http_dialect_t *dialect = r->policy->dialect;
+  char id[MAX_HEADER_TEXT];
+  bool refused = result->end == ATTEMPT_SHED;
+  uint64_t request_number = r->balanced.id;
+
+  LOG_INFO ("attempt id=%s target=%s end=%s status=%d latency_ms=%" G_GINT64_FORMAT,
+            request_id (r, id), r->target, attempt_end_name (result->end), result->status,
+            result->duration_us / 1000);
+  if (result->end == ATTEMPT_COMPLETE)
+    counter_observe_ms (&r->policy->latency, (double)result->duration_us / 1000);
+  if (result->wrote_bytes && !refused)
+    r->possibly_run = true;
+  r->state = GATEWAY_ENDED;
+  balancer_outcome_t outcome = outcome_of (r, result);
+  if (refused && dialect->wrong_target_status != 0
+      && result->status == dialect->wrong_target_status)
+    gateway_core_target_replaced (core, r->target_id);
+  gateway_core_done (core, r->service, request_number, outcome, result->duration_us);
+  if (result->final)
+    return;
+  bool repeatable = r->route->idempotent || !r->possibly_run;
+  if (result->can_repeat && repeatable && take_retry (r, result->wrote_bytes))
+    {
+      counter_inc (&r->policy->retries);
+      r->fresh = result->end != ATTEMPT_SHED;
+      enqueue (r);
+      return;
+    }
+  give_up (r, result);
+}
+
+static void
+finished (request_policy_t *policy, proxy_request_t *request)
+{
+  gateway_request_t *r = proxy_request_data (request);
+  proxy_request_set_data (request, NULL);
+  if (r == NULL)
+    return;
+  config_doc_unref (r->doc);
+  g_free (r);
+}
+
+static const request_policy_ops_t policy_ops = {
+  .begin = begin,
+  .body = body,
+  .cancelled = cancelled,
+  .first_byte = first_byte,
+  .response = response,
+  .ended = ended,
+  .finished = finished,
+};
+
+void
+gateway_policy_init (gateway_policy_t *policy, gateway_core_t *core, const http_dialect_t *dialect,
+                     counter_registry_t *counters)
+{
+  static const char *const reasons[] = { NULL, "reason=\"no_time\"", "reason=\"no_target\"" };
+  *policy = (gateway_policy_t){ .policy.ops = &policy_ops, .core = core, .dialect = dialect };
+  for (size_t i = 1; i < G_N_ELEMENTS (reasons); i++)
+    counter_register (counters, &policy->refused[i], COUNTER_KIND_COUNTER, "anvillb_refused_total",
+                      reasons[i], "Requests refused without an attempt.");
+  counter_register (counters, &policy->retries, COUNTER_KIND_COUNTER, "anvillb_retries_total", NULL,
+                    "Attempts after a failed one.");
+  counter_register (counters, &policy->retries_denied, COUNTER_KIND_COUNTER,
+                    "anvillb_retries_denied_total", NULL, "Retries that the budget did not allow.");
+  counter_register (counters, &policy->queue_wait, COUNTER_KIND_HISTOGRAM, "anvillb_queue_wait_ms",
+                    NULL, "Time in the queue before a dispatch.");
+  counter_register (counters, &policy->latency, COUNTER_KIND_HISTOGRAM, "anvillb_target_latency_ms",
+                    NULL, "Time of complete answers of targets.");
+}
--- /dev/null
+++ b/src/metrics_page.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "call_server.h"
+
+/* metrics_page - the metrics of a process at "/metrics", in the Prometheus text format. */
+
+/* Answers CALL with the metrics of REGISTRY, or with 404 on another path. */
+void metrics_page_answer (const counter_registry_t *registry, call_t *call,
+                          const call_request_t *request);
