gateway_policy: a late attempt goes on unless a retry is granted

Cause: the time limit of an attempt broke the request off and only then asked for a retry. The policy is now asked first (operation "late"), and a response that has begun is never cut by that limit. Ruled out: no limit for attempts while the entry drains, which leaves the same loss at other times.

--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -378,6 +378,13 @@
   give_up (r, result);
 }
 
+/* A request is taken from a target only when another attempt is certain. */
+static bool
+late (request_policy_t *policy, proxy_request_t *request)
+{
+  return take_retry (proxy_request_data (request), true);
+}
+
 static void
 finished (request_policy_t *policy, proxy_request_t *request)
 {
@@ -397,6 +404,7 @@
   .response = response,
   .ended = ended,
   .finished = finished,
+  .late = late,
 };
 
 void
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -120,8 +120,11 @@
 proxy_attempt_expired (io_timer_t *timer)
 {
   proxy_request_t *request = LIST_ENTRY (timer, proxy_request_t, attempt_timer);
+  request_policy_t *policy = request->proxy->options.policy;
   attempt_end_t end = timeout_end (request);
   bool started = request->response_started;
+  if (policy->ops->late != NULL && (started || !policy->ops->late (policy, request)))
+    return;
   upstream_pool_cancel (&request->exchange);
   end_attempt (request, end, "time limit of the attempt", false);
   if (started)
--- a/src/request_policy.h
+++ b/src/request_policy.h
@@ -111,6 +111,9 @@
   void (*ended) (request_policy_t *policy, proxy_request_t *request,
                  const attempt_result_t *result);
   void (*finished) (request_policy_t *policy, proxy_request_t *request);
+  /* The time limit of the attempt has passed and no response has started. Returns whether the
+   * attempt ends; otherwise it goes on until the deadline of the request. NULL: it always ends. */
+  bool (*late) (request_policy_t *policy, proxy_request_t *request);
 } request_policy_ops_t;
 
 struct request_policy
--- a/tests/http/proxy_fixture.h
+++ b/tests/http/proxy_fixture.h
@@ -146,6 +146,7 @@
   bool lie_not_run = false; /* answer a failed attempt with not_run */
   size_t attempt = 0;
   size_t max_attempts = 1;
+  bool keep_late = false; /* let an attempt go on after its time limit */
   std::string captured;
   proxy_request_t *held = nullptr;
 
@@ -228,6 +229,10 @@
   [] (request_policy_t *policy, proxy_request_t *request) {
     self (policy)->events.push_back ("finished");
   },
+  [] (request_policy_t *policy, proxy_request_t *request) {
+    self (policy)->events.push_back ("late");
+    return !self (policy)->keep_late;
+  },
 };
 
 class Proxy : public ::testing::Test
--- a/tests/http/test_proxy.cc
+++ b/tests/http/test_proxy.cc
@@ -223,6 +223,34 @@
   EXPECT_FALSE (caller->has ("late"));
 }
 
+// Guards against a request that is broken off at a working target when there is no retry for it.
+TEST_F (Proxy, LateAttemptGoesOnWithoutARetry)
+{
+  policy.dispatch.attempt_us = 20000;
+  policy.keep_late = true;
+  peer_ptr caller = call (GET_A);
+  peer_ptr peer = served (0, "\r\n\r\n");
+  ASSERT_TRUE (until ([&] { return policy.saw ("late"); }));
+  peer->say (OK_AB);
+  ASSERT_TRUE (until_received (caller, "\r\n\r\nab"));
+  EXPECT_EQ (policy.story (), "begin first_byte late response:200 ended:complete finished");
+}
+
+// Guards against a response of another request, which came late on the connection, taken for the
+// response to this one.
+TEST_F (Proxy, ResponseToAnotherRequestIsSkipped)
+{
+  http_dialect_t dialect = http_dialect_own;
+  dialect.request_id = "Request-Id";
+  proxy.options.dialect = &dialect;
+  peer_ptr caller = call ("GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\n\r\n");
+  peer_ptr peer = served (0, "\r\n\r\n");
+  peer->say ("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
+             "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 2\r\n\r\nab");
+  ASSERT_TRUE (until_received (caller, "\r\n\r\nab"));
+  EXPECT_FALSE (caller->has ("wrong"));
+}
+
 // Guards against work that goes on at the backend server after the caller has gone.
 TEST_F (Proxy, CallerDisconnectClosesUpstream)
 {
