--- a/src/balancer.c
+++ b/src/balancer.c
@@ -32,6 +32,11 @@
 #define REPORT_LIFE_US 400000
 #define MAX_PEERS 8
 
+/* Change of the share that may leave the cell, when a target outside is busy or is not. */
+#define SPILL_BACKOFF 0.6
+#define SPILL_STEP 0.1
+#define SPILL_LEAST 0.05
+
 /* Shortest wait that a refused caller is told. */
 #define LEAST_RETRY_US 50000
 
@@ -84,6 +89,7 @@
   b->kinds = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   b->flights = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   list_init (&b->queue);
+  b->spill = 1;
 }
 
 void
@@ -262,6 +268,20 @@
     return;
   target->reported = busy;
   target->reported_us = now_us;
+  if (target->setting.tier == BALANCER_CELL)
+    return;
+  if (busy >= target->setting.slots)
+    b->spill = MAX (b->spill * SPILL_BACKOFF, SPILL_LEAST);
+  else
+    b->spill = MIN (b->spill + SPILL_STEP, 1);
+}
+
+void
+balancer_set_tier (balancer_t *b, uint64_t id, balancer_tier_t tier)
+{
+  target_t *target = g_hash_table_lookup (b->targets, &id);
+  if (target != NULL)
+    target->setting.tier = tier;
 }
 
 /* Requests that all entries have at the target, as far as this one knows. */
@@ -271,8 +291,8 @@
   uint32_t busy = target->in_flight;
   for (size_t i = 0; i < MAX_PEERS; i++)
     busy += target->peers[i].in_flight;
-  /* Entries of other domains are known from the target's own reports alone. */
-  if (!target->setting.local && now_us - target->reported_us < REPORT_LIFE_US)
+  /* Entries of other cells are known from the target's own reports alone. */
+  if (target->setting.tier != BALANCER_CELL && now_us - target->reported_us < REPORT_LIFE_US)
     busy = MAX (busy, target->reported);
   return busy;
 }
@@ -302,6 +322,14 @@
   return false;
 }
 
+/* Parts of a request's worth: the transfer to another domain, and the unknown load of a target that
+ * other entries use. */
+static const double tier_costs[] = {
+  [BALANCER_CELL] = 0,
+  [BALANCER_DOMAIN] = 0.06,
+  [BALANCER_REMOTE] = 0.15,
+};
+
 /* Expected loss of sending a request there, in parts of its worth: a failure costs all of it unless
  * it can be repeated, another domain costs the transfer, a nearly full target some time. */
 static double
@@ -310,8 +338,7 @@
 {
   double suspicion = suspicion_of (target, now_us);
   double cost = suspicion * (request->idempotent ? 0.6 : 1.0);
-  if (!target->setting.local)
-    cost += 0.12;
+  cost += tier_costs[target->setting.tier];
   if (was_tried (request, target->id))
     cost += 1.0;
   if (now_us < target->setting.warm_us)
@@ -328,12 +355,14 @@
   gpointer value = NULL;
   target_t *best = NULL;
   double best_cost = 0;
+  bool may_leave = b->spill >= 1 || rng_unit (&b->rng) < b->spill;
   g_hash_table_iter_init (&iter, b->targets);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       target_t *target = value;
       uint32_t busy = busy_slots (target, now_us);
-      if (target->removed || busy >= target->setting.slots)
+      if (target->removed || busy >= target->setting.slots
+          || (!may_leave && target->setting.tier != BALANCER_CELL))
         continue;
       double cost = cost_of (b, target, request, now_us, busy);
       if (best == NULL || cost < best_cost)
@@ -365,7 +394,7 @@
       if (target->removed)
         continue;
       capacity.targets++;
-      if (!target->setting.local)
+      if (target->setting.tier != BALANCER_CELL)
         continue;
       all += target->setting.slots;
       if (suspicion_of (target, now_us) < SUSPECT)
@@ -436,14 +465,15 @@
   return false;
 }
 
-/* Returns the request to dispatch next. */
+/* Returns the request to dispatch next. URGENT tells whether one of a lower rank waits behind it. */
 static flight_t *
-choose_request (balancer_t *b, int64_t now_us)
+choose_request (balancer_t *b, int64_t now_us, bool *urgent)
 {
   list_node_t *first = list_first (&b->queue);
   if (first == NULL)
     return NULL;
   uint32_t rank = LIST_ENTRY (first, flight_t, node)->request.rank;
+  *urgent = false;
   flight_t *late = NULL;
   flight_t *lower = NULL;
   flight_t *chosen = NULL;
@@ -461,11 +491,9 @@
     if (late == NULL)
       late = flight;
   }
-  if (lower != NULL && ++b->urgent_in_a_row >= BALANCER_LOW_SHARE)
-    {
-      b->urgent_in_a_row = 0;
-      return lower;
-    }
+  if (lower != NULL && b->urgent_in_a_row + 1 >= BALANCER_LOW_SHARE)
+    return lower;
+  *urgent = lower != NULL;
   return chosen != NULL ? chosen : late;
 }
 
@@ -494,13 +522,15 @@
 bool
 balancer_next (balancer_t *b, int64_t now_us, balancer_decision_t *out)
 {
-  flight_t *flight = choose_request (b, now_us);
+  bool urgent = false;
+  flight_t *flight = choose_request (b, now_us, &urgent);
   if (flight == NULL)
     return false;
   target_t *target = choose_target (b, &flight->request, now_us);
   if (target == NULL)
     return refuse_one (b, now_us, out);
   dispatch (b, flight, target, now_us, out);
+  b->urgent_in_a_row = urgent ? b->urgent_in_a_row + 1 : 0;
   return true;
 }
 
@@ -527,8 +557,7 @@
     add_own_evidence (target, now_us, failure_ratio ());
   else if (outcome == BALANCER_REFUSED)
     {
-      target->reported = MAX (target->setting.slots, target->reported);
-      target->reported_us = now_us;
+      balancer_reported (b, now_us, target->id, MAX (target->setting.slots, target->reported));
     }
   g_hash_table_remove (b->flights, &request_id);
   free_if_unused (b, target);
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -20,8 +20,9 @@
  * with a free slot is always usable.
  *
  * Placement. A request goes to the target with a free slot that most likely answers. Targets of the
- * own failure domain come first; another domain is used when the own one has no free slot, or
- * nothing but suspect targets.
+ * own cell come first. Others are used when it has no free slot, or nothing but suspect targets.
+ * Their load is known from their own answers alone, so while these say that they are busy too,
+ * fewer requests are sent there and the queue of the cell grows instead of theirs.
  *
  * Queue. The more urgent rank first; within a rank the requests that can still meet their
  * objective, in order of arrival, then the late ones. One dispatch in BALANCER_LOW_SHARE goes to a
@@ -34,11 +35,19 @@
 /* Targets that a request remembers as tried. */
 #define BALANCER_MAX_TRIED 8
 
+/* Distance of a target. */
+typedef enum
+{
+  BALANCER_CELL,   /* shared by the entries that tell each other its load */
+  BALANCER_DOMAIN, /* of another cell of the failure domain */
+  BALANCER_REMOTE, /* in another failure domain */
+} balancer_tier_t;
+
 typedef struct
 {
   uint64_t id;
   uint32_t slots;
-  bool local;      /* in the failure domain of this entry */
+  balancer_tier_t tier;
   int64_t warm_us; /* slow until then */
 } balancer_target_t;
 
@@ -103,6 +112,7 @@
   GHashTable *flights; /* request id -> flight */
   list_t queue;        /* by rank, then by arrival */
   size_t queued;
+  double spill; /* share of the requests without a free slot in the cell that may leave it */
   unsigned urgent_in_a_row;
 } balancer_t;
 
@@ -144,6 +154,9 @@
 /* Stores the shares that changed since the last call (balancer_share_t). */
 void balancer_take_shares (balancer_t *b, GArray *out);
 
+/* Changes the tier of a target. */
+void balancer_set_tier (balancer_t *b, uint64_t id, balancer_tier_t tier);
+
 /* Number of requests in flight and waiting. */
 size_t balancer_busy (const balancer_t *b);
 
--- a/src/call_adapter.h
+++ b/src/call_adapter.h
@@ -16,7 +16,7 @@
   /* A call of an operator or a target to a control instance. */
   void (*control) (fleet_control_t *control, call_t *call, const call_request_t *request);
   /* A caller asks a control instance for entries. TTL_MS: how long it may keep the answer. */
-  void (*directory) (const fleet_control_t *control, int64_t ttl_ms, call_t *call,
+  void (*directory) (fleet_control_t *control, int64_t ttl_ms, call_t *call,
                      const call_request_t *request);
   /* The platform asks an entry whether it is ready. */
   void (*ready) (bool ready, call_t *call, const call_request_t *request);
--- a/src/entry_directory.c
+++ b/src/entry_directory.c
@@ -82,6 +82,112 @@
   return ranked;
 }
 
+static uint64_t
+mix (uint64_t value)
+{
+  value ^= value >> 33;
+  value *= UINT64_C (0xff51afd7ed558ccd);
+  value ^= value >> 33;
+  value *= UINT64_C (0xc4ceb9fe1a85ec53);
+  return value ^ (value >> 33);
+}
+
+unsigned
+directory_cell_choice (uint64_t member, unsigned cells, unsigned round)
+{
+  uint64_t above = UINT64_MAX;
+  unsigned chosen = 0;
+  /* The cell with the highest hash, then the next one below it, and so on. */
+  for (unsigned r = 0; r <= round; r++)
+    {
+      uint64_t best = 0;
+      for (unsigned cell = 0; cell < cells; cell++)
+        {
+          uint64_t hash = mix (member ^ mix (cell + 1)) | 1;
+          if (hash < above && hash > best)
+            {
+              best = hash;
+              chosen = cell;
+            }
+        }
+      above = best;
+    }
+  return chosen;
+}
+
+/* Number of entries of DOMAIN in any state. */
+static unsigned
+count_known (const entry_directory_t *directory, const char *domain)
+{
+  unsigned count = 0;
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, directory->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += strcmp (((const directory_entry_t *)value)->domain, domain) == 0;
+  return count;
+}
+
+/* Number of entries that carry what SLOTS slots serve. */
+static unsigned
+count_needed (const entry_directory_t *directory, const GArray *ranked, unsigned slots)
+{
+  double needed = slots * directory->options.slot_rate;
+  double carried = 0;
+  unsigned count = 0;
+  while (count < ranked->len && carried < needed)
+    {
+      const directory_entry_t *entry = g_array_index (ranked, ranked_t, count).entry;
+      carried += MAX (entry->capacity, 1);
+      count++;
+    }
+  return MAX (count, directory->options.least_active);
+}
+
+/* Gives each active entry a cell: its best choice that is not full. */
+static void
+assign_cells (directory_layout_t *layout)
+{
+  guint most = (layout->active->len + layout->cells - 1) / layout->cells;
+  g_autofree guint *sizes = g_new0 (guint, layout->cells);
+  for (guint i = 0; i < layout->active->len; i++)
+    {
+      uint64_t member = weight_of (g_ptr_array_index (layout->active, i));
+      unsigned round = 0;
+      guint cell = directory_cell_choice (member, layout->cells, round);
+      while (sizes[cell] >= most)
+        cell = directory_cell_choice (member, layout->cells, ++round);
+      sizes[cell]++;
+      g_array_append_val (layout->cell_of, cell);
+    }
+}
+
+void
+entry_directory_layout (const entry_directory_t *directory, int64_t now_us, const char *domain,
+                        unsigned slots, directory_layout_t *layout)
+{
+  int64_t since_us = now_us - directory->options.silence_us;
+  GArray *ranked = rank (directory, since_us, domain);
+  unsigned needed = count_needed (directory, ranked, slots);
+  unsigned cells = MIN (slots / DIRECTORY_CELL_SLOTS,
+                        MIN (needed, count_known (directory, domain)) / DIRECTORY_CELL_ENTRIES);
+
+  layout->active = g_ptr_array_new ();
+  layout->cell_of = g_array_new (FALSE, FALSE, sizeof (guint));
+  layout->cells = MAX (cells, 1);
+  for (guint i = 0; i < MIN (ranked->len, needed); i++)
+    g_ptr_array_add (layout->active, (gpointer)g_array_index (ranked, ranked_t, i).entry);
+  g_array_unref (ranked);
+  assign_cells (layout);
+}
+
+void
+directory_layout_clear (directory_layout_t *layout)
+{
+  g_clear_pointer (&layout->active, g_ptr_array_unref);
+  g_clear_pointer (&layout->cell_of, g_array_unref);
+}
+
 static size_t
 take (GArray *ranked, const directory_entry_t **out, size_t max)
 {
@@ -92,22 +198,16 @@
   return count;
 }
 
-size_t
-entry_directory_active (const entry_directory_t *directory, int64_t now_us, const char *domain,
-                        const directory_entry_t **out, size_t max)
-{
-  int64_t since_us = now_us - directory->options.silence_us;
-  return take (rank (directory, since_us, domain), out,
-               MIN (max, directory->options.active_per_domain));
-}
-
 size_t
 entry_directory_resolve (const entry_directory_t *directory, int64_t now_us, const char *domain,
+                         const directory_layout_t *layout, unsigned start,
                          const directory_entry_t **out, size_t max)
 {
   int64_t since_us = now_us - directory->options.silence_us;
-  size_t count = entry_directory_active (directory, now_us, domain, out, max);
-  max = MIN (max, 2 * (size_t)directory->options.active_per_domain);
+  guint active = layout->active->len;
+  size_t count = MIN (active, max);
+  for (size_t i = 0; i < count; i++)
+    out[i] = g_ptr_array_index (layout->active, active > max ? (start + i) % active : i);
   if (count == 0)
     count = take (rank (directory, since_us, NULL), out, max);
   if (count == 0)
--- a/src/feed_client.c
+++ b/src/feed_client.c
@@ -55,6 +55,7 @@
     .version = client->version,
     .feed = feed,
     .resync = feed && !client->synced,
+    .capacity = client->options.capacity,
     .want_view = feed || now_us (client) - member->view_us >= VIEW_LIFE_US,
   };
   wire_writer_t writer;
@@ -172,6 +173,7 @@
   *client = (feed_client_t){ .options = *options };
   client->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   client->peers = g_ptr_array_new_with_free_func (g_free);
+  client->cells = 1;
   io_timer_init (&client->timer, on_timer);
 }
 
@@ -247,6 +249,14 @@
         {
           g_ptr_array_unref (client->peers);
           client->peers = g_ptr_array_ref (view.peers);
+          bool moved = client->cells != view.cells || client->cell != view.cell;
+          client->cells = view.cells;
+          client->cell = view.cell;
+          if (moved)
+            {
+              LOG_INFO ("cell=%u of=%u peers=%u", view.cell, view.cells, view.peers->len);
+              client->options.on_cell (client->options.data);
+            }
         }
     }
   fleet_view_clear (&view);
--- a/src/feed_client.h
+++ b/src/feed_client.h
@@ -15,10 +15,12 @@
   peer_network_t *network;
   const char *domain;
   const char *caller_address;
+  double capacity;        /* see directory_entry_t */
   const GPtrArray *seeds; /* char *, peer addresses of control instances */
   void (*on_config) (void *data, const version_seal_t *seal, GBytes *text);
   void (*on_targets) (void *data, const GArray *targets);       /* registry_target_t */
   void (*on_departures) (void *data, const GArray *departures); /* registry_departure_t */
+  void (*on_cell) (void *data); /* the cell, or the number of cells, has changed */
   void *data;
 } feed_client_options_t;
 
@@ -26,7 +28,9 @@
 {
   feed_client_options_t options;
   GHashTable *members; /* peer address -> feed_member_t */
-  GPtrArray *peers;    /* char *, peer addresses of the active entries of the domain */
+  GPtrArray *peers;    /* char *, peer addresses of the active entries of the cell */
+  unsigned cells;      /* of the failure domain */
+  unsigned cell;       /* of this entry; CELLS if it is not active */
   char feed[LINK_ADDRESS_SIZE];
   int64_t feed_since_us;
   bool synced;      /* the feed has sent all targets */
--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -22,7 +22,6 @@
 /* A member without a leader for this long asks whether it still is a member. */
 #define JOIN_AFTER_US INT64_C (1000000)
 #define JOINING_MEMORY_US INT64_C (1000000)
-#define MAX_PEERS 64
 #define JOIN_FIELDS 2
 
 /* An entry that takes the feed of this instance. */
@@ -309,11 +308,68 @@
   return true;
 }
 
+typedef struct
+{
+  const char *domain;
+  unsigned slots;
+} slot_count_t;
+
+static void
+count_slots (void *data, const registry_target_t *target)
+{
+  slot_count_t *count = data;
+  if (target->state == REGISTRY_READY && strcmp (target->domain, count->domain) == 0)
+    count->slots += target->slots;
+}
+
+static void
+free_layout (gpointer data)
+{
+  directory_layout_clear (data);
+  g_free (data);
+}
+
+/* Returns the layout of DOMAIN, made once a tick. */
+static const directory_layout_t *
+layout_of (fleet_control_t *control, const char *domain)
+{
+  directory_layout_t *layout = g_hash_table_lookup (control->layouts, domain);
+  slot_count_t count = { domain, 0 };
+  if (layout != NULL)
+    return layout;
+  target_registry_foreach (&control->registry, count_slots, &count);
+  layout = g_new0 (directory_layout_t, 1);
+  entry_directory_layout (&control->directory, now_us (control), domain, count.slots, layout);
+  g_hash_table_insert (control->layouts, g_strdup (domain), layout);
+  return layout;
+}
+
 size_t
-fleet_control_resolve (const fleet_control_t *control, const char *domain,
-                       const directory_entry_t **out, size_t max)
+fleet_control_resolve (fleet_control_t *control, const char *domain, const directory_entry_t **out,
+                       size_t max)
 {
-  return entry_directory_resolve (&control->directory, now_us (control), domain, out, max);
+  return entry_directory_resolve (&control->directory, now_us (control), domain,
+                                  layout_of (control, domain), control->next_start++, out, max);
+}
+
+/* Writes the cell of the entry ID and the addresses of the cell's entries to VIEW. */
+static void
+describe_cell (const directory_layout_t *layout, const char *id, fleet_view_t *view)
+{
+  view->cells = layout->cells;
+  view->cell = layout->cells;
+  for (guint i = 0; i < layout->active->len; i++)
+    {
+      const directory_entry_t *entry = g_ptr_array_index (layout->active, i);
+      if (strcmp (entry->id, id) == 0)
+        view->cell = g_array_index (layout->cell_of, guint, i);
+    }
+  for (guint i = 0; i < layout->active->len; i++)
+    {
+      const directory_entry_t *entry = g_ptr_array_index (layout->active, i);
+      if (g_array_index (layout->cell_of, guint, i) == view->cell || layout->cells == 1)
+        g_ptr_array_add (view->peers, g_strdup (entry->peer_address));
+    }
 }
 
 static void
@@ -325,19 +381,15 @@
 static void
 send_view (fleet_control_t *control, const link_t *link)
 {
-  const directory_entry_t *active[MAX_PEERS];
   wire_writer_t writer;
   fleet_view_t view = {
     .current = replica_group_in_contact (&control->group) && !control->stopping,
     .control = g_ptr_array_new_with_free_func (g_free),
     .peers = g_ptr_array_new_with_free_func (g_free),
   };
-  size_t count = entry_directory_active (&control->directory, now_us (control), link->peer.domain,
-                                         active, MAX_PEERS);
+  describe_cell (layout_of (control, link->peer.domain), link->peer.id, &view);
   foreach_member (control, add_address, view.control);
   g_ptr_array_add (view.control, g_strdup (control->options.peer_listen));
-  for (size_t i = 0; i < count; i++)
-    g_ptr_array_add (view.peers, g_strdup (active[i]->peer_address));
   fleet_view_encode (&view, &writer);
   peer_network_reply_writer (&control->network, link->number, &writer);
   fleet_view_clear (&view);
@@ -406,7 +458,11 @@
   g_strlcpy (entry.caller_address, status.caller_address, sizeof (entry.caller_address));
   entry.state = status.state;
   entry.seen_us = now_us (control);
-  if (entry_directory_report (&control->directory, &entry))
+  entry.capacity = status.capacity;
+  bool changed = entry_directory_report (&control->directory, &entry);
+  if (changed)
+    g_hash_table_remove_all (control->layouts);
+  if (changed)
     LOG_INFO ("entry id=%s domain=%s address=%s state=%d incarnation=%" G_GUINT64_FORMAT, entry.id,
               entry.domain, entry.caller_address, (int)entry.state, entry.incarnation);
   if (status.feed)
@@ -526,6 +582,7 @@
   int64_t now = now_us (control);
   int64_t ticks = now / TICK_US;
 
+  g_hash_table_remove_all (control->layouts);
   if (control->group.started)
     {
       check_membership (control);
@@ -612,12 +669,14 @@
 fleet_control_init (fleet_control_t *control, const fleet_control_options_t *options)
 {
   directory_options_t directory_options = {
-    .active_per_domain = options->active_per_domain,
+    .least_active = options->least_active,
+    .slot_rate = options->slot_rate,
     .silence_us = ENTRY_SILENCE_US,
   };
   *control = (fleet_control_t){ .options = *options };
   control->member_name = g_strdup_printf ("%s/%s", options->peer_listen, options->call_address);
   control->subscribers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  control->layouts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_layout);
   control->renewed = g_array_new (FALSE, FALSE, sizeof (registry_target_t));
   target_registry_init (&control->registry);
   entry_directory_init (&control->directory, &directory_options);
@@ -638,6 +697,7 @@
   entry_directory_destroy (&control->directory);
   target_registry_destroy (&control->registry);
   g_clear_pointer (&control->subscribers, g_hash_table_unref);
+  g_clear_pointer (&control->layouts, g_hash_table_unref);
   g_clear_pointer (&control->renewed, g_array_unref);
   g_clear_pointer (&control->member_name, g_free);
 }
--- a/src/fleet_control.h
+++ b/src/fleet_control.h
@@ -23,13 +23,14 @@
   file_store_t *store;
   const char *instance;
   const char *domain;
-  const char *peer_listen;    /* "IP:PORT", also told to others */
-  const char *call_address;   /* of the operators' and targets' calls, for redirects */
-  const GPtrArray *seeds;     /* char *, peer addresses of instances */
-  bool found_group;           /* first start of the whole fleet: the seeds found the group */
-  size_t voters;              /* that the group should have */
-  unsigned active_per_domain; /* see entry_directory */
-  int64_t call_timeout_us;    /* for a command of the group */
+  const char *peer_listen;  /* "IP:PORT", also told to others */
+  const char *call_address; /* of the operators' and targets' calls, for redirects */
+  const GPtrArray *seeds;   /* char *, peer addresses of instances */
+  bool found_group;         /* first start of the whole fleet: the seeds found the group */
+  size_t voters;            /* that the group should have */
+  unsigned least_active;    /* see entry_directory */
+  double slot_rate;
+  int64_t call_timeout_us; /* for a command of the group */
 } fleet_control_options_t;
 
 typedef struct
@@ -42,6 +43,8 @@
   entry_directory_t directory;
   proposal_relay_t relay;
   GHashTable *subscribers; /* entry id -> subscriber_t */
+  GHashTable *layouts;     /* failure domain -> directory_layout_t, of this tick */
+  unsigned next_start;     /* see entry_directory_resolve() */
   GArray *renewed;         /* registry_target_t, to tell the other instances */
   char *member_name;
   raft_member_t joining; /* instance that asks to join; id 0: none */
@@ -85,5 +88,5 @@
                          char leader[LINK_ADDRESS_SIZE]);
 
 /* Stores the entries that callers in DOMAIN use and returns their number. */
-size_t fleet_control_resolve (const fleet_control_t *control, const char *domain,
+size_t fleet_control_resolve (fleet_control_t *control, const char *domain,
                               const directory_entry_t **out, size_t max);
--- a/src/fleet_control_tasks.c
+++ b/src/fleet_control_tasks.c
@@ -91,7 +91,8 @@
     .seeds = tasks.seeds,
     .found_group = fleet_options.found_group,
     .voters = 2 * (size_t)fleet_options.tolerated_failures + 1,
-    .active_per_domain = (unsigned)fleet_options.active_per_domain,
+    .least_active = (unsigned)fleet_options.least_active,
+    .slot_rate = fleet_options.slot_rate,
     .call_timeout_us = fleet_options.call_timeout_ms * US_PER_MS,
   };
   fleet_control_init (&tasks.control, &options);
@@ -229,6 +230,7 @@
   const program_t program = {
     .table = &fleet_control_option_table,
     .check = fleet_control_options_check,
+    .log_output = LOG_OUTPUT_STDOUT,
     .log_level = &fleet_options.log_level,
     .start = start,
     .terminate = terminate,
--- a/src/fleet_entry_tasks.c
+++ b/src/fleet_entry_tasks.c
@@ -123,6 +123,7 @@
     .rng = &tasks.rng,
     .domain = fleet_options.domain,
     .caller_address = fleet_options.listen,
+    .capacity = fleet_options_capacity (),
     .seeds = tasks.seeds,
     .retry_share = fleet_options.retry_share,
     .retry_minimum_rate = fleet_options.retry_rate,
@@ -323,6 +324,7 @@
   const program_t program = {
     .table = &fleet_entry_option_table,
     .check = fleet_entry_options_check,
+    .log_output = LOG_OUTPUT_STDOUT,
     .log_level = &fleet_options.log_level,
     .start = start,
     .terminate = terminate,
--- a/src/fleet_options.c
+++ b/src/fleet_options.c
@@ -8,6 +8,8 @@
 fleet_options_t fleet_options;
 
 #define MS_PER_DAY 86400000.0
+/* Part of the link and the processor that requests may take on average: bursts need the rest. */
+#define CAPACITY_SHARE 0.35
 
 #define COMMON_OPTIONS                                                                              \
   {                                                                                                 \
@@ -87,6 +89,14 @@
     "Most retries of a service in parts of its first attempts, at this instance" },
   { "retry-rate", OPTION_NUMBER, &fleet_options.retry_rate, "0.3", 0, 1000, NULL, false, "RATE",
     "Retries a second that a service may always have, at this instance" },
+  { "link-mbps", OPTION_NUMBER, &fleet_options.link_mbps, "1000", 0.1, 1000000, NULL, false,
+    "MBITS", "Bandwidth of the link of this instance, each way" },
+  { "cpu-share", OPTION_NUMBER, &fleet_options.cpu_share, "1", 0.001, 1024, NULL, false, "CORES",
+    "Processor time of this instance" },
+  { "request-bytes", OPTION_INTEGER, &fleet_options.request_bytes, "8000", 1, 1e9, NULL, false,
+    "BYTES", "Bytes that a request takes of the link each way, to estimate the capacity" },
+  { "request-cpu-us", OPTION_INTEGER, &fleet_options.request_cpu_us, "400", 1, 1e9, NULL, false,
+    "US", "Processor time that a request takes, to estimate the capacity" },
   { "default-latency-ms", OPTION_INTEGER, &fleet_options.default_latency_ms, "150", 1, MS_PER_DAY,
     NULL, false, "MS", "Expected time of a request of a kind that was never seen" },
   { 0 },
@@ -105,8 +115,10 @@
     "start" },
   { "tolerated-failures", OPTION_INTEGER, &fleet_options.tolerated_failures, "1", 0, 4, NULL, false,
     "COUNT", "Control instances that may be lost at once; the group has twice that and one" },
-  { "active-per-domain", OPTION_INTEGER, &fleet_options.active_per_domain, "2", 1, 64, NULL, false,
-    "COUNT", "Entries of a failure domain that callers are sent to" },
+  { "least-active", OPTION_INTEGER, &fleet_options.least_active, "2", 1, 64, NULL, false, "COUNT",
+    "Fewest entries of a failure domain that callers are sent to" },
+  { "slot-rate", OPTION_NUMBER, &fleet_options.slot_rate, "2.5", 0.001, 100000, NULL, false, "RATE",
+    "Requests a second that a slot of a target serves when it is busy half of the time" },
   { "resolve-ttl-ms", OPTION_INTEGER, &fleet_options.resolve_ttl_ms, "2000", 100, MS_PER_DAY, NULL,
     false, "MS", "Time for which callers may keep the addresses of entries" },
   { "call-timeout-ms", OPTION_INTEGER, &fleet_options.call_timeout_ms, "900", 1, MS_PER_DAY, NULL,
@@ -153,6 +165,14 @@
          && check_address ("directory-listen", fleet_options.directory_listen, err);
 }
 
+double
+fleet_options_capacity (void)
+{
+  double by_link = fleet_options.link_mbps * 1e6 / 8 / (double)fleet_options.request_bytes;
+  double by_cpu = fleet_options.cpu_share * 1e6 / (double)fleet_options.request_cpu_us;
+  return CAPACITY_SHARE * MIN (by_link, by_cpu);
+}
+
 GPtrArray *
 fleet_options_peer_addresses (const GPtrArray *calls)
 {
--- a/src/fleet_options.h
+++ b/src/fleet_options.h
@@ -23,6 +23,10 @@
   int64_t upstream_idle_ms;
   double retry_share;
   double retry_rate;
+  double link_mbps;
+  double cpu_share;
+  int64_t request_bytes;
+  int64_t request_cpu_us;
   int64_t default_latency_ms;
 
   /* control */
@@ -31,7 +35,8 @@
   char *data_dir;
   bool found_group;
   int64_t tolerated_failures;
-  int64_t active_per_domain;
+  int64_t least_active;
+  double slot_rate;
   int64_t resolve_ttl_ms;
   int64_t call_timeout_ms;
 } fleet_options_t;
@@ -43,6 +48,9 @@
 bool fleet_entry_options_check (anv_error_t *err);
 bool fleet_control_options_check (anv_error_t *err);
 
+/* Returns the requests per second that this entry can carry on average. */
+double fleet_options_capacity (void);
+
 /* Returns the peer addresses of the instances with the call addresses CALLS: the port for peers is
  * the same on all instances. */
 GPtrArray *fleet_options_peer_addresses (const GPtrArray *calls);
--- a/src/fleet_wire.c
+++ b/src/fleet_wire.c
@@ -3,8 +3,8 @@
 #include "deflate.h"
 #include "version_codec.h"
 
-#define STATUS_FIELDS 6
-#define VIEW_FIELDS 3
+#define STATUS_FIELDS 7
+#define VIEW_FIELDS 5
 #define CONFIG_FIELDS (VERSION_SEAL_FIELDS + 1)
 #define TARGET_FIELDS 11
 #define DEPARTURE_FIELDS 3
@@ -22,6 +22,7 @@
   wire_write_bool (writer, status->feed);
   wire_write_bool (writer, status->resync);
   wire_write_bool (writer, status->want_view);
+  wire_write_double (writer, status->capacity);
 }
 
 bool
@@ -33,6 +34,7 @@
   status->feed = wire_read_bool (reader);
   status->resync = wire_read_bool (reader);
   status->want_view = wire_read_bool (reader);
+  status->capacity = wire_read_double (reader);
   status->state = (entry_state_t)MIN (state, (uint64_t)ENTRY_LEAVING);
   return wire_reader_finish (reader, NULL);
 }
@@ -63,6 +65,8 @@
   wire_write_bool (writer, view->current);
   write_strings (writer, view->control);
   write_strings (writer, view->peers);
+  wire_write_uint (writer, view->cells);
+  wire_write_uint (writer, view->cell);
 }
 
 bool
@@ -71,6 +75,8 @@
   view->current = wire_read_bool (reader);
   view->control = read_strings (reader);
   view->peers = read_strings (reader);
+  view->cells = MAX ((unsigned)wire_read_uint (reader), 1);
+  view->cell = (unsigned)wire_read_uint (reader);
   return wire_reader_finish (reader, NULL);
 }
 
--- a/src/fleet_wire.h
+++ b/src/fleet_wire.h
@@ -9,7 +9,7 @@
  * STATUS    entry to control: what it is, its state, the version in force, and whether it takes
  *           the feed of this instance
  * VIEW      control to entry: whether the instance is in contact with the group, the other
- *           control instances, and the active entries of the entry's failure domain
+ *           control instances, and the active entries of the entry's cell
  * CONFIG    control to entry: a version in full
  * TARGETS   control to entry and to control: announcements, with their age
  * DEPARTED  control to entry: lives of targets that drain or have ended
@@ -27,13 +27,16 @@
   bool feed;        /* wants configurations and targets from this instance */
   bool resync;      /* has nothing of this instance's feed yet */
   bool want_view;   /* VIEW is to be sent */
+  double capacity;  /* see directory_entry_t */
 } fleet_status_t;
 
 typedef struct
 {
   bool current;       /* in contact with the leader of the group, or with a majority as leader */
   GPtrArray *control; /* char *, peer addresses of the members of the group */
-  GPtrArray *peers;   /* char *, peer addresses of active entries */
+  GPtrArray *peers;   /* char *, peer addresses of the active entries of the cell */
+  unsigned cells;     /* of the failure domain */
+  unsigned cell;      /* of the entry; CELLS if it is not active */
 } fleet_view_t;
 
 /* One target in a LOAD message. */
--- a/src/gateway_core.c
+++ b/src/gateway_core.c
@@ -91,6 +91,8 @@
   return service;
 }
 
+static void arm_tick (gateway_core_t *core);
+
 static void
 pump (gateway_core_t *core, gateway_service_t *service)
 {
@@ -118,6 +120,7 @@
   waiter->id = request->id;
   g_hash_table_insert (service->waiters, &waiter->id, waiter);
   balancer_submit (&service->balancer, gateway_core_now (core), request);
+  arm_tick (core);
   pump (core, service);
 }
 
@@ -143,6 +146,7 @@
   if (target == NULL)
     return;
   balancer_remove_target (&target->service->balancer, number);
+  io_loop_defer (core->options.loop, &core->recell);
   g_hash_table_remove (core->targets, &number);
 }
 
@@ -163,6 +167,76 @@
   drop_target (data, number_target (target));
 }
 
+static bool
+is_local (const gateway_core_t *core, const registry_target_t *target)
+{
+  return strcmp (target->domain, core->options.domain) == 0;
+}
+
+static gint
+compare_numbers (gconstpointer a, gconstpointer b)
+{
+  uint64_t x = *(const uint64_t *)a;
+  uint64_t y = *(const uint64_t *)b;
+  return x < y ? -1 : x > y;
+}
+
+/* Divides the targets of SERVICE in this failure domain among the cells. All entries do it alike:
+ * each target goes to its best cell that is not full. */
+static void
+divide_targets (gateway_core_t *core, gateway_service_t *service)
+{
+  unsigned cells = core->feed.cells;
+  bool whole = cells <= 1 || core->feed.cell >= cells;
+  g_autoptr (GArray) numbers = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  g_autofree guint *sizes = g_new0 (guint, MAX (cells, 1));
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, core->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const gateway_target_t *target = value;
+      const registry_target_t *known = target_registry_find (&core->registry, target->id);
+      if (target->service == service && known != NULL && is_local (core, known))
+        g_array_append_val (numbers, target->number);
+    }
+  g_array_sort (numbers, compare_numbers);
+  guint most = (numbers->len + MAX (cells, 1) - 1) / MAX (cells, 1);
+  for (guint i = 0; i < numbers->len; i++)
+    {
+      uint64_t number = g_array_index (numbers, uint64_t, i);
+      unsigned round = 0;
+      unsigned cell = directory_cell_choice (number, cells, round);
+      while (!whole && sizes[cell] >= most)
+        cell = directory_cell_choice (number, cells, ++round);
+      sizes[cell]++;
+      balancer_set_tier (&service->balancer, number,
+                         whole || cell == core->feed.cell ? BALANCER_CELL : BALANCER_DOMAIN);
+    }
+}
+
+static void
+on_recell (io_deferred_t *deferred)
+{
+  gateway_core_t *core = LIST_ENTRY (deferred, gateway_core_t, recell);
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, core->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      divide_targets (core, value);
+      pump (core, value);
+    }
+}
+
+static void
+on_cell (void *data)
+{
+  gateway_core_t *core = data;
+  io_loop_defer (core->options.loop, &core->recell);
+}
+
 static void
 use_target (gateway_core_t *core, const registry_target_t *target)
 {
@@ -170,7 +244,7 @@
   balancer_target_t setting = {
     .id = number_target (target),
     .slots = MAX (target->slots, 1),
-    .local = strcmp (target->domain, core->options.domain) == 0,
+    .tier = is_local (core, target) ? BALANCER_CELL : BALANCER_REMOTE,
     .warm_us = target->warm_us,
   };
   used->number = setting.id;
@@ -178,7 +252,7 @@
   g_strlcpy (used->id, target->id, sizeof (used->id));
   g_hash_table_replace (core->targets, &used->number, used);
   balancer_set_target (&used->service->balancer, gateway_core_now (core), &setting);
-  pump (core, used->service);
+  io_loop_defer (core->options.loop, &core->recell);
 }
 
 static void
@@ -370,6 +444,7 @@
       g_hash_table_insert (core->peers, &peer->number, peer);
     }
   peer->heard_us = now_us;
+  arm_tick (core);
   for (guint i = 0; i < loads->len; i++)
     {
       const fleet_load_t *load = &g_array_index (loads, fleet_load_t, i);
@@ -397,10 +472,21 @@
   return TRUE;
 }
 
+static void
+arm_tick (gateway_core_t *core)
+{
+  if (core->ticking)
+    return;
+  core->ticking = true;
+  io_timer_set (core->options.loop, &core->tick, gateway_core_now (core) + TICK_US);
+}
+
+/* Runs while requests are in flight, here or at other entries. */
 static void
 on_tick (io_timer_t *timer)
 {
   gateway_core_t *core = LIST_ENTRY (timer, gateway_core_t, tick);
+  bool busy = false;
   GHashTableIter iter;
   gpointer value = NULL;
   g_hash_table_foreach_remove (core->peers, is_peer_gone, core);
@@ -410,10 +496,13 @@
       gateway_service_t *service = value;
       if (balancer_busy (&service->balancer) == 0)
         continue;
+      busy = true;
       balancer_tick (&service->balancer, gateway_core_now (core));
       pump (core, service);
     }
-  io_timer_set (core->options.loop, timer, gateway_core_now (core) + TICK_US);
+  core->ticking = false;
+  if (busy || g_hash_table_size (core->peers) > 0)
+    arm_tick (core);
 }
 
 void
@@ -425,10 +514,12 @@
     .network = options->network,
     .domain = options->domain,
     .caller_address = options->caller_address,
+    .capacity = options->capacity,
     .seeds = options->seeds,
     .on_config = on_config,
     .on_targets = on_targets,
     .on_departures = on_departures,
+    .on_cell = on_cell,
     .data = core,
   };
   feed_client_init (&core->feed, &feed_options);
@@ -439,6 +530,7 @@
   core->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   io_timer_init (&core->tick, on_tick);
   io_deferred_init (&core->share, on_share);
+  io_deferred_init (&core->recell, on_recell);
   counter_register (options->counters, &core->version_in_force, COUNTER_KIND_GAUGE,
                     "anvillb_config_version", NULL, "Configuration version in force.");
   counter_register (options->counters, &core->targets_known, COUNTER_KIND_GAUGE, "anvillb_targets",
@@ -452,6 +544,7 @@
 {
   io_timer_cancel (&core->tick);
   io_deferred_cancel (&core->share);
+  io_deferred_cancel (&core->recell);
   feed_client_destroy (&core->feed);
   g_clear_pointer (&core->targets, g_hash_table_unref);
   g_clear_pointer (&core->services, g_hash_table_unref);
@@ -466,7 +559,6 @@
 gateway_core_start (gateway_core_t *core)
 {
   feed_client_start (&core->feed);
-  io_timer_set (core->options.loop, &core->tick, gateway_core_now (core) + TICK_US);
 }
 
 bool
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -41,6 +41,7 @@
   rng_t *rng;
   const char *domain;
   const char *caller_address;
+  double capacity; /* requests per second that this entry can carry */
   const GPtrArray *seeds;
   double retry_share;        /* of the first attempts, for this entry */
   double retry_minimum_rate; /* retries per second that are always allowed */
@@ -64,10 +65,12 @@
   uint64_t version;
   uint64_t next_request;
   bool leaving;
+  bool ticking;
   io_timer_t tick;
   io_deferred_t share;
   counter_t version_in_force;
   counter_t targets_known;
+  io_deferred_t recell;
   counter_t loads_sent;
 } gateway_core_t;
 
--- a/src/io_loop.c
+++ b/src/io_loop.c
@@ -17,7 +17,8 @@
   int batch_size;
   int batch_next;
   list_t deferred;
-  int64_t tick; /* last tick that was processed */
+  int64_t tick;      /* last tick that was processed */
+  int64_t wake_tick; /* the loop wakes by then; there is no timer in an earlier slot */
   list_t wheel[WHEEL_SLOTS];
 };
 
@@ -83,6 +84,20 @@
   loop->tick = MAX (loop->tick, current);
 }
 
+/* Sets the time of the next turn to the first slot that holds a timer. */
+static void
+schedule_wake (io_loop_t *loop)
+{
+  if (loop->wake_tick <= loop->tick)
+    {
+      loop->wake_tick = loop->tick + 1;
+      while (loop->wake_tick < loop->tick + WHEEL_SLOTS
+             && list_is_empty (&loop->wheel[loop->wake_tick % WHEEL_SLOTS]))
+        loop->wake_tick++;
+    }
+  g_source_set_ready_time (loop->source, loop->wake_tick * TICK_US);
+}
+
 static gboolean
 dispatch (GSource *base, GSourceFunc callback, gpointer data)
 {
@@ -94,7 +109,7 @@
   run_timers (loop);
   run_deferred (loop);
   loop->in_turn = false;
-  g_source_set_ready_time (base, (loop->tick + 1) * TICK_US);
+  schedule_wake (loop);
   return G_SOURCE_CONTINUE;
 }
 
@@ -185,10 +200,15 @@
 void
 io_timer_set (io_loop_t *loop, io_timer_t *timer, int64_t due_us)
 {
-  int64_t tick = (due_us + TICK_US - 1) / TICK_US;
+  int64_t tick = MAX ((due_us + TICK_US - 1) / TICK_US, loop->tick + 1);
   list_remove (&timer->node);
   timer->due_us = due_us;
-  list_push_back (&loop->wheel[MAX (tick, loop->tick + 1) % WHEEL_SLOTS], &timer->node);
+  list_push_back (&loop->wheel[tick % WHEEL_SLOTS], &timer->node);
+  if (tick >= loop->wake_tick)
+    return;
+  loop->wake_tick = tick;
+  if (!loop->in_turn)
+    schedule_wake (loop);
 }
 
 void
--- a/src/log.c
+++ b/src/log.c
@@ -1,5 +1,7 @@
 #include "log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -7,9 +9,16 @@
 #include <unistd.h>
 
 #define LINE_SIZE 2048
+/* Collected output that is written at once, and the most that is kept for a slow reader. */
+#define COLLECT_SIZE 4096
+#define MAX_COLLECT_SIZE 65536
 
 static const char *program_name = "anvillb";
 static log_level_t max_level = LOG_LEVEL_INFO;
+static log_output_t output = LOG_OUTPUT_STDERR;
+static char collected[MAX_COLLECT_SIZE];
+static size_t collected_size;
+static unsigned long dropped; /* lines since the last one that was written */
 
 static const struct
 {
@@ -41,6 +50,79 @@
   return false;
 }
 
+/* Returns the time of day with one-second resolution; formatting it is most of the cost of a line.
+ */
+static const char *
+format_second (time_t second)
+{
+  static time_t last = -1;
+  static char stamp[32];
+  struct tm utc;
+  if (second == last)
+    return stamp;
+  last = second;
+  gmtime_r (&second, &utc);
+  strftime (stamp, sizeof (stamp), "%Y-%m-%dT%H:%M:%S", &utc);
+  return stamp;
+}
+
+void
+log_set_output (log_output_t chosen)
+{
+  output = chosen;
+  if (chosen == LOG_OUTPUT_STDOUT)
+    fcntl (STDOUT_FILENO, F_SETFL, fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
+void
+log_flush (void)
+{
+  size_t start = 0;
+  while (start < collected_size)
+    {
+      ssize_t written = write (STDOUT_FILENO, collected + start, collected_size - start);
+      if (written < 0 && errno == EINTR)
+        continue;
+      if (written <= 0)
+        break;
+      start += (size_t)written;
+    }
+  memmove (collected, collected + start, collected_size - start);
+  collected_size -= start;
+}
+
+/* Returns whether a line of LEVEL is within the rate. */
+static bool
+is_admitted (log_level_t level, time_t second)
+{
+  static time_t current = -1;
+  static unsigned lines;
+  if (level <= LOG_LEVEL_NOTICE)
+    return true;
+  if (second != current)
+    {
+      current = second;
+      lines = 0;
+    }
+  return ++lines <= LOG_LINES_PER_S;
+}
+
+static void
+collect (log_level_t level, const char *line, size_t size)
+{
+  if (collected_size + size > sizeof (collected))
+    log_flush ();
+  if (collected_size + size > sizeof (collected))
+    {
+      dropped++;
+      return;
+    }
+  memcpy (collected + collected_size, line, size);
+  collected_size += size;
+  if (level <= LOG_LEVEL_NOTICE || collected_size > COLLECT_SIZE)
+    log_flush ();
+}
+
 void
 log_write (log_level_t level, const char *module, const char *fmt, ...)
 {
@@ -48,20 +130,32 @@
     return;
 
   struct timespec now;
-  struct tm utc;
-  char stamp[32];
-  clock_gettime (CLOCK_REALTIME, &now);
-  gmtime_r (&now.tv_sec, &utc);
-  strftime (stamp, sizeof (stamp), "%Y-%m-%dT%H:%M:%S", &utc);
-
   char message[LINE_SIZE];
+  char line[LINE_SIZE + 128];
+  clock_gettime (CLOCK_REALTIME, &now);
+  if (output == LOG_OUTPUT_STDOUT && !is_admitted (level, now.tv_sec))
+    {
+      dropped++;
+      return;
+    }
   va_list args;
   va_start (args, fmt);
   vsnprintf (message, sizeof (message), fmt, args);
   va_end (args);
-
-  fprintf (stderr, "<%d>%s.%03ldZ %s[%d] %s: %s\n", (int)level, stamp, now.tv_nsec / 1000000,
-           program_name, (int)getpid (), module, message);
+  if (dropped > 0)
+    {
+      unsigned long count = dropped;
+      dropped = 0;
+      log_write (LOG_LEVEL_WARNING, "log", "lines dropped count=%lu", count);
+    }
+  int size = snprintf (line, sizeof (line), "<%d>%s.%03ldZ %s[%d] %s: %s\n", (int)level,
+                       format_second (now.tv_sec), now.tv_nsec / 1000000, program_name,
+                       (int)getpid (), module, message);
+  size_t length = (size_t)size < sizeof (line) ? (size_t)size : sizeof (line) - 1;
+  if (output == LOG_OUTPUT_STDOUT)
+    collect (level, line, length);
+  else
+    fwrite (line, 1, length, stderr);
 }
 
 const char *
--- a/src/log.h
+++ b/src/log.h
@@ -2,7 +2,7 @@
 
 #include <stdbool.h>
 
-/* log - syslog-style lines on standard error.
+/* log - syslog-style lines on standard error, or on standard output without blocking.
  *
  * A line reads "<PRIORITY>TIMESTAMP PROGRAM[PID] MODULE: message key=value ...", where PRIORITY is
  * the number that syslog(3) gives the level. Define LOG_MODULE before including this header. Values
@@ -17,6 +17,22 @@
   LOG_LEVEL_DEBUG = 7,
 } log_level_t;
 
+/* Lines of the levels info and debug that are written in a second to standard output. */
+#define LOG_LINES_PER_S 400
+
+typedef enum
+{
+  LOG_OUTPUT_STDERR, /* each line at once */
+  /* Collected, and never blocking: lines that are above the rate, or that the reader does not take,
+   * are counted, and the count is written later. */
+  LOG_OUTPUT_STDOUT,
+} log_output_t;
+
+void log_set_output (log_output_t output);
+
+/* Writes what was collected, as far as the reader takes it. */
+void log_flush (void);
+
 /* Sets the program name and the least urgent level that is written. */
 void log_init (const char *program, log_level_t level);
 
--- a/src/program.c
+++ b/src/program.c
@@ -1,15 +1,16 @@
+#define LOG_MODULE "program"
 #include "program.h"
 
 #include <glib-unix.h>
 #include <signal.h>
 #include <sys/stat.h>
 
-#define LOG_MODULE "program"
-#include "log.h"
-
 #define EXIT_FAILED 1
 #define EXIT_SETTINGS 2
 
+/* Longest time for which a collected log line waits. */
+#define LOG_FLUSH_MS 500
+
 /* Period of the check of the settings file, for changes without a signal. */
 #define SETTINGS_CHECK_S 2
 
@@ -63,6 +64,13 @@
   return G_SOURCE_CONTINUE;
 }
 
+static gboolean
+on_log_timer (gpointer data)
+{
+  log_flush ();
+  return G_SOURCE_CONTINUE;
+}
+
 static void
 watch_settings (const program_t *program)
 {
@@ -88,6 +96,8 @@
       g_unix_signal_add (SIGTERM, on_terminate, (gpointer)program);
       g_unix_signal_add (SIGINT, on_terminate, (gpointer)program);
       watch_settings (program);
+      if (program->log_output == LOG_OUTPUT_STDOUT)
+        g_timeout_add (LOG_FLUSH_MS, on_log_timer, NULL);
       g_main_loop_run (main_loop);
       status = program->failed () ? EXIT_FAILED : 0;
     }
@@ -109,8 +119,10 @@
       return EXIT_SETTINGS;
     }
   log_init (name, LOG_LEVEL_ERROR + (log_level_t)*program->log_level);
+  log_set_output (program->log_output);
   signal (SIGPIPE, SIG_IGN);
   int status = result.check_only ? 0 : run (program);
+  log_flush ();
   option_free (program->table);
   return status;
 }
--- a/src/program.h
+++ b/src/program.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "log.h"
 #include "option.h"
 
 /* program - life of a daemon: settings, start, main loop, SIGTERM, stop. */
@@ -13,6 +14,7 @@
   const option_table_t *table;
   /* Checks what concerns several settings. Returns false with an error. */
   bool (*check) (anv_error_t *err);
+  log_output_t log_output;
   const int64_t *log_level; /* index in PROGRAM_LOG_LEVELS, set by the table */
   /* Starts everything and stores the main loop. */
   bool (*start) (GMainLoop **main_loop, anv_error_t *err);
