fleet: views of several cells can be read; tests of the fleet and the platform

Cause: fleet_view_decode read a field twice when there was more than one cell (MAX evaluates its argument twice), so entries of large domains threw every view away, without a line in the log: they never learnt their cell, nor that their feed had lost contact with the group. Ruled out: the group (it elected a leader in the majority within 0.5 s), lost reports, lost timers of io_loop.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -32,6 +32,14 @@
 #define REPORT_LIFE_US 400000
 #define MAX_PEERS 8
 
+/* A target that nobody uses is tried with requests that may be repeated: what is known of it ages,
+ * and its slots are needed when others fail. Per second without a dispatch. */
+#define IDLE_BONUS 0.06
+#define IDLE_MOST_US INT64_C (2000000)
+
+/* Weight of a refusal as evidence, in parts of that of a failure: nothing was lost by it. */
+#define REFUSAL_SHARE 0.6
+
 /* Change of the share that may leave the cell, when a target outside is busy or is not. */
 #define SPILL_BACKOFF 0.6
 #define SPILL_STEP 0.1
@@ -54,6 +62,7 @@
   double odds; /* at odds_us */
   int64_t odds_us;
   uint32_t in_flight; /* of this entry */
+  int64_t used_us;    /* last dispatch by this entry, or news of one by another */
   peer_flight_t peers[MAX_PEERS];
   uint32_t reported; /* requests of all entries, by the target itself */
   int64_t reported_us;
@@ -196,6 +205,7 @@
       target->id = setting->id;
       target->odds = PRIOR_ODDS;
       target->odds_us = now_us;
+      target->used_us = now_us;
       g_hash_table_insert (b->targets, &target->id, target);
     }
   target->setting = *setting;
@@ -226,6 +236,8 @@
   peer_flight_t *free_place = NULL;
   if (target == NULL)
     return;
+  if (share->in_flight > 0)
+    target->used_us = now_us;
   if (share->evidence != 0)
     add_evidence (target, now_us, share->evidence);
   for (size_t i = 0; i < MAX_PEERS; i++)
@@ -343,6 +355,8 @@
     cost += 1.0;
   if (now_us < target->setting.warm_us)
     cost += 0.08;
+  if (request->idempotent && target->setting.tier == BALANCER_CELL)
+    cost -= IDLE_BONUS * (double)MIN (now_us - target->used_us, IDLE_MOST_US) / G_USEC_PER_SEC;
   cost += 0.05 * busy / MAX (target->setting.slots, 1);
   return cost + 0.02 * rng_unit (&b->rng);
 }
@@ -465,7 +479,8 @@
   return false;
 }
 
-/* Returns the request to dispatch next. URGENT tells whether one of a lower rank waits behind it. */
+/* Returns the request to dispatch next. URGENT tells whether one of a lower rank waits behind it.
+ */
 static flight_t *
 choose_request (balancer_t *b, int64_t now_us, bool *urgent)
 {
@@ -516,6 +531,7 @@
   flight->target = target;
   flight->since_us = now_us;
   target->in_flight++;
+  target->used_us = now_us;
   target->share_due = true;
 }
 
@@ -557,6 +573,9 @@
     add_own_evidence (target, now_us, failure_ratio ());
   else if (outcome == BALANCER_REFUSED)
     {
+      /* With a slot that all entries of the cell think free, it is a fault rather than load. */
+      if (target->setting.tier == BALANCER_CELL)
+        add_own_evidence (target, now_us, REFUSAL_SHARE * failure_ratio ());
       balancer_reported (b, now_us, target->id, MAX (target->setting.slots, target->reported));
     }
   g_hash_table_remove (b->flights, &request_id);
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -68,7 +68,7 @@
   BALANCER_OK,
   BALANCER_FAILED,    /* error, reset, no connection or malformed answer */
   BALANCER_LATE,      /* given up after a multiple of the usual time */
-  BALANCER_REFUSED,   /* the target was full and did not run it */
+  BALANCER_REFUSED,   /* the target said that it is full and did not run it */
   BALANCER_ABANDONED, /* the caller left: no evidence */
 } balancer_outcome_t;
 
--- a/src/feed_client.c
+++ b/src/feed_client.c
@@ -235,7 +235,9 @@
 {
   fleet_view_t view = { .current = false };
   bool valid = fleet_view_decode (&view, reader);
-  if (valid)
+  if (!valid)
+    LOG_WARNING ("unreadable view peer=%s", link->peer.id);
+  else
     {
       feed_member_t *member = name_member (client, link->peer.address);
       g_strlcpy (member->domain, link->peer.domain, sizeof (member->domain));
--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -451,7 +451,10 @@
   fleet_status_t status;
   directory_entry_t entry = { .incarnation = link->peer.incarnation };
   if (!fleet_status_decode (&status, reader))
-    return;
+    {
+      LOG_WARNING ("unreadable status peer=%s", link->peer.id);
+      return;
+    }
   g_strlcpy (entry.id, link->peer.id, sizeof (entry.id));
   g_strlcpy (entry.domain, link->peer.domain, sizeof (entry.domain));
   g_strlcpy (entry.peer_address, link->peer.address, sizeof (entry.peer_address));
@@ -478,7 +481,10 @@
 {
   g_autoptr (GArray) targets = g_array_new (FALSE, TRUE, sizeof (registry_target_t));
   if (!fleet_targets_decode (targets, now_us (control), reader))
-    return;
+    {
+      LOG_WARNING ("unreadable targets");
+      return;
+    }
   for (guint i = 0; i < targets->len; i++)
     take_announcement (control, &g_array_index (targets, registry_target_t, i));
 }
--- a/src/fleet_wire.c
+++ b/src/fleet_wire.c
@@ -75,8 +75,9 @@
   view->current = wire_read_bool (reader);
   view->control = read_strings (reader);
   view->peers = read_strings (reader);
-  view->cells = MAX ((unsigned)wire_read_uint (reader), 1);
+  view->cells = (unsigned)wire_read_uint (reader);
   view->cell = (unsigned)wire_read_uint (reader);
+  view->cells = MAX (view->cells, 1);
   return wire_reader_finish (reader, NULL);
 }
 
--- a/src/io_loop.c
+++ b/src/io_loop.c
@@ -79,9 +79,12 @@
 {
   int64_t current = loop->now_us / TICK_US;
   int64_t first = MAX (loop->tick + 1, current - WHEEL_SLOTS + 1);
+  /* A timer that a callback arms for now goes into the slot after the current one. */
   for (int64_t tick = first; tick <= current; tick++)
-    run_slot (loop, &loop->wheel[tick % WHEEL_SLOTS]);
-  loop->tick = MAX (loop->tick, current);
+    {
+      loop->tick = tick;
+      run_slot (loop, &loop->wheel[tick % WHEEL_SLOTS]);
+    }
 }
 
 /* Sets the time of the next turn to the first slot that holds a timer. */
@@ -95,7 +98,9 @@
              && list_is_empty (&loop->wheel[loop->wake_tick % WHEEL_SLOTS]))
         loop->wake_tick++;
     }
-  g_source_set_ready_time (loop->source, loop->wake_tick * TICK_US);
+  /* Setting it wakes the main loop, also when it is the same. */
+  if (g_source_get_ready_time (loop->source) != loop->wake_tick * TICK_US)
+    g_source_set_ready_time (loop->source, loop->wake_tick * TICK_US);
 }
 
 static gboolean
--- a/tests/fleet/test_balancer.cc
+++ b/tests/fleet/test_balancer.cc
@@ -183,6 +183,44 @@
   EXPECT_EQ (shares->len, 1u);
 }
 
+// Guards against sound targets that get no requests for seconds, because others have answered more
+// recently, while requests fail elsewhere: all ten get some within two seconds at a third of the
+// load.
+TEST_F (Balancer, AllSoundTargetsAreUsed)
+{
+  for (uint64_t id = 1; id <= 10; id++)
+    target (id);
+  for (int64_t start = 2 * SECOND; start <= 8 * SECOND; start += 2 * SECOND)
+    {
+      std::map<uint64_t, int> counts;
+      for (int i = 0; i < 70; i++)
+        {
+          int64_t now = start + i * 2 * SECOND / 70;
+          uint64_t id = submit (now, 0, SECOND, 2 * SECOND, i % 3 == 0);
+          counts[placed (now)]++;
+          balancer_done (&b, now + 1, id, BALANCER_OK, 20 * MS);
+        }
+      EXPECT_EQ (counts.size (), 10u) << "from " << start;
+    }
+}
+
+// Guards against requests that keep coming to a target that refuses them although its slots are
+// free.
+TEST_F (Balancer, TargetThatRefusesIsAvoided)
+{
+  target (1, 10);
+  target (2, 10);
+  std::map<uint64_t, int> counts;
+  for (int i = 0; i < 40; i++)
+    {
+      uint64_t id = submit (i * 10 * MS, 0, SECOND, 2 * SECOND);
+      uint64_t at = placed (i * 10 * MS);
+      counts[at]++;
+      balancer_done (&b, i * 10 * MS, id, at == 1 ? BALANCER_REFUSED : BALANCER_OK, MS);
+    }
+  EXPECT_LE (counts[1], 4);
+}
+
 // Guards against a retry at the target that has just failed.
 TEST_F (Balancer, TriedTargetComesLast)
 {
@@ -424,10 +462,10 @@
               continue;
             }
           bool hangs = now >= 2 * SECOND && decision.target_id <= (uint64_t)faulty;
-          int64_t end = hangs ? arrival + SECOND
-                              : now + 50 * MS + (int64_t)rng_below (&rng, 100 * MS);
-          ends.insert ({ end, { decision.request_id, hangs ? BALANCER_LATE : BALANCER_OK, now,
-                                goal } });
+          int64_t end
+              = hangs ? arrival + SECOND : now + 50 * MS + (int64_t)rng_below (&rng, 100 * MS);
+          ends.insert (
+              { end, { decision.request_id, hangs ? BALANCER_LATE : BALANCER_OK, now, goal } });
         }
     }
   return result;
--- /dev/null
+++ b/tests/platform/stand_in.py
@@ -0,0 +1,269 @@
+"""Stand-ins for the users' platform: a target, an operator and a caller, and a fleet of the real programs.
+
+Every instance has an address of its own in 127.0.0.0/8, because the port for peers is the same on all of them.
+"""
+
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+import urllib.parse
+
+from fleet import free_ports, wait_until
+
+HOST = "host.example"
+WAIT_LIMIT_S = 30
+
+
+class Program:
+    """One running program with its settings in the environment."""
+
+    def __init__(self, fleet, name, program, settings):
+        self.fleet, self.name, self.program, self.popen = fleet, name, program, None
+        self.settings = settings
+        self.file = fleet.directory / f"{name}.settings"
+        self.write_settings()
+
+    def write_settings(self):
+        self.file.write_text("".join(f"ANVILLB_{key}={value}\n" for key, value in self.settings.items()))
+
+    def start(self):
+        with open(self.fleet.directory / f"{self.name}.log", "ab") as log:
+            environment = dict(os.environ, ANVILLB_SETTINGS_FILE=str(self.file))
+            self.popen = subprocess.Popen([str(self.program)], stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                          env=environment)
+        return self
+
+    def kill(self):
+        if self.popen and self.popen.poll() is None:
+            self.popen.kill()
+        if self.popen:
+            self.popen.wait()
+
+    def terminate(self, limit_s=WAIT_LIMIT_S):
+        """Stops the program as planned and returns its exit status."""
+        self.popen.send_signal(signal.SIGTERM)
+        return self.popen.wait(limit_s)
+
+    def log(self):
+        path = self.fleet.directory / f"{self.name}.log"
+        return path.read_text(errors="replace") if path.exists() else ""
+
+
+class Target:
+    """A target that announces itself and answers requests in the way of the platform."""
+
+    def __init__(self, fleet, number, service, zone="a", delay_s=0.0, identity=None, address=None):
+        self.fleet, self.service, self.zone, self.delay_s = fleet, service, zone, delay_s
+        self.identity = identity or f"i-{number:08x}"
+        self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
+        self.requests, self.mode = [], "good"
+        handler = type("Handler", (TargetHandler,), {"target": self})
+        self.server = TargetServer(address or ("127.0.0.1", 0), handler)
+        self.server.daemon_threads = True
+        self.address = "127.0.0.1:%d" % self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def heartbeat_body(self):
+        self.sequence += 1
+        return {"address": self.address, "born": self.born,
+                "info": {"service": self.service, "version": "v1", "zone": self.zone, "slots": 4},
+                "status": {"state": self.state, "sequence": self.sequence, "warmup_left_ms": 0}}
+
+    def beat(self, control=None):
+        return self.fleet.rpc("instances.heartbeat", self.heartbeat_body(), of=self.identity, control=control)[0]
+
+    def leave(self, control=None):
+        return self.fleet.rpc("instances.deregister", {"born": self.born}, of=self.identity, control=control)[0]
+
+
+class TargetServer(http.server.ThreadingHTTPServer):
+    def handle_error(self, request, client_address):
+        """An entry that gives a request up closes its connection."""
+
+
+class TargetHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    target = None
+
+    def answer(self, status, headers=(), body=b""):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def do(self):
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        expected = self.headers.get("Expected-Instance")
+        attempt = self.headers.get("Attempt-Id", "")
+        if expected and expected != self.target.identity:
+            self.answer(421, [("Instance-Id", self.target.identity)])
+            return
+        if self.target.mode == "full":
+            self.answer(503, [("Not-Executed", "1")])
+            return
+        self.target.requests.append((attempt, self.command, self.path, body,
+                                     int(self.headers.get("Deadline-Remaining-Ms", -1))))
+        if self.target.mode == "reset":
+            self.close_connection = True
+            self.connection.close()
+            return
+        time.sleep(self.target.delay_s)
+        signature = [] if self.target.mode == "unsigned" else [("Server-Signature", "s." + self.target.identity)]
+        if self.target.mode == "late":
+            self.wfile.write(b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Signature: x\r\nContent-Length: 5\r\n\r\nwrong")
+        status = 500 if self.target.mode == "errors" else 200
+        self.answer(status, [("Attempt-Id", attempt), ("Server-Load", "1,0,4")] + signature,
+                    ("answer to %s" % attempt).encode())
+
+    do_GET = do_POST = do
+
+    def log_message(self, *_):
+        pass
+
+
+class PlatformFleet:
+    """Control instances and entries with the adapter, and stand-ins around them."""
+
+    def __init__(self, build):
+        self.build = pathlib.Path(build) / "platform"
+        self.temporary = tempfile.TemporaryDirectory(prefix="anvillb-")
+        self.directory = pathlib.Path(self.temporary.name)
+        self.controls, self.entries, self.targets = [], [], []
+        self.ports = free_ports(4)
+        self.block = self.ports[0] // 200
+        self.attempts = 0
+        self.lock = threading.Lock()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for program in self.entries + self.controls:
+            program.kill()
+        for target in self.targets:
+            target.stop()
+        self.temporary.cleanup()
+
+    def processes(self):
+        return self.controls + self.entries
+
+    def ip(self, kind, number):
+        return f"127.{kind}.{self.block % 250 + 1}.{number + 1}"
+
+    def start(self, controls=3, entries=2):
+        seeds = ",".join(f"{self.ip(1, i)}:{self.ports[0]}" for i in range(controls))
+        for i in range(controls):
+            ip = self.ip(1, i)
+            self.controls.append(Program(self, f"control-{i}", self.build / "anvillb-fleet-control", {
+                "INSTANCE": f"control-{i}", "DOMAIN": "abc"[i % 3], "CALL_LISTEN": f"{ip}:{self.ports[0]}",
+                "DIRECTORY_LISTEN": f"{ip}:{self.ports[1]}", "PEER_LISTEN": f"{ip}:{self.ports[2]}", "SEED": seeds,
+                "DATA_DIR": self.directory / f"data-{i}", "FOUND_GROUP": "true", "CALL_TIMEOUT_MS": 5000}).start())
+        for i in range(entries):
+            ip = self.ip(2, i)
+            self.entries.append(Program(self, f"entry-{i}", self.build / "anvillb-fleet-entry", {
+                "INSTANCE": f"entry-{i}", "DOMAIN": "abc"[i % 3], "LISTEN": f"{ip}:{self.ports[0]}",
+                "READY_LISTEN": f"{ip}:{self.ports[1]}", "PEER_LISTEN": f"{ip}:{self.ports[2]}",
+                "METRICS_LISTEN": f"{ip}:{self.ports[3]}", "SEED": seeds, "GRACE_S": 4, "RETRY_SHARE": 1, "RETRY_RATE": 100,
+                "DEFAULT_LATENCY_MS": 1000}).start())
+
+    def add_target(self, service, **arguments):
+        target = Target(self, len(self.targets) + 1, service, **arguments)
+        self.targets.append(target)
+        return target
+
+    # Calls.
+
+    def call(self, ip, port, method, path, body=None, headers=None, timeout=10):
+        connection = http.client.HTTPConnection(ip, port, timeout=timeout)
+        try:
+            connection.request(method, path, body, headers or {})
+            answer = connection.getresponse()
+            return answer.status, dict(answer.getheaders()), answer.read()
+        finally:
+            connection.close()
+
+    def rpc(self, name, body=None, of=None, base=None, control=None):
+        """Calls a control instance and follows its redirects; returns status and decoded body."""
+        query = {"call": name, **({"of": of} if of else {})}
+        path = "/-/rpc?" + urllib.parse.urlencode(query)
+        headers = {"Content-Type": "application/json", **({"Base-Version": base} if base else {})}
+        text = body if isinstance(body, str) else json.dumps(body) if body is not None else None
+        ip, port = self.ip(1, control if control is not None else self.live_control()), self.ports[0]
+        for _ in range(3):
+            status, answer, raw = self.call(ip, port, "POST", path, text, headers)
+            if status != 307:
+                break
+            url = urllib.parse.urlsplit(answer["Location"])
+            ip, port, path = url.hostname, url.port, f"{url.path}?{url.query}"
+        return status, json.loads(raw) if raw else None
+
+    def live_control(self):
+        return next(i for i, program in enumerate(self.controls) if program.popen.poll() is None)
+
+    def put(self, version, base, routes, services, control=None):
+        body = {"version": version, "routes": routes, "services": services,
+                "limits": {"max_header_bytes": 16384, "max_body_bytes": 1048576, "header_timeout_ms": 3000,
+                           "idle_timeout_ms": 15000}}
+        return self.rpc("config.put", body, base=base, control=control)[0]
+
+    def patch(self, version, base, upsert=(), drop=(), control=None):
+        body = {"version": version, "upsert": {"routes": list(upsert)}, "drop": {"routes": list(drop)}}
+        return self.rpc("config.patch", body, base=base, control=control)[0]
+
+    def read(self, control=None):
+        return self.rpc("config.get", control=control)
+
+    def resolve(self, zone="a", control=None):
+        path = "/-/resolve?" + urllib.parse.urlencode({"name": HOST, "region": "r", "zone": zone})
+        ip = self.ip(1, control if control is not None else self.live_control())
+        status, _, raw = self.call(ip, self.ports[1], "GET", path)
+        return json.loads(raw)["addresses"] if status == 200 else []
+
+    def ready(self, entry):
+        return self.call(self.ip(2, entry), self.ports[1], "GET", "/-/ready")[0]
+
+    def request(self, path, method="GET", entry=0, deadline_ms=5000, body=None, host=HOST):
+        with self.lock:
+            self.attempts += 1
+            attempt = "%016x" % self.attempts
+        headers = {"Host": host, "Attempt-Id": attempt, "Deadline-Remaining-Ms": str(deadline_ms)}
+        status, answer, raw = self.call(self.ip(2, entry), self.ports[0], method, path, body, headers)
+        return attempt, status, answer, raw
+
+    def executions(self, attempt):
+        return sum(1 for target in self.targets for seen in target.requests if seen[0] == attempt)
+
+    def serve(self, targets=2):
+        """Starts everything and waits until both entries answer."""
+        self.start()
+        wait_until(lambda: self.put("00000001", "0", [route("safe", "s1"), route("unsafe", "s1")], [service("s1")]) == 200,
+                   "the first configuration")
+        for _ in range(targets):
+            target = self.add_target("s1")
+            wait_until(lambda: target.beat() == 200, "a heartbeat")
+        wait_until(lambda: all(self.ready(i) == 200 for i in range(len(self.entries))), "the entries are ready")
+        wait_until(lambda: all(self.request("/safe/x", entry=i)[1] == 200 for i in range(len(self.entries))),
+                   "the entries answer")
+
+
+def route(kind, service_name, name=None, **members):
+    name = name or kind
+    return {"name": f"r-{name}", "host": HOST, "path_prefix": f"/{name}/", "route_type": kind, "timeout_ms": 4000,
+            "latency_goal_ms": 2000, "priority": 1, "service": service_name, "max_attempts": 3, **members}
+
+
+def service(name):
+    return {"name": name, "health_path": "/health", "max_connections": 390, "protocol": "h1", "tls": False}
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -145,6 +145,9 @@
             process.kill()
         self.temporary.cleanup()
 
+    def processes(self):
+        return self.controls + self.entries + self.backends
+
     def use_tls(self):
         """Makes an authority and one certificate with the openssl command, for links."""
         run = lambda *arguments: subprocess.run(
