balancer: refuse when a request arrives, and give a request up only for a place

The policy now also asks for a free slot at a target that was not tried (balancer_has_place). - About 200 requests waited 0.8 s and more and were refused then, because later and more urgent ones went first. The estimate of the arrival now counts the rate of the more urgent ranks, and slots that late requests hold as taken; it must end shortly after the objective. - The budget denied retries far below the platform's share: each entry used a tenth. Tests: PlaceForARetryIsCertain, RetryMayTakeUntilItsLimit, PatientRequestIsRefusedAtOnceBehindAStreamOfUrgentOnes.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -13,6 +13,6 @@
 
 [ -d build ] || meson setup build >/dev/null
 meson compile -C build >/dev/null
-mapfile -t product < <(git ls-files 'src/*.c' 'tests/fakes/*.c')
+mapfile -t product < <(git ls-files 'src/*.c' 'platform/*.c' 'tests/fakes/*.c')
 printf '%s\n' "${product[@]}" | xargs -P "$(nproc)" -n 4 clang-tidy --quiet -p build 2>/dev/null
 echo "lint: ${#sources[@]} files formatted, ${#product[@]} files checked"
--- a/src/balancer.c
+++ b/src/balancer.c
@@ -16,9 +16,6 @@
 /* Time in which evidence loses 63% of its weight. Faults last some seconds. */
 #define MEMORY_US 3000000.0
 
-/* A target above this suspicion is used only where no better one has a free slot. */
-#define SUSPECT 0.3
-
 /* An answer is late after the mean time plus this many mean deviations. */
 #define LATE_DEVIATIONS 5.0
 #define LATE_LEAST_US 60000
@@ -45,6 +42,13 @@
 #define SPILL_STEP 0.1
 #define SPILL_LEAST 0.05
 
+/* Part of the time between objective and limit that a request may take by the estimate of its
+ * arrival. */
+#define PATIENCE 0.25
+
+/* Time over which the rate of arrivals is taken. */
+#define ARRIVAL_MEMORY_US 1000000.0
+
 /* Shortest wait that a refused caller is told. */
 #define LEAST_RETRY_US 50000
 
@@ -79,6 +83,13 @@
   bool sampled;
 } latency_t;
 
+typedef struct
+{
+  uint32_t rank;
+  double per_second; /* at time_us */
+  int64_t time_us;
+} arrival_t;
+
 /* A request that waits or is in flight. */
 typedef struct
 {
@@ -97,6 +108,7 @@
   b->targets = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   b->kinds = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   b->flights = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  b->arrivals = g_array_new (FALSE, FALSE, sizeof (arrival_t));
   list_init (&b->queue);
   b->spill = 1;
 }
@@ -107,6 +119,7 @@
   g_clear_pointer (&b->targets, g_hash_table_unref);
   g_clear_pointer (&b->kinds, g_hash_table_unref);
   g_clear_pointer (&b->flights, g_hash_table_unref);
+  g_clear_pointer (&b->arrivals, g_array_unref);
 }
 
 const char *
@@ -309,12 +322,52 @@
   return busy;
 }
 
+static double
+arrival_rate (const arrival_t *arrival, int64_t now_us)
+{
+  return arrival->per_second * exp (-(double)(now_us - arrival->time_us) / ARRIVAL_MEMORY_US);
+}
+
+static void
+note_arrival (balancer_t *b, int64_t now_us, uint32_t rank)
+{
+  arrival_t *known = NULL;
+  for (guint i = 0; i < b->arrivals->len && known == NULL; i++)
+    {
+      arrival_t *arrival = &g_array_index (b->arrivals, arrival_t, i);
+      known = arrival->rank == rank ? arrival : NULL;
+    }
+  if (known == NULL)
+    {
+      arrival_t fresh = { rank, 0, now_us };
+      g_array_append_val (b->arrivals, fresh);
+      known = &g_array_index (b->arrivals, arrival_t, b->arrivals->len - 1);
+    }
+  known->per_second = arrival_rate (known, now_us) + G_USEC_PER_SEC / ARRIVAL_MEMORY_US;
+  known->time_us = now_us;
+}
+
+/* Requests per second that are more urgent than RANK. */
+static double
+urgent_rate (const balancer_t *b, int64_t now_us, uint32_t rank)
+{
+  double rate = 0;
+  for (guint i = 0; i < b->arrivals->len; i++)
+    {
+      const arrival_t *arrival = &g_array_index (b->arrivals, arrival_t, i);
+      if (arrival->rank < rank)
+        rate += arrival_rate (arrival, now_us);
+    }
+  return rate;
+}
+
 void
 balancer_submit (balancer_t *b, int64_t now_us, const balancer_request_t *request)
 {
   flight_t *flight = g_new0 (flight_t, 1);
   flight->request = *request;
   flight->since_us = now_us;
+  note_arrival (b, now_us, request->rank);
   g_hash_table_insert (b->flights, &flight->request.id, flight);
   list_node_t *node = b->queue.head.prev;
   while (node != &b->queue.head && LIST_ENTRY (node, flight_t, node)->request.rank > request->rank)
@@ -391,14 +444,14 @@
 typedef struct
 {
   uint32_t targets;
-  uint32_t slots; /* of targets that are not suspect; of all if there is none */
+  uint32_t slots; /* of the cell, without those that a late request holds */
 } capacity_t;
 
 static capacity_t
 measure_capacity (balancer_t *b, int64_t now_us)
 {
   capacity_t capacity = { 0, 0 };
-  uint32_t all = 0;
+  uint32_t held = 0;
   GHashTableIter iter;
   gpointer value = NULL;
   g_hash_table_iter_init (&iter, b->targets);
@@ -408,14 +461,13 @@
       if (target->removed)
         continue;
       capacity.targets++;
-      if (target->setting.tier != BALANCER_CELL)
-        continue;
-      all += target->setting.slots;
-      if (suspicion_of (target, now_us) < SUSPECT)
+      if (target->setting.tier == BALANCER_CELL)
         capacity.slots += target->setting.slots;
     }
-  if (capacity.slots == 0)
-    capacity.slots = MAX (all, 1);
+  g_hash_table_iter_init (&iter, b->flights);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    held += ((const flight_t *)value)->counted_late;
+  capacity.slots = capacity.slots > held ? capacity.slots - held : 1;
   return capacity;
 }
 
@@ -469,11 +521,18 @@
   {
     flight_t *flight = LIST_ENTRY (node, flight_t, node);
     double own_us = find_latency (b, flight->request.kind)->mean_us;
-    int64_t wait_us = (int64_t)(before * per_request_us);
+    double urgent = urgent_rate (b, now_us, flight->request.rank) * per_request_us / G_USEC_PER_SEC;
+    double share = MAX (1 - urgent, 1.0 / BALANCER_LOW_SHARE);
+    int64_t wait_us = (int64_t)(before * per_request_us / share);
+    int64_t end_us = flight->request.limit_us;
+    if (flight->since_us == now_us && flight->request.tried_count == 0
+        && end_us > flight->request.goal_us)
+      end_us = flight->request.goal_us
+               + (int64_t)(PATIENCE * (double)(end_us - flight->request.goal_us));
     before += 1;
     if (capacity.targets == 0)
       return refuse (b, flight, now_us, BALANCER_REFUSE_NO_TARGET, G_USEC_PER_SEC / 2, out);
-    if (now_us + wait_us + (int64_t)own_us > flight->request.limit_us)
+    if (now_us + wait_us + (int64_t)own_us > end_us)
       return refuse (b, flight, now_us, BALANCER_REFUSE_NO_TIME, wait_us, out);
   }
   return false;
@@ -550,6 +609,13 @@
   return true;
 }
 
+bool
+balancer_has_place (balancer_t *b, int64_t now_us, const balancer_request_t *request)
+{
+  const target_t *target = b->queued == 0 ? choose_target (b, request, now_us) : NULL;
+  return target != NULL && !was_tried (request, target->id);
+}
+
 void
 balancer_done (balancer_t *b, int64_t now_us, uint64_t request_id, balancer_outcome_t outcome,
                int64_t latency_us)
@@ -567,9 +633,7 @@
       if (now_us >= target->setting.warm_us)
         sample_latency (b, flight->request.kind, latency_us);
     }
-  else if (outcome == BALANCER_FAILED)
-    add_own_evidence (target, now_us, failure_ratio ());
-  else if (outcome == BALANCER_LATE && !flight->counted_late)
+  else if (outcome == BALANCER_FAILED || (outcome == BALANCER_LATE && !flight->counted_late))
     add_own_evidence (target, now_us, failure_ratio ());
   else if (outcome == BALANCER_REFUSED)
     {
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -28,8 +28,10 @@
  * objective, in order of arrival, then the late ones. One dispatch in BALANCER_LOW_SHARE goes to a
  * lower rank, so that none starves.
  *
- * Refusal. A request is refused at once when the requests before it leave no time for it. One that
- * waits is refused as soon as that becomes certain because more urgent ones have come. */
+ * Refusal. A request is refused when it arrives if the requests before it, and the more urgent ones
+ * that keep coming, leave no time for it until shortly after its objective: under overload some
+ * have to be refused, and one that has waited was kept for nothing. One that waits is refused as
+ * soon as it cannot be answered any more. */
 
 #define BALANCER_LOW_SHARE 8
 /* Targets that a request remembers as tried. */
@@ -110,6 +112,7 @@
   GHashTable *targets; /* id -> target */
   GHashTable *kinds;   /* kind -> latency */
   GHashTable *flights; /* request id -> flight */
+  GArray *arrivals;    /* rate of each rank */
   list_t queue;        /* by rank, then by arrival */
   size_t queued;
   double spill; /* share of the requests without a free slot in the cell that may leave it */
@@ -134,6 +137,9 @@
 /* The target says that it runs and queues BUSY requests in total. */
 void balancer_reported (balancer_t *b, int64_t now_us, uint64_t id, uint32_t busy);
 
+/* Returns whether REQUEST would be dispatched at once to a target that it has not tried. */
+bool balancer_has_place (balancer_t *b, int64_t now_us, const balancer_request_t *request);
+
 /* Adds REQUEST to the queue; balancer_next() decides. */
 void balancer_submit (balancer_t *b, int64_t now_us, const balancer_request_t *request);
 
--- a/src/fleet_entry_tasks.c
+++ b/src/fleet_entry_tasks.c
@@ -18,6 +18,9 @@
 #define HEADER_TIMEOUT_US INT64_C (10000000)
 #define IDLE_TIMEOUT_US INT64_C (60000000)
 #define REPLAY_BYTES (256 * 1024)
+/* Part of the allowed share of retries that this entry uses: the minimum rates of all entries and
+ * the edges of the window need the rest. */
+#define RETRY_SHARE_USED 0.85
 #define DRAIN_CHECK_US INT64_C (50000)
 /* The process ends this long before it would be killed. */
 #define GRACE_MARGIN_US INT64_C (300000)
@@ -125,7 +128,7 @@
     .caller_address = fleet_options.listen,
     .capacity = fleet_options_capacity (),
     .seeds = tasks.seeds,
-    .retry_share = fleet_options.retry_share,
+    .retry_share = RETRY_SHARE_USED * fleet_options.retry_share,
     .retry_minimum_rate = fleet_options.retry_rate,
     .default_latency_us = fleet_options.default_latency_ms * US_PER_MS,
     .on_limits = on_limits,
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -378,11 +378,13 @@
   give_up (r, result);
 }
 
-/* A request is taken from a target only when another attempt is certain. */
+/* A request is taken from a target only when another one is certain to get it. */
 static bool
 late (request_policy_t *policy, proxy_request_t *request)
 {
-  return take_retry (proxy_request_data (request), true);
+  gateway_request_t *r = proxy_request_data (request);
+  return balancer_has_place (&r->service->balancer, now_us (r), &r->balanced)
+         && take_retry (r, true);
 }
 
 static void
--- a/tests/fleet/test_balancer.cc
+++ b/tests/fleet/test_balancer.cc
@@ -204,6 +204,53 @@
     }
 }
 
+// Guards against a request that is taken from a working target although no other one is free, or
+// only the ones that it has tried.
+TEST_F (Balancer, PlaceForARetryIsCertain)
+{
+  target (1, 1);
+  target (2, 1);
+  balancer_request_t request = {};
+  request.idempotent = true;
+  request.tried[0] = 1;
+  request.tried_count = 1;
+  EXPECT_TRUE (balancer_has_place (&b, 0, &request));
+  submit (0, 0, SECOND, 2 * SECOND, true, { 1 });
+  ASSERT_EQ (placed (0), 2u);
+  EXPECT_FALSE (balancer_has_place (&b, 0, &request));
+}
+
+// Guards against a retry that is refused because its objective has passed, when its target was
+// given up for it.
+TEST_F (Balancer, RetryMayTakeUntilItsLimit)
+{
+  target (1, 1);
+  submit (0);
+  ASSERT_EQ (placed (0), 1u);
+  submit (0, 0, 10 * MS, 300 * MS);
+  EXPECT_EQ (decide (0).at (0).verdict, BALANCER_REFUSE_NO_TIME);
+  submit (0, 0, 10 * MS, 300 * MS, true, { 2 });
+  EXPECT_TRUE (decide (0).empty ());
+}
+
+// Guards against patient requests that are kept although more urgent ones take all slots.
+TEST_F (Balancer, PatientRequestIsRefusedAtOnceBehindAStreamOfUrgentOnes)
+{
+  target (1, 1);
+  int64_t now = 0;
+  uint64_t running = 0;
+  for (int i = 0; i < 100; i++)
+    {
+      submit (now, 1, 10 * SECOND, 20 * SECOND);
+      if (running != 0)
+        balancer_done (&b, now, running, BALANCER_OK, 50 * MS);
+      running = decide (now).at (0).request_id;
+      now += 50 * MS;
+    }
+  submit (now, 2, 200 * MS, 600 * MS);
+  EXPECT_EQ (decide (now).at (0).verdict, BALANCER_REFUSE_NO_TIME);
+}
+
 // Guards against requests that keep coming to a target that refuses them although its slots are
 // free.
 TEST_F (Balancer, TargetThatRefusesIsAvoided)
--- a/tests/fleet/test_fleet_wire.cc
+++ b/tests/fleet/test_fleet_wire.cc
@@ -20,8 +20,8 @@
   open ()
   {
     anv_error_t err = {};
-    ASSERT_TRUE (wire_reader_init (&reader, (const uint8_t *)writer.buffer.data,
-                                   writer.buffer.size, &type, &err))
+    ASSERT_TRUE (wire_reader_init (&reader, (const uint8_t *)writer.buffer.data, writer.buffer.size,
+                                   &type, &err))
         << err.text;
   }
   ~decoded_t ()
@@ -32,8 +32,8 @@
 };
 }
 
-// Guards against a view that an entry cannot read: it would not learn that its feed has lost contact
-// with the group.
+// Guards against a view that an entry cannot read: it would not learn that its feed has lost
+// contact with the group.
 TEST (FleetWire, ViewIsReadAsItWasSent)
 {
   for (unsigned cells : { 1u, 2u, 9u })
--- a/tests/platform/test_platform_config.cc
+++ b/tests/platform/test_platform_config.cc
@@ -46,9 +46,8 @@
     platform_change_t change;
     anv_error_t err = {};
     std::string text = json (body);
-    bool valid = replace
-                     ? platform_read_config (text.data (), text.size (), base, &change, &err)
-                     : platform_read_patch (text.data (), text.size (), base, &change, &err);
+    bool valid = replace ? platform_read_config (text.data (), text.size (), base, &change, &err)
+                         : platform_read_patch (text.data (), text.size (), base, &change, &err);
     if (!valid)
       return std::string ("unreadable: ") + err.text;
     version_command_t command = {};
@@ -137,8 +136,8 @@
   cJSON_Delete (got);
 }
 
-// Guards against two changes on one version that are both accepted, against a change that is refused
-// when it is sent again, and against a number that does not rise.
+// Guards against two changes on one version that are both accepted, against a change that is
+// refused when it is sent again, and against a number that does not rise.
 TEST_F (PlatformConfig, OneOfTwoChangesOnAVersionWins)
 {
   const char *one = "{'version':'0000000d','upsert':{'services':[{'name':'u'}]}}";
@@ -186,16 +185,15 @@
 TEST_F (PlatformConfig, ReplacementIsRecordedAsAPatch)
 {
   ASSERT_EQ (send (CONFIG, "0", true, "a"), "accepted");
-  ASSERT_EQ (send ("{'version':'0000000d','routes':[],'services':[{'name':'t'}]}", "0000000c",
-                   true, "b"),
-             "accepted");
+  ASSERT_EQ (
+      send ("{'version':'0000000d','routes':[],'services':[{'name':'t'}]}", "0000000c", true, "b"),
+      "accepted");
   const version_record_t *record = version_store_record (store, 2);
   EXPECT_NE (strstr (record->patch, "\"r-b\":null"), nullptr) << record->patch;
   GBytes *saved = version_store_save (store);
   anv_error_t err = {};
-  version_store_t *restored
-      = version_store_restore ((const uint8_t *)g_bytes_get_data (saved, nullptr),
-                               g_bytes_get_size (saved), &err);
+  version_store_t *restored = version_store_restore (
+      (const uint8_t *)g_bytes_get_data (saved, nullptr), g_bytes_get_size (saved), &err);
   g_bytes_unref (saved);
   ASSERT_NE (restored, nullptr) << err.text;
   EXPECT_EQ (config_doc_label (version_store_doc (restored)), 13u);
@@ -227,9 +225,11 @@
        { std::string ("{"), "{" + info + "," + status + "}", "{" + address + "," + info + "}",
          "{'address':'nowhere'," + info + "," + status + "}",
          "{" + address + "," + info + ",'status':{'state':'up','sequence':4,'warmup_left_ms':0}}",
-         "{" + address + "," + info + ",'status':{'state':'ready','sequence':'4','warmup_left_ms':0}}",
+         "{" + address + "," + info
+             + ",'status':{'state':'ready','sequence':'4','warmup_left_ms':0}}",
          "{" + address + ",'info':{'service':5,'version':'v','zone':'z','slots':4}," + status + "}",
-         "{" + address + ",'info':{'service':'s','version':'v','zone':'z','slots':0}," + status + "}",
+         "{" + address + ",'info':{'service':'s','version':'v','zone':'z','slots':0}," + status
+             + "}",
          "{" + address + "," + info + "," + status + ",'born':1.5}",
          "{" + address + "," + info + "," + status + ",'born':'1'}" })
     EXPECT_FALSE (heartbeat (body, &target)) << body;
