balancer: a target that takes no connection pauses, and the request is not counted as sent

A target that is down has free slots at all times, so it was chosen whenever the others were busy, and the failed connection used up one of the route's attempts although nothing was sent. Ruled out: the budget (a failed connection takes nothing from it), a leader change, a late directory. Change: after a failed connection a target pauses for 0.25 s, doubled up to 2 s; the attempt is not counted. When all targets pause, requests are refused at once. Tests: UnreachableTargetPauses, AllTargetsDownIsRefusedAtOnce, scenario platform_requests with a dead target.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -42,6 +42,10 @@
 #define SPILL_STEP 0.1
 #define SPILL_LEAST 0.05
 
+/* Pause after a failed connection, which doubles with each one in a row. */
+#define DOWN_US INT64_C (250000)
+#define DOWN_DOUBLINGS 3
+
 /* Part of the time between objective and limit that a request may take by the estimate of its
  * arrival. */
 #define PATIENCE 0.25
@@ -65,8 +69,10 @@
   bool removed;
   double odds; /* at odds_us */
   int64_t odds_us;
-  uint32_t in_flight; /* of this entry */
-  int64_t used_us;    /* last dispatch by this entry, or news of one by another */
+  uint32_t in_flight;           /* of this entry */
+  int64_t down_until_us;        /* took no connection */
+  unsigned refused_connections; /* in a row */
+  int64_t used_us;              /* last dispatch by this entry, or news of one by another */
   peer_flight_t peers[MAX_PEERS];
   uint32_t reported; /* requests of all entries, by the target itself */
   int64_t reported_us;
@@ -428,7 +434,7 @@
     {
       target_t *target = value;
       uint32_t busy = busy_slots (target, now_us);
-      if (target->removed || busy >= target->setting.slots
+      if (target->removed || now_us < target->down_until_us || busy >= target->setting.slots
           || (!may_leave && target->setting.tier != BALANCER_CELL))
         continue;
       double cost = cost_of (b, target, request, now_us, busy);
@@ -458,7 +464,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const target_t *target = value;
-      if (target->removed)
+      if (target->removed || now_us < target->down_until_us)
         continue;
       capacity.targets++;
       if (target->setting.tier == BALANCER_CELL)
@@ -609,6 +615,14 @@
   return true;
 }
 
+static void
+note_unreachable (target_t *target, int64_t now_us)
+{
+  unsigned doublings = MIN (target->refused_connections, DOWN_DOUBLINGS);
+  target->refused_connections++;
+  target->down_until_us = now_us + (DOWN_US << doublings);
+}
+
 bool
 balancer_has_place (balancer_t *b, int64_t now_us, const balancer_request_t *request)
 {
@@ -626,6 +640,10 @@
   target_t *target = flight->target;
   target->in_flight--;
   target->share_due = true;
+  if (outcome == BALANCER_UNREACHABLE)
+    note_unreachable (target, now_us);
+  else
+    target->refused_connections = 0;
   if (outcome == BALANCER_OK)
     {
       add_own_evidence (target, now_us,
@@ -633,7 +651,8 @@
       if (now_us >= target->setting.warm_us)
         sample_latency (b, flight->request.kind, latency_us);
     }
-  else if (outcome == BALANCER_FAILED || (outcome == BALANCER_LATE && !flight->counted_late))
+  else if (outcome == BALANCER_FAILED || outcome == BALANCER_UNREACHABLE
+           || (outcome == BALANCER_LATE && !flight->counted_late))
     add_own_evidence (target, now_us, failure_ratio ());
   else if (outcome == BALANCER_REFUSED)
     {
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -17,7 +17,8 @@
  * a success lowers them, and without evidence they return to the prior within seconds, because gray
  * failures come and go: a target that was avoided is tried again by itself. A target never leaves
  * the choice altogether, so the floor of a service needs no separate rule: the least suspect target
- * with a free slot is always usable.
+ * with a free slot is always usable. The exception is a target that takes no connection: it is
+ * tried again after a pause that grows to two seconds, because its slots would always look free.
  *
  * Placement. A request goes to the target with a free slot that most likely answers. Targets of the
  * own cell come first. Others are used when it has no free slot, or nothing but suspect targets.
@@ -68,10 +69,11 @@
 typedef enum
 {
   BALANCER_OK,
-  BALANCER_FAILED,    /* error, reset, no connection or malformed answer */
-  BALANCER_LATE,      /* given up after a multiple of the usual time */
-  BALANCER_REFUSED,   /* the target said that it is full and did not run it */
-  BALANCER_ABANDONED, /* the caller left: no evidence */
+  BALANCER_FAILED,      /* error, reset or malformed answer */
+  BALANCER_UNREACHABLE, /* no connection: the request was not sent */
+  BALANCER_LATE,        /* given up after a multiple of the usual time */
+  BALANCER_REFUSED,     /* the target said that it is full and did not run it */
+  BALANCER_ABANDONED,   /* the caller left: no evidence */
 } balancer_outcome_t;
 
 typedef enum
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -307,6 +307,8 @@
       return result->status >= 500 ? BALANCER_FAILED : BALANCER_OK;
     case ATTEMPT_SHED:
       return BALANCER_REFUSED;
+    case ATTEMPT_CONNECT_FAILED:
+      return BALANCER_UNREACHABLE;
     case ATTEMPT_CALLER_GONE:
     case ATTEMPT_CALLER_ERROR:
     case ATTEMPT_CLOSED_REUSED: /* the target may have closed an idle connection */
@@ -359,6 +361,9 @@
     counter_observe_ms (&r->policy->latency, (double)result->duration_us / 1000);
   if (result->wrote_bytes && !refused)
     r->possibly_run = true;
+  /* A target that took no connection was not sent the request. */
+  if (result->end == ATTEMPT_CONNECT_FAILED && r->attempts > 0)
+    r->attempts--;
   r->state = GATEWAY_ENDED;
   balancer_outcome_t outcome = outcome_of (r, result);
   if (refused && dialect->wrong_target_status != 0
--- a/tests/fleet/test_balancer.cc
+++ b/tests/fleet/test_balancer.cc
@@ -204,6 +204,34 @@
     }
 }
 
+// Guards against requests that all go to a target that is down, because its slots always look free,
+// while the others are busy; and against one that is never tried again.
+TEST_F (Balancer, UnreachableTargetPauses)
+{
+  target (1, 1);
+  target (2, 1);
+  submit (0);
+  submit (0);
+  std::vector<balancer_decision_t> first = decide (0);
+  ASSERT_EQ (first.size (), 2u);
+  uint64_t down = first[0].target_id;
+  balancer_done (&b, 0, first[0].request_id, BALANCER_UNREACHABLE, 0);
+  submit (10 * MS, 0, 5 * SECOND, 9 * SECOND);
+  EXPECT_TRUE (decide (10 * MS).empty ());
+  EXPECT_EQ (placed (260 * MS), down);
+}
+
+// Guards against a wait for targets that are all down.
+TEST_F (Balancer, AllTargetsDownIsRefusedAtOnce)
+{
+  target (1, 1);
+  uint64_t id = submit (0);
+  decide (0);
+  balancer_done (&b, 0, id, BALANCER_UNREACHABLE, 0);
+  submit (MS);
+  EXPECT_EQ (decide (MS).at (0).verdict, BALANCER_REFUSE_NO_TARGET);
+}
+
 // Guards against a request that is taken from a working target although no other one is free, or
 // only the ones that it has tried.
 TEST_F (Balancer, PlaceForARetryIsCertain)
--- a/tests/platform/requests.py
+++ b/tests/platform/requests.py
@@ -31,6 +31,12 @@
     attempt, status, headers, _ = fleet.request("/unsafe/x", method="POST")
     say(f"all full: {status}, Retry-After given: {float(headers['Retry-After']) > 0}, run {fleet.executions(attempt)}")
     bad.mode = good.mode = "good"
+    gone = fleet.add_target("s1")
+    wait_until(lambda: gone.beat() == 200, "a heartbeat")
+    fleet.targets.remove(gone)
+    gone.stop()
+    statuses, _, _, _ = many("/unsafe/x", method="POST")
+    say(f"a target takes no connection: {statuses}")
     before = len(bad.requests)
     bad.identity = "i-other"
     statuses = set()
