feed_client: ask all instances when the feed is lost, and believe fresh views only

When the group was cut in two and leaderless for a moment, an entry left its feed and went to instances whose last view, up to five seconds old, said that they were in contact, one after the other. A silent feed in the own failure domain was not left at all while its link was open, because its old view still ranked it first. Ruled out: the departure (applied on the majority at once), the entry's link to the majority (open). Change: a view counts as contact for 1.2 s; when the feed is silent or says that it lost contact, all instances are asked at once.

--- a/src/feed_client.c
+++ b/src/feed_client.c
@@ -13,6 +13,8 @@
 #define FEED_SILENCE_US INT64_C (1200000)
 #define FEED_GRACE_US INT64_C (400000)
 #define VIEW_LIFE_US INT64_C (5000000)
+/* A view that is older says nothing about contact with the group. */
+#define VIEW_FRESH_US INT64_C (1200000)
 /* A member that neither the settings nor a view has named for this long is forgotten. */
 #define MEMBER_LIFE_US INT64_C (20000000)
 
@@ -46,6 +48,20 @@
   return member;
 }
 
+static bool
+is_fresh (const feed_client_t *client, const feed_member_t *member)
+{
+  return member->view_us != 0 && now_us (client) - member->view_us < VIEW_FRESH_US;
+}
+
+/* Returns whether the feed is silent or has lost contact with the group. */
+static bool
+is_feed_lost (const feed_client_t *client)
+{
+  const feed_member_t *feed = g_hash_table_lookup (client->members, client->feed);
+  return feed == NULL || !feed->current || !is_fresh (client, feed);
+}
+
 static void
 report_to (feed_client_t *client, const feed_member_t *member)
 {
@@ -56,7 +72,7 @@
     .feed = feed,
     .resync = feed && !client->synced,
     .capacity = client->options.capacity,
-    .want_view = feed || now_us (client) - member->view_us >= VIEW_LIFE_US,
+    .want_view = feed || is_feed_lost (client) || now_us (client) - member->view_us >= VIEW_LIFE_US,
   };
   wire_writer_t writer;
   g_strlcpy (status.caller_address, client->options.caller_address, sizeof (status.caller_address));
@@ -79,14 +95,15 @@
   client->report_us = now_us (client) + REPORT_US;
 }
 
-/* Rank as a feed: the own failure domain first, then instances that were in contact last. */
+/* Rank as a feed: instances that are in contact with the group first, then the own failure domain.
+ */
 static int
 rank (const feed_client_t *client, const feed_member_t *member)
 {
   int value = 0;
   if (strcmp (member->domain, client->options.domain) == 0)
     value += 2;
-  if (member->current)
+  if (member->current && is_fresh (client, member))
     value += 4;
   return value;
 }
@@ -160,7 +177,7 @@
   check_feed (client);
   if (now_us (client) >= client->report_us)
     {
-      bool searching = client->feed[0] == '\0' || !client->synced;
+      bool searching = !client->synced || is_feed_lost (client);
       report (client, client->reports++ % OTHERS_EVERY == 0 || searching);
       g_hash_table_foreach_remove (client->members, is_forgotten, client);
     }
@@ -241,12 +258,15 @@
     {
       feed_member_t *member = name_member (client, link->peer.address);
       g_strlcpy (member->domain, link->peer.domain, sizeof (member->domain));
+      bool lost = member->current && !view.current;
       if (member->current != view.current)
         LOG_INFO ("control instance address=%s current=%d", member->address, view.current);
       member->view_us = now_us (client);
       member->current = view.current;
       for (guint i = 0; i < view.control->len; i++)
         name_member (client, g_ptr_array_index (view.control, i));
+      if (lost && strcmp (member->address, client->feed) == 0)
+        report (client, true);
       if (strcmp (member->address, client->feed) == 0)
         {
           g_ptr_array_unref (client->peers);
--- a/src/feed_client.h
+++ b/src/feed_client.h
@@ -7,7 +7,9 @@
  *
  * It reports the entry to all of them and takes the feed of one, if possible in its own failure
  * domain. A feed that is silent, or that has lost contact with the group, is exchanged for another
- * one, which then sends everything again. Without any the entry goes on with what it has. */
+ * one, which then sends everything again. Whether the others are in contact is asked when the feed
+ * is lost, because what they said seconds ago may have been before the same partition. Without any
+ * the entry goes on with what it has. */
 
 typedef struct
 {
