tests: targets of the platform's scenarios repeat their heartbeats

Its log and the scenario show why: the target announced itself once, while the restarted control instance had no link to the others yet, and never again. Targets repeat their heartbeats every 1.5 s on the platform; the scenarios do so now while they wait for an entry. Ruled out: a lost departure, the feed (the entry had one), the registry (the other instances knew the target). The checks are unchanged.

--- a/tests/platform/configurations.py
+++ b/tests/platform/configurations.py
@@ -45,7 +45,8 @@
         wait_until(lambda: target.beat() == 200, "a heartbeat")
     status, config = wait_until(lambda: (answer := fleet.read())[0] == 200 and answer, "a leader")
     say(f"after all were killed: version {config['version']}, routes {sorted(item['name'] for item in config['routes'])}")
-    wait_until(lambda: fleet.request("/split/x")[1] == 200, "the restarted entry serves")
+    wait_until(lambda: all(target.beat() == 200 for target in fleet.targets) and fleet.request("/split/x")[1] == 200,
+               "the restarted entry serves")
     say(f"the restarted entry on the removed route: {fleet.request('/added/x')[1]}")
 
 
--- a/tests/platform/departures.py
+++ b/tests/platform/departures.py
@@ -34,11 +34,12 @@
     fleet.controls[others[0]].kill()
     wait_until(lambda: fleet.read(control=leader)[0] == 200, "the replacement counts for the majority")
     fleet.controls[others[0]].start()
-    wait_until(lambda: third.beat(control=leader) == 200, "a heartbeat")
     for entry in fleet.entries:
         entry.kill()
         entry.start()
-    wait_until(lambda: all(fleet.request("/safe/x", entry=i)[1] == 200 for i in range(2)), "the restarted entries answer")
+    # A target repeats its heartbeats; a control instance that has just started missed the earlier ones.
+    wait_until(lambda: third.beat(control=leader) == 200 and
+               all(fleet.request("/safe/x", entry=i)[1] == 200 for i in range(2)), "the restarted entries answer")
     second.beat(control=leader)
     time.sleep(DRAIN_S)
     say(f"requests at the target that has gone: {served_by(fleet, second)}")
