tests: platform_departures waits until the exchange of members is committed

Cause: 1 of 5 parallel runs failed: "the replacement counts for the majority" not within 30 s. Ruled out: the exchange itself (committed within milliseconds when the leader lives). Change: the scenario waits for a later departure to be acknowledged; the log is committed in order. The checks are unchanged.

--- a/tests/platform/departures.py
+++ b/tests/platform/departures.py
@@ -31,6 +31,9 @@
     wait_until(lambda: any("learner becomes voter" in program.log() for program in fleet.controls if "role=leader" in
                            program.log() and program is not lost), "the lost member is replaced")
     others = [i for i in range(3) if i != leader]
+    # The log is committed in order, so with this departure the new member's vote is committed as well.
+    wait_until(lambda: fleet.rpc("instances.deregister", {"born": 1}, of="i-marker", control=others[0])[0] == 200,
+               "the exchange of members is committed")
     fleet.controls[others[0]].kill()
     wait_until(lambda: fleet.read(control=leader)[0] == 200, "the replacement counts for the majority")
     fleet.controls[others[0]].start()
