fleet_control: a departure of an unknown target covers every life up to now

Ruled out: a feed that was silent or behind (the entry had its feed all the time and took over the target as new), the order of the log (all three members had the departure within 60 ms).

Change: without a start in the call and without a known target, the departure covers every life that began before the call, by the wall clock of the instance.

--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -7,6 +7,7 @@
 #include "log.h"
 #include "raft_wire.h"
 
+#define US_PER_MS 1000
 #define MAX_LINKS 8192
 #define TICK_US INT64_C (100000)
 /* Renewed announcements are passed on together. */
@@ -233,13 +234,22 @@
   done (data, true);
 }
 
+/* Start of the last life of ID that can have ended by now. An instance that was cut off may not
+ * know the target: then every life that began before this call is meant, so that an announcement
+ * that was held up does not bring it back. */
+static int64_t
+last_life (const fleet_control_t *control, const char *id)
+{
+  const registry_target_t *target = target_registry_find (&control->registry, id);
+  return target != NULL ? target->born_ms : g_get_real_time () / US_PER_MS;
+}
+
 void
 fleet_control_depart (fleet_control_t *control, const char *id, int64_t born_ms, fleet_done_t done,
                       void *data)
 {
-  const registry_target_t *target = target_registry_find (&control->registry, id);
-  if (born_ms == 0 && target != NULL)
-    born_ms = target->born_ms;
+  if (born_ms == 0)
+    born_ms = last_life (control, id);
   record_departure (control, id, born_ms, REGISTRY_GONE, done, data);
 }
 
--- a/src/fleet_control.h
+++ b/src/fleet_control.h
@@ -72,7 +72,8 @@
 void fleet_control_announce (fleet_control_t *control, const registry_target_t *target,
                              fleet_done_t done, void *data);
 
-/* Records that the life of ID that started at BORN_MS (0: the one that is known) has ended. */
+/* Records that the life of ID that started at BORN_MS has ended. 0: the one that is known here, or
+ * every life up to now if none is. */
 void fleet_control_depart (fleet_control_t *control, const char *id, int64_t born_ms,
                            fleet_done_t done, void *data);
 
--- a/tests/platform/departures.py
+++ b/tests/platform/departures.py
@@ -1,5 +1,5 @@
 """Guards against new work for a target after its departure was acknowledged: also when the leader dies, when a control
-instance loses its disk, and when an older heartbeat arrives late."""
+instance loses its disk, and when an older heartbeat arrives late, be it of a target that was not known before."""
 
 import shutil
 import time
@@ -51,6 +51,12 @@
     say(f"the same target started again: {second.beat(control=leader)}")
     wait_until(lambda: served_by(fleet, second) > 0, "the new life gets requests")
     say("it gets requests: True")
+    stray = fleet.add_target("s1")
+    late = stray.heartbeat_body()
+    say(f"gone acknowledged where nobody knew the target: {fleet.rpc('instances.deregister', of=stray.identity, control=leader)[0]}")
+    say(f"its heartbeat arrives later: {fleet.rpc('instances.heartbeat', late, of=stray.identity, control=leader)[0]}")
+    time.sleep(DRAIN_S)
+    say(f"requests at it: {served_by(fleet, stray)}")
     say(f"unreadable heartbeat: {fleet.rpc('instances.heartbeat', {'address': 5}, of='i-x', control=leader)[0]}, "
         f"unknown state: {unknown_state(fleet, third, leader)}")
 
