idle_limit: requests that run once avoid connections that were idle for long; balancer: idle targets are tried more

Ruled out: a lack of idle targets that were due (they were held back by their suspicion).

Change: each reset right after the reuse of an idle connection lowers the idle time that a request which may run only once accepts, for 10 s. Idle targets are tried from 1.5 s on, by every second patient request, up to a suspicion of 0.8.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -16,11 +16,12 @@
 
 /* A target that nobody has used for this long is tried: what is known of it has aged, and its slots
  * are needed when others fail. At most one request in EXPLORE_EVERY of those that may be repeated
- * and are the most patient goes there, and none if the target probably has a fault. */
-#define EXPLORE_IDLE_US INT64_C (1400000)
+ * and are the most patient goes there, and none while the target very likely has a fault. The floor
+ * of the platform asks for requests at 0.7 of the sound targets within 2 s, and a target counts as
+ * sound 2 s after a failure of its own. */
+#define EXPLORE_IDLE_US INT64_C (1500000)
 #define EXPLORE_EVERY 2
-/* Most suspicion of such a target, in parts of that of an unknown one. */
-#define EXPLORE_SUSPICION 1.25
+#define EXPLORE_MOST_FAULT 0.8
 /* A rank without a request for this long does not count as the most patient one. */
 #define RANK_MEMORY_US INT64_C (2000000)
 
@@ -444,8 +445,7 @@
     {
       target_t *target = value;
       if (target->setting.tier != BALANCER_CELL || now_us - target->used_us < EXPLORE_IDLE_US
-          || !has_room (target, now_us)
-          || suspicion_of (b, target, now_us) > EXPLORE_SUSPICION * b->prior.share)
+          || !has_room (target, now_us) || suspicion_of (b, target, now_us) > EXPLORE_MOST_FAULT)
         continue;
       if (longest == NULL || target->used_us < longest->used_us)
         longest = target;
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -115,6 +115,7 @@
     .keep_body = !last,
     .end_on_stall = may_repeat,
     .fresh = r->fresh,
+    .once = !r->route->idempotent,
     .extra_headers = &extra,
   };
   r->attempts++;
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -366,6 +366,7 @@
   request->exchange.ends_on_stall = dispatch->end_on_stall;
   request->exchange.head_request = request->head_method;
   request->exchange.fresh = dispatch->fresh;
+  request->exchange.once = dispatch->once;
   upstream_pool_acquire (options->pool, attempt->address, dispatch->max_connections,
                          &request->exchange);
 }
--- a/src/request_policy.h
+++ b/src/request_policy.h
@@ -42,6 +42,7 @@
   int64_t stall_us;      /* see upstream_exchange_t; 0 disables the check */
   bool keep_body;        /* for another attempt; without it a body is sent as it comes */
   bool end_on_stall;     /* end the attempt on a silent connection */
+  bool once;             /* must not be lost on a connection that its peer has dropped */
   bool fresh;            /* use a new connection: the last one may be silent */
   bool target_is_entry;  /* pass on Anvillb-Not-Run and Anvillb-Outcome of the response */
   size_t max_body_bytes; /* a longer request body is refused with 413; 0 for no limit */
--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -64,6 +64,7 @@
   conn->paused = false;
   conn->skipping = false;
   note_progress (conn);
+  conn->started_us = conn->last_progress_us;
   arm_stall_check (conn);
   if (conn->exchange->head_request)
     http_codec_expect_no_body (&conn->codec);
@@ -127,7 +128,8 @@
 {
   io_loop_t *loop = conn->pool->options.loop;
   conn->state = UPSTREAM_IDLE;
-  io_timer_set (loop, &conn->timer, io_loop_now_us (loop) + conn->pool->options.idle_timeout_us);
+  conn->idle_since_us = io_loop_now_us (loop);
+  io_timer_set (loop, &conn->timer, conn->idle_since_us + conn->pool->options.idle_timeout_us);
   upstream_pool_conn_idle (conn);
 }
 
@@ -221,6 +223,20 @@
     }
 }
 
+/* A reused connection was closed before any byte of the response. */
+static void
+note_reset (const upstream_conn_t *conn)
+{
+  int64_t now_us = io_loop_now_us (conn->pool->options.loop);
+  int64_t idle_us = conn->started_us - conn->idle_since_us;
+  int64_t elapsed_us = now_us - conn->started_us;
+  if (idle_limit_reset (&conn->pool->idle_limit, now_us, idle_us, elapsed_us))
+    LOG_NOTICE ("idle connections are dropped target=%s idle_ms=%" G_GINT64_FORMAT
+                " elapsed_ms=%" G_GINT64_FORMAT " limit_ms=%" G_GINT64_FORMAT,
+                conn->target->address, idle_us / 1000, elapsed_us / 1000,
+                idle_limit_get (&conn->pool->idle_limit, now_us) / 1000);
+}
+
 static void
 handle_end (upstream_conn_t *conn, bool clean)
 {
@@ -229,7 +245,11 @@
   if (conn->state != UPSTREAM_BUSY)
     upstream_conn_close (conn);
   else if (!conn->got_bytes || conn->skipping)
-    fail_exchange (conn, UPSTREAM_CLOSED, "closed before the response");
+    {
+      if (conn->exchange->reused && !conn->got_bytes)
+        note_reset (conn);
+      fail_exchange (conn, UPSTREAM_CLOSED, "closed before the response");
+    }
   else if (clean && http_codec_end_of_input (&conn->codec, &err) == HTTP_EVENT_COMPLETE)
     finish_exchange (conn, false);
   else
--- a/src/upstream_conn.h
+++ b/src/upstream_conn.h
@@ -50,6 +50,7 @@
   bool ends_on_stall;    /* false: a stall is only noted in stalled */
   bool head_request;
   bool fresh;        /* set by the user: do not reuse an idle connection if a new one is allowed */
+  bool once;         /* set by the user: must not be lost; see idle_limit.h */
   bool request_sent; /* set by the user after the last write */
   bool stalled;
   bool reused; /* the connection had carried another exchange */
@@ -75,6 +76,8 @@
   io_timer_t timer; /* connect time limit, stall check or idle time limit */
   io_deferred_t free;
   int64_t created_us;
+  int64_t idle_since_us; /* end of the last exchange */
+  int64_t started_us;    /* start of the present exchange */
   int64_t last_progress_us;
   bool got_bytes; /* a byte of the current response has arrived */
   bool paused;
--- a/src/upstream_pool.c
+++ b/src/upstream_pool.c
@@ -53,6 +53,7 @@
   pool->opened = 0;
   pool->reused = 0;
   pool->stalls = 0;
+  idle_limit_init (&pool->idle_limit);
 }
 
 static void
@@ -117,6 +118,19 @@
     }
 }
 
+/* Returns whether EXCHANGE must not use the connection that was used last: it may have been dropped
+ * by its peer, and those that were used earlier as well. */
+static bool
+is_idle_too_long (const upstream_target_t *target, const upstream_exchange_t *exchange)
+{
+  list_node_t *idle = list_first (&target->idle);
+  if (!exchange->once || idle == NULL)
+    return false;
+  int64_t now_us = io_loop_now_us (target->pool->options.loop);
+  int64_t idle_us = now_us - LIST_ENTRY (idle, upstream_conn_t, node)->idle_since_us;
+  return idle_us > idle_limit_get (&target->pool->idle_limit, now_us);
+}
+
 void
 upstream_pool_acquire (upstream_pool_t *pool, const char *address, int max_connections,
                        upstream_exchange_t *exchange)
@@ -128,7 +142,7 @@
   exchange->stalled = false;
   exchange->reused = false;
   exchange->request_sent = false;
-  if (exchange->fresh)
+  if (exchange->fresh || is_idle_too_long (target, exchange))
     {
       /* Idle connections may be silent too. Without room for a new one, the oldest makes room. */
       list_node_t *oldest = list_is_empty (&target->idle) ? NULL : target->idle.head.prev;
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "idle_limit.h"
 #include "upstream_conn.h"
 
 /* upstream_pool - connections to backend servers, at most a given number for each target.
@@ -40,6 +41,7 @@
   uint64_t opened;     /* connections started since the start of the process */
   uint64_t reused;     /* exchanges on a connection that had carried another one */
   uint64_t stalls;
+  idle_limit_t idle_limit;
   char buffer[UPSTREAM_READ_SIZE];
 };
 
--- a/tests/http/test_proxy_flow.cc
+++ b/tests/http/test_proxy_flow.cc
@@ -396,3 +396,30 @@
   busy->shut ();
   EXPECT_TRUE (until ([&] { return caller_listener_open (&listener) == 0; }));
 }
+
+// Guards against a request that may run only once and is lost on a connection that its peer has
+// dropped while it was idle. Others may use it: they are sent again.
+TEST_F (Proxy, RequestThatRunsOnceAvoidsIdleConnections)
+{
+  auto idle = [&] {
+    int64_t later_us = g_get_monotonic_time () + 100000;
+    ASSERT_TRUE (until ([&] { return g_get_monotonic_time () > later_us; }));
+  };
+  peer_ptr caller = call (GET_A);
+  served (0, "\r\n\r\n")->say (OK_AB);
+  ASSERT_TRUE (until_received (caller, "\r\n\r\nab"));
+  idle_limit_reset (&pool->idle_limit, g_get_monotonic_time (), 50000, 0);
+  idle ();
+  caller->in.clear ();
+  caller->say (GET_A);
+  ASSERT_TRUE (until ([&] { return server.peers[0]->count ("\r\n\r\n") == 2; }));
+  server.peers[0]->say (OK_AB);
+  ASSERT_TRUE (until_received (caller, "\r\n\r\nab"));
+  idle ();
+  policy.dispatch.once = true;
+  caller->in.clear ();
+  caller->say (GET_A);
+  served (1, "\r\n\r\n")->say (OK_AB);
+  ASSERT_TRUE (until_received (caller, "\r\n\r\nab"));
+  EXPECT_EQ (server.peers[0]->count ("\r\n\r\n"), 2u);
+}
