--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -119,6 +119,9 @@
         self.target.times.append(time.monotonic())
         self.target.requests.append((attempt, self.command, self.path, body,
                                      int(self.headers.get("Deadline-Remaining-Ms", -1))))
+        if self.target.mode == "refuses after the run":
+            self.answer(503, [("Not-Executed", "1")])
+            return
         if self.target.mode == "reset":
             self.close_connection = True
             self.connection.close()
