Entry: obey targets that announce their departure or ask for a pause in answers

The platform's targets now say in each answer that they leave, and a target that refuses with 503 may say for how long it wants nothing from this process. The entry ignored both: after such an answer the target got requests until its departure was acknowledged, and a paused one at once.

The request policy gets the head of every response, also of those that are not passed on. A response that carries the id of the request and can come from the target ends the incarnation at this entry and, by a DEPARTED message, at the other entries of the cell. It isn't proposed to the control group: what the group records stays a call of the target itself. A pause is kept by the balancer, is at most 60 s long, and counts like an unreachable target for placement, exploration and capacity. With all targets paused a request is refused at once, with the end of the first pause as Retry-After.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -162,6 +162,15 @@
   free_if_unused (b, target);
 }
 
+void
+balancer_pause_target (balancer_t *b, int64_t now_us, uint64_t id, int64_t pause_us)
+{
+  tracked_target_t *target = g_hash_table_lookup (b->targets, &id);
+  if (target != NULL)
+    target->paused_until_us
+        = MAX (target->paused_until_us, now_us + CLAMP (pause_us, 0, BALANCER_MAX_PAUSE_US));
+}
+
 void
 balancer_apply_load_report (balancer_t *b, int64_t now_us, uint64_t peer,
                             const balancer_load_report_t *report)
@@ -245,9 +254,16 @@
 }
 
 bool
-balancer_has_free_slot (const tracked_target_t *target, int64_t now_us)
+balancer_is_available (const tracked_target_t *target, int64_t now_us)
 {
   return !target->removed && now_us >= target->unreachable_until_us
+         && now_us >= target->paused_until_us;
+}
+
+bool
+balancer_has_free_slot (const tracked_target_t *target, int64_t now_us)
+{
+  return balancer_is_available (target, now_us)
          && balancer_busy_slots (target, now_us) < target->setting.slots;
 }
 
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -20,8 +20,9 @@
  * suspicion returns to the prior with time, and an avoided target is tried again without a probe.
  * No target is excluded because of its suspicion. The least suspect target with a free slot can
  * always be used, so the floor of a service, the number of slots that must stay in service, needs
- * no rule here. The exception is a target that accepts no connection. Its slots would always look
- * free, so it is left out for a pause that grows to two seconds.
+ * no rule here. There are two exceptions. A target that accepts no connection is left out for a
+ * pause that grows to two seconds, since its slots would always look free. A target that refuses a
+ * request and asks for a pause gets nothing from this entry until the pause ends.
  *
  * Placement. A request goes to the target with a free slot at which its expected loss is lowest.
  * The loss is a fraction of the request's worth, the value of an answer by its goal. Targets of the
@@ -47,6 +48,8 @@
  * request is refused once it can no longer meet its deadline. */
 
 #define BALANCER_LESS_URGENT_INTERVAL 8
+/* Longest pause that a target gets when it asks for one. */
+#define BALANCER_MAX_PAUSE_US INT64_C (60000000)
 /* Maximum number of tried targets that a request records. */
 #define BALANCER_MAX_TRIED 8
 
@@ -92,7 +95,7 @@
 {
   BALANCER_DISPATCH,
   BALANCER_REFUSE_NO_TIME,   /* it could not be answered in time behind the requests ahead of it */
-  BALANCER_REFUSE_NO_TARGET, /* no target is known and reachable */
+  BALANCER_REFUSE_NO_TARGET, /* no target is known, reachable and not paused */
 } balancer_verdict_t;
 
 typedef struct
@@ -147,6 +150,10 @@
 /* Stops dispatching to a target. Its requests in flight continue. */
 void balancer_remove_target (balancer_t *b, uint64_t id);
 
+/* Stops dispatching to a target for PAUSE_US, at most BALANCER_MAX_PAUSE_US, because it asked this
+ * entry to. A pause that ends later stays. Does nothing for an unknown target. */
+void balancer_pause_target (balancer_t *b, int64_t now_us, uint64_t id, int64_t pause_us);
+
 /* Applies a load report of the entry PEER. */
 void balancer_apply_load_report (balancer_t *b, int64_t now_us, uint64_t peer,
                                  const balancer_load_report_t *report);
@@ -188,6 +195,9 @@
 /* Changes the locality of a target. Does nothing for an unknown one. */
 void balancer_set_locality (balancer_t *b, uint64_t id, balancer_locality_t locality);
 
+/* Returns the time until a target is available again, as it is told to callers; 0 if one is. */
+int64_t balancer_available_after_us (const balancer_t *b, int64_t now_us);
+
 /* Returns the number of requests waiting and in flight. */
 size_t balancer_request_count (const balancer_t *b);
 
--- a/src/balancer_internal.h
+++ b/src/balancer_internal.h
@@ -24,6 +24,7 @@
   uint32_t in_flight;             /* requests of this entry */
   int64_t unreachable_until_us;   /* end of the pause after a failed connection */
   unsigned connect_failure_count; /* consecutive */
+  int64_t paused_until_us;        /* end of the pause that the target asked for */
   int64_t last_use_us; /* last dispatch, or report of another entry with requests in flight */
   peer_load_t peers[MAX_CELL_PEERS]; /* from the load reports of the other entries */
   uint32_t reported_load; /* requests of all entries, running and queued, as the target reports */
@@ -74,7 +75,10 @@
 /* Returns the number of requests of all entries at TARGET that this entry knows of. */
 uint32_t balancer_busy_slots (const tracked_target_t *target, int64_t now_us);
 
-/* Returns whether TARGET can take a request: not removed, reachable, and with a free slot. */
+/* Returns whether TARGET takes requests at all: not removed, reachable and not paused. */
+bool balancer_is_available (const tracked_target_t *target, int64_t now_us);
+
+/* Returns whether TARGET can take a request: available, and with a free slot. */
 bool balancer_has_free_slot (const tracked_target_t *target, int64_t now_us);
 
 /* balancer_queue */
--- a/src/balancer_place.c
+++ b/src/balancer_place.c
@@ -157,7 +157,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const tracked_target_t *target = value;
-      if (!target->removed && now_us >= target->unreachable_until_us
+      if (balancer_is_available (target, now_us)
           && target->setting.locality == BALANCER_LOCALITY_CELL
           && !balancer_has_free_slot (target, now_us) && !balancer_was_tried (request, target->id)
           && fault_loss (b, target, request, now_us) <= max_loss)
--- a/src/balancer_queue.c
+++ b/src/balancer_queue.c
@@ -15,7 +15,8 @@
 
 /* Lower bound of the time after which a refused caller is told to retry. */
 #define MIN_RETRY_AFTER_US 50000
-/* Time after which a caller is told to retry when no target is reachable. */
+/* Time after which a caller is told to retry when no target is reachable; a pause that a target
+ * asked for tells it exactly. */
 #define NO_TARGET_RETRY_AFTER_US (G_USEC_PER_SEC / 2)
 
 /* Returns the arrival rate at NOW_US, per second. */
@@ -91,7 +92,7 @@
 
 typedef struct
 {
-  uint32_t target_count; /* not removed, and reachable */
+  uint32_t target_count; /* available targets */
   uint32_t slots;        /* of the cell, minus one for each late request; at least 1 */
 } capacity_t;
 
@@ -106,7 +107,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const tracked_target_t *target = value;
-      if (target->removed || now_us < target->unreachable_until_us)
+      if (!balancer_is_available (target, now_us))
         continue;
       capacity.target_count++;
       if (target->setting.locality == BALANCER_LOCALITY_CELL)
@@ -119,6 +120,27 @@
   return capacity;
 }
 
+int64_t
+balancer_available_after_us (const balancer_t *b, int64_t now_us)
+{
+  int64_t first_us = INT64_MAX;
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, b->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const tracked_target_t *target = value;
+      if (target->removed)
+        continue;
+      if (balancer_is_available (target, now_us))
+        return 0;
+      int64_t after_us = now_us < target->paused_until_us ? target->paused_until_us - now_us
+                                                          : NO_TARGET_RETRY_AFTER_US;
+      first_us = MIN (first_us, after_us);
+    }
+  return first_us < INT64_MAX ? first_us : NO_TARGET_RETRY_AFTER_US;
+}
+
 /* Returns the mean of the latency estimates of all kinds. */
 static double
 mean_service_time_us (balancer_t *b)
@@ -186,7 +208,8 @@
                                   * (double)(latest_end_us - tracked->request.goal_us));
     requests_ahead += 1;
     if (capacity.target_count == 0)
-      return refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TARGET, NO_TARGET_RETRY_AFTER_US, out);
+      return refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TARGET,
+                     balancer_available_after_us (b, now_us), out);
     if (now_us + wait_us + (int64_t)mean_latency_us > latest_end_us)
       return refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TIME, wait_us, out);
   }
--- a/src/gateway_core.c
+++ b/src/gateway_core.c
@@ -168,6 +168,59 @@
   drop_target (core, target_id);
 }
 
+/* Sends a message to the other entries of the cell. Returns their number. */
+static int64_t
+send_to_cell (gateway_core_t *core, const wire_writer_t *writer)
+{
+  int64_t count = 0;
+  for (guint i = 0; i < core->feed.peers->len; i++)
+    {
+      const char *peer = g_ptr_array_index (core->feed.peers, i);
+      if (strcmp (peer, peer_network_get_address (core->options.network)) == 0)
+        continue;
+      peer_network_send (core->options.network, peer, (const uint8_t *)writer->buffer.data,
+                         writer->buffer.size);
+      count++;
+    }
+  return count;
+}
+
+void
+gateway_core_record_leaving_target (gateway_core_t *core, uint64_t target_id)
+{
+  g_autoptr (GArray) departures = g_array_new (FALSE, FALSE, sizeof (registry_departure_t));
+  const gateway_target_t *target = g_hash_table_lookup (core->targets, &target_id);
+  const registry_target_t *known
+      = target != NULL ? target_registry_find (&core->registry, target->id) : NULL;
+  wire_writer_t writer;
+  if (known == NULL)
+    return;
+  registry_departure_t departure
+      = { .started_at_ms = known->started_at_ms, .state = REGISTRY_DRAINING };
+  g_strlcpy (departure.id, known->id, sizeof (departure.id));
+  LOG_INFO ("target leaves id=%s service=%s state=draining source=answer", known->id,
+            known->service);
+  target_registry_record_departure (&core->registry, departure.id, departure.started_at_ms,
+                                    departure.state);
+  target_registry_remove (&core->registry, departure.id);
+  drop_target (core, target_id);
+  g_array_append_val (departures, departure);
+  fleet_departed_encode (departures, &writer);
+  send_to_cell (core, &writer);
+  wire_writer_destroy (&writer);
+}
+
+void
+gateway_core_pause_target (gateway_core_t *core, uint64_t target_id, int64_t pause_us)
+{
+  const gateway_target_t *target = g_hash_table_lookup (core->targets, &target_id);
+  if (target == NULL)
+    return;
+  LOG_INFO ("target paused id=%s service=%s pause_ms=%" G_GINT64_FORMAT, target->id,
+            target->service->name, pause_us / 1000);
+  balancer_pause_target (&target->service->balancer, gateway_core_now (core), target_id, pause_us);
+}
+
 static void
 on_target_dropped (void *data, const registry_target_t *target)
 {
@@ -429,15 +482,7 @@
       g_array_append_val (loads, load);
     }
   fleet_load_encode (loads, &writer);
-  for (guint i = 0; i < core->feed.peers->len; i++)
-    {
-      const char *peer = g_ptr_array_index (core->feed.peers, i);
-      if (strcmp (peer, peer_network_get_address (core->options.network)) == 0)
-        continue;
-      peer_network_send (core->options.network, peer, (const uint8_t *)writer.buffer.data,
-                         writer.buffer.size);
-      metric_inc (&core->load_reports_sent);
-    }
+  metric_add (&core->load_reports_sent, send_to_cell (core, &writer));
   wire_writer_destroy (&writer);
 }
 
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -119,5 +119,15 @@
 /* Removes a target because another one now has its address. TARGET_ID is its id in the balancer. */
 void gateway_core_remove_replaced_target (gateway_core_t *core, uint64_t target_id);
 
+/* Records that a target announced in an answer that it is leaving: this incarnation gets no new
+ * requests from this entry, nor from the other entries of the cell, which are told. It is not
+ * reported to the control group, whose records rest on calls of the target itself. TARGET_ID is its
+ * id in the balancer. */
+void gateway_core_record_leaving_target (gateway_core_t *core, uint64_t target_id);
+
+/* Pauses a target that asked for it, see balancer_pause_target(). TARGET_ID is its id in the
+ * balancer. */
+void gateway_core_pause_target (gateway_core_t *core, uint64_t target_id, int64_t pause_us);
+
 /* Returns the time of the main loop in microseconds. */
 int64_t gateway_core_now (const gateway_core_t *core);
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -299,6 +299,59 @@
              && http_headers_get (headers, "Content-Encoding") == NULL);
 }
 
+/* Returns whether a response carries the id of the request. The proxy also accepts one without an
+ * id, but that may be damaged. */
+static bool
+is_identified (const gateway_request_t *r, const http_headers_t *headers)
+{
+  const char *field = r->policy->dialect->request_id_header;
+  const char *request_id
+      = field != NULL ? http_headers_get (proxy_request_head (r->request)->headers, field) : NULL;
+  const char *response_id = field != NULL ? http_headers_get (headers, field) : NULL;
+  return request_id != NULL && response_id != NULL && strcmp (request_id, response_id) == 0;
+}
+
+/* Returns the pause that a target asks for with a 503 response, in microseconds; 0 for none. */
+static int64_t
+read_pause_us (const http_dialect_t *dialect, int status, const http_headers_t *headers)
+{
+  const char *field = dialect->pause_header;
+  const char *text = field != NULL ? http_headers_get (headers, field) : NULL;
+  char *end = NULL;
+  if (status != 503 || text == NULL)
+    return 0;
+  double seconds = g_ascii_strtod (text, &end);
+  /* The comparison is false for NaN. */
+  if (end == text || *end != '\0' || !(seconds > 0))
+    return 0;
+  return (int64_t)(MIN (seconds * G_USEC_PER_SEC, (double)BALANCER_MAX_PAUSE_US));
+}
+
+/* Applies what a target says about itself: that it is leaving, or that it wants no requests for
+ * some time. A response of another target at the address says nothing about the expected one, and
+ * a success that cannot come from a target says nothing at all. */
+static void
+response_head (request_policy_t *policy, proxy_request_t *request, int status,
+               const http_headers_t *headers)
+{
+  gateway_request_t *r = proxy_request_data (request);
+  const http_dialect_t *dialect = r->policy->dialect;
+  const char *leaving = dialect->leaving_header != NULL
+                            ? http_headers_get (headers, dialect->leaving_header)
+                            : NULL;
+  int64_t pause_us = read_pause_us (dialect, status, headers);
+  bool is_wrong_target
+      = dialect->wrong_target_status != 0 && status == dialect->wrong_target_status;
+  bool is_success = status >= 200 && status < 300;
+
+  if (is_wrong_target || (is_success && !is_valid_success (r, headers)))
+    return;
+  if (pause_us > 0)
+    gateway_core_pause_target (r->policy->core, r->target_id, pause_us);
+  if (leaving != NULL && strcmp (leaving, "1") == 0 && is_identified (r, headers))
+    gateway_core_record_leaving_target (r->policy->core, r->target_id);
+}
+
 static bool
 accept_response (request_policy_t *policy, proxy_request_t *request, int status,
                  const http_headers_t *headers)
@@ -342,7 +395,9 @@
     case ATTEMPT_SHED:
     case ATTEMPT_CONNECT_FAILED:
       if (!r->possibly_run)
-        respond (r, 503, "no target took the request", UNAVAILABLE_RETRY_AFTER_US);
+        respond (r, 503, "no target took the request",
+                 MAX (balancer_available_after_us (&r->service->balancer, now_us (r)),
+                      UNAVAILABLE_RETRY_AFTER_US));
       else
         respond (r, 502, "no answer of the target", 0);
       break;
@@ -424,6 +479,7 @@
   .ended = ended,
   .finished = finished,
   .attempt_timed_out = attempt_timed_out,
+  .response_head = response_head,
 };
 
 void
--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -29,6 +29,12 @@
   const char *required_success_header;
   /* Response: header field with the load of the target, "RUNNING,WAITING,SLOTS". */
   const char *load_header;
+  /* Response: header field that says, with the value 1, that the target is leaving: its answers go
+   * on, and it gets no new requests in this incarnation. */
+  const char *leaving_header;
+  /* Response with status 503: header field with the time in seconds for which the target wants no
+   * requests from this process. */
+  const char *pause_header;
   /* Responses that the proxy generates carry Anvillb-Not-Run or Anvillb-Outcome to tell whether the
    * request ran. Without these fields the status tells: 503 means not run, 502 and 504 mean that
    * the outcome is unknown. */
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -232,6 +232,8 @@
 
   request->attempt.response_head_us = proxy_now_us (request);
   request->attempt.status = head->status;
+  if (policy->ops->response_head != NULL)
+    policy->ops->response_head (policy, request, head->status, &head->headers);
   if (proves_not_run (request->proxy->options.dialect, head))
     {
       g_free (request->retry_after);
--- a/src/request_policy.h
+++ b/src/request_policy.h
@@ -12,10 +12,10 @@
  *   proxy_request_read_body()  collects the whole request body and passes it to body(),
  *   proxy_request_dispatch()   makes one attempt at a target.
  *
- * An attempt reports first_byte_written(), accept_response() and ended(). If the result given to
- * ended() is not final, the policy decides again: it dispatches another attempt, sends a response,
- * or calls proxy_request_fail(), which derives the response from the end of the last attempt. If
- * begin() was called, finished() is always the last call for the request. */
+ * An attempt reports first_byte_written(), response_head(), accept_response() and ended(). If the
+ * result given to ended() is not final, the policy decides again: it dispatches another attempt,
+ * sends a response, or calls proxy_request_fail(), which derives the response from the end of the
+ * last attempt. If begin() was called, finished() is always the last call for the request. */
 
 typedef struct request_policy request_policy_t;
 typedef struct proxy_request proxy_request_t;
@@ -131,6 +131,10 @@
    * attempt ends; otherwise it continues until the deadline of the request. If NULL, every attempt
    * ends at its time limit. */
   bool (*attempt_timed_out) (request_policy_t *policy, proxy_request_t *request);
+  /* The head of a response arrived, which may still be rejected or prove that the request was not
+   * run. Called before accept_response(). May be NULL. */
+  void (*response_head) (request_policy_t *policy, proxy_request_t *request, int status,
+                         const http_headers_t *headers);
 } request_policy_ops_t;
 
 struct request_policy
--- a/tests/fleet/test_balancer.cc
+++ b/tests/fleet/test_balancer.cc
@@ -240,6 +240,43 @@
   EXPECT_EQ (next_decisions (MS).at (0).verdict, BALANCER_REFUSE_NO_TARGET);
 }
 
+// Guards against requests to a target that asked for a pause, and against a pause that never ends.
+TEST_F (Balancer, PausedTargetGetsNoRequestUntilThePauseEnds)
+{
+  add_target (1);
+  add_target (2);
+  balancer_pause_target (&balancer, 0, 1, 2 * SECOND);
+  balancer_pause_target (&balancer, 0, 1, 1 * SECOND);
+  for (int i = 0; i < 3; i++)
+    submit (0, 0, 5 * SECOND, 9 * SECOND);
+  std::vector<balancer_decision_t> decisions = next_decisions (0);
+  ASSERT_EQ (decisions.size (), 2u);
+  EXPECT_EQ (decisions[0].target_id, 2u);
+  EXPECT_EQ (decisions[1].target_id, 2u);
+  EXPECT_TRUE (next_decisions (2 * SECOND - 1).empty ());
+  EXPECT_EQ (next_dispatch_target (2 * SECOND), 1u);
+
+  balancer_pause_target (&balancer, 2 * SECOND, 1, INT64_MAX);
+  balancer_request_t request = {};
+  EXPECT_FALSE (balancer_can_dispatch (&balancer, 61 * SECOND, &request));
+  EXPECT_TRUE (balancer_can_dispatch (&balancer, 62 * SECOND, &request));
+}
+
+// Guards against callers that wait, or are told to return too early, while every target of the
+// service is paused.
+TEST_F (Balancer, AllTargetsPausedIsRefusedAtOnceUntilTheFirstPauseEnds)
+{
+  add_target (1);
+  add_target (2);
+  balancer_pause_target (&balancer, 0, 1, 3 * SECOND);
+  balancer_pause_target (&balancer, 0, 2, 2 * SECOND);
+  submit (500 * MS, 0, 5 * SECOND, 9 * SECOND);
+  std::vector<balancer_decision_t> decisions = next_decisions (500 * MS);
+  ASSERT_EQ (decisions.size (), 1u);
+  EXPECT_EQ (decisions[0].verdict, BALANCER_REFUSE_NO_TARGET);
+  EXPECT_EQ (decisions[0].retry_after_us, 1500 * MS);
+}
+
 // Guards against an attempt that is given up for a retry although no target has a free slot, except
 // those that the request has already tried.
 TEST_F (Balancer, RetryNeedsAFreeUntriedTarget)
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -61,7 +61,9 @@
 
     mode selects a fault: "full" refuses every request, "full once" the first attempt of each request, "refuses after the
     run" a request that it recorded as run, "reset" closes the connection, "unsigned" leaves the signature out, "late"
-    sends the answer of another request first, "errors" answers with 500, "normal" has no fault.
+    sends the answer of another request first, "errors" answers with 500, "normal" has no fault. "busy" refuses every
+    request and asks for a pause of pause_s. "leaving" says in each answer that the target leaves; "spoiled leaving" says
+    it in a success without a signature, "late leaving" in an additional answer to another request.
     """
 
     def __init__(self, fleet, number, service, zone="a", delay_s=0.0, identity=None, address=None):
@@ -69,6 +71,7 @@
         self.identity = identity or f"i-{number:08x}"
         self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.requests, self.execution_times, self.mode = [], [], "normal"
+        self.arrival_times, self.pause_s = [], "1.5"
         handler = type("Handler", (TargetHandler,), {"target": self})
         self.server = TargetServer(address or ("127.0.0.1", 0), handler)
         self.server.daemon_threads = True
@@ -118,6 +121,10 @@
             return
         refuse_first = self.target.mode == "full once" and attempt not in self.target.fleet.seen_attempts
         self.target.fleet.seen_attempts.add(attempt)
+        self.target.arrival_times.append(time.monotonic())
+        if self.target.mode == "busy":
+            self.answer(503, [("Attempt-Id", attempt), ("Not-Executed", "1"), ("Retry-After", self.target.pause_s)])
+            return
         if self.target.mode == "full" or refuse_first:
             self.answer(503, [("Not-Executed", "1")])
             return
@@ -132,9 +139,14 @@
             self.connection.close()
             return
         time.sleep(self.target.delay_s)
-        signature = [] if self.target.mode == "unsigned" else [("Server-Signature", "s." + self.target.identity)]
-        if self.target.mode == "late":
-            self.wfile.write(b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Signature: x\r\nContent-Length: 5\r\n\r\nwrong")
+        unsigned = self.target.mode in ("unsigned", "spoiled leaving")
+        signature = [] if unsigned else [("Server-Signature", "s." + self.target.identity)]
+        if self.target.mode in ("late", "late leaving"):
+            leaving = b"Server-Leaving: 1\r\n" if self.target.mode == "late leaving" else b""
+            self.wfile.write(b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Signature: x\r\n" + leaving +
+                             b"Content-Length: 5\r\n\r\nwrong")
+        if self.target.mode in ("leaving", "spoiled leaving"):
+            signature.append(("Server-Leaving", "1"))
         status = 500 if self.target.mode == "errors" else 200
         self.answer(status, [("Attempt-Id", attempt), ("Server-Load", "1,0,4")] + signature,
                     ("answer to %s" % attempt).encode())
@@ -259,9 +271,9 @@
     def executions(self, attempt):
         return sum(1 for target in self.targets for seen in target.requests if seen[0] == attempt)
 
-    def start_serving(self, targets=2):
+    def start_serving(self, targets=2, entries=2):
         """Starts the fleet with one configuration and TARGETS targets, and waits until each entry answers 200."""
-        self.start()
+        self.start(entries=entries)
         wait_until(lambda: self.put("00000001", "0", [route("safe", "s1"), route("unsafe", "s1")], [service("s1")]) == 200,
                    "the first configuration")
         for _ in range(targets):
