Control group: a request to join reaches a leader that is not a seed

An instance that has lost its disk knows only the seeds, and sent its request to join to them; members that don't lead dropped it.

A member that doesn't lead now forwards the request to the leader, once. The state of the repair moves from fleet_control to group_repair, so that tests drive the code that runs. Ruled out: wrong quorums, removed or never promoted identities in the quorum, votes of replaced instances.

Found on the way: a torn write whose missing part reads as zeros from a byte that isn't a sector boundary was taken for damage, and the member refused to start. Records end with a byte that isn't zero, so such an end is told from a flipped bit. Logs of earlier versions are read as before.

--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #define LOG_MODULE "fleet_control"
-#include "group_repair.h"
 #include "log.h"
 #include "raft_wire.h"
 
@@ -20,9 +19,6 @@
 #define ENTRY_RETENTION_US INT64_C (60000000)
 /* A configuration is sent again if the entry has not reported its version after this time. */
 #define CONFIG_RESEND_US INT64_C (400000)
-/* A member without a leader for this long asks to join, as it may have been removed. */
-#define NO_LEADER_TIMEOUT_US INT64_C (1000000)
-#define JOIN_REQUEST_TTL_US INT64_C (1000000)
 #define JOIN_FIELD_COUNT 2
 
 /* Entry that takes its feed from this instance. */
@@ -513,43 +509,65 @@
 {
   raft_status_t status;
   anv_error_t err = { 0 };
-  int64_t now = now_us (control);
-  bool joining
-      = control->joining.id != 0 && now - control->last_join_request_us <= JOIN_REQUEST_TTL_US;
+  const raft_member_t *joining = &control->repair.joining;
 
   raft_get_status (&control->group.raft, &status);
-  group_repair_decision_t decision = group_repair_decide (
-      &status, now, joining ? &control->joining : NULL, control->options.voter_count);
+  group_repair_decision_t decision
+      = group_repair_next_change (&control->repair, &status, now_us (control));
   if (decision.action == GROUP_REPAIR_ACTION_NONE)
     return;
   bool done = decision.action == GROUP_REPAIR_ACTION_ADD
-                  ? replica_group_add_member (&control->group, &control->joining, &err)
+                  ? replica_group_add_member (&control->group, joining, &err)
                   : replica_group_remove_member (&control->group, decision.id, &err);
   LOG_NOTICE ("member %s id=%016" G_GINT64_MODIFIER "x joining=%s result=\"%s\"",
               decision.action == GROUP_REPAIR_ACTION_ADD ? "added" : "removed",
-              decision.action == GROUP_REPAIR_ACTION_ADD ? control->joining.id : decision.id,
-              control->joining.name, done ? "proposed" : err.text);
+              decision.action == GROUP_REPAIR_ACTION_ADD ? joining->id : decision.id, joining->name,
+              done ? "proposed" : err.text);
+}
+
+static void
+encode_join (const raft_member_t *joining, wire_writer_t *writer)
+{
+  wire_writer_init (writer, WIRE_FLEET_JOIN, JOIN_FIELD_COUNT);
+  wire_write_uint (writer, joining->id);
+  wire_write_string (writer, joining->name);
+}
+
+static void
+forward_join (fleet_control_t *control, const raft_member_t *leader, const raft_member_t *joining)
+{
+  char peer_address[LINK_ADDRESS_SIZE];
+  char call_address[LINK_ADDRESS_SIZE];
+  wire_writer_t writer;
+  replica_group_split_member_name (leader->name, peer_address, call_address);
+  encode_join (joining, &writer);
+  send_encoded (control, peer_address, &writer);
+  wire_writer_destroy (&writer);
 }
 
 static void
-receive_join (fleet_control_t *control, wire_reader_t *reader)
+receive_join (fleet_control_t *control, const link_t *link, wire_reader_t *reader)
 {
-  raft_member_t member = { .id = wire_read_uint (reader) };
-  wire_read_string_into (reader, member.name, sizeof (member.name));
-  if (!wire_reader_finish (reader, NULL) || !control->group.leading)
+  raft_member_t joining = { .id = wire_read_uint (reader) };
+  raft_status_t status;
+  wire_read_string_into (reader, joining.name, sizeof (joining.name));
+  if (!wire_reader_finish (reader, NULL) || !control->group.started)
     return;
-  control->joining = member;
-  control->last_join_request_us = now_us (control);
+  raft_get_status (&control->group.raft, &status);
+  const raft_member_t *leader = group_repair_receive_request (
+      &control->repair, &status, now_us (control), &joining, link->peer.address);
+  if (leader != NULL)
+    forward_join (control, leader, &joining);
   update_membership (control);
 }
 
 static void
 send_join (fleet_control_t *control, uint64_t id)
 {
+  raft_member_t self = { .id = id };
   wire_writer_t writer;
-  wire_writer_init (&writer, WIRE_FLEET_JOIN, JOIN_FIELD_COUNT);
-  wire_write_uint (&writer, id);
-  wire_write_string (&writer, control->member_name);
+  g_strlcpy (self.name, control->member_name, sizeof (self.name));
+  encode_join (&self, &writer);
   foreach_member (control, send_encoded, &writer);
   for (guint i = 0; i < control->options.seeds->len; i++)
     {
@@ -565,13 +583,8 @@
 request_membership (fleet_control_t *control)
 {
   raft_status_t status;
-  bool is_member = false;
   raft_get_status (&control->group.raft, &status);
-  for (size_t i = 0; i < status.peer_count; i++)
-    is_member = is_member || status.peers[i].member.id == status.id;
-  if (status.leader_id != 0)
-    control->last_leader_us = now_us (control);
-  if (!is_member || now_us (control) - control->last_leader_us >= NO_LEADER_TIMEOUT_US)
+  if (group_repair_needs_request (&control->repair, &status, now_us (control)))
     send_join (control, status.id);
 }
 
@@ -596,7 +609,7 @@
   else if (type == WIRE_FLEET_TARGETS)
     receive_targets (control, reader);
   else if (type == WIRE_FLEET_JOIN)
-    receive_join (control, reader);
+    receive_join (control, link, reader);
   else if (!proposal_relay_receive (&control->relay, link, type, reader))
     LOG_DEBUG ("unexpected message peer=%s type=%d", link->peer.id, (int)type);
 }
@@ -768,7 +781,7 @@
 void
 fleet_control_start (fleet_control_t *control)
 {
-  control->last_leader_us = now_us (control);
+  group_repair_init (&control->repair, control->options.voter_count, now_us (control));
   if (control->options.found_group)
     found_group (control);
   io_timer_set (control->options.loop, &control->timer, now_us (control) + TICK_US);
--- a/src/fleet_control.h
+++ b/src/fleet_control.h
@@ -3,6 +3,7 @@
 #include "entry_directory.h"
 #include "fleet_machine.h"
 #include "fleet_wire.h"
+#include "group_repair.h"
 #include "proposal_relay.h"
 
 /* fleet_control - control instance of a fleet: registry of targets, directory of entries,
@@ -44,12 +45,10 @@
   proposal_relay_t relay;
   GHashTable *subscribers; /* entry id -> subscriber_t */
   GHashTable *layouts; /* failure domain -> directory_layout_t; cleared each tick and on changes */
-  unsigned next_resolve_start;  /* argument START of the next entry_directory_resolve() */
-  GArray *renewed_targets;      /* registry_target_t, to be sent to the other instances */
-  char *member_name;            /* "PEER_ADDRESS/CALL_ADDRESS" */
-  raft_member_t joining;        /* instance that last asked to join; id 0: none */
-  int64_t last_join_request_us; /* time at which JOINING asked */
-  int64_t last_leader_us;       /* last time that a leader was known */
+  unsigned next_resolve_start; /* argument START of the next entry_directory_resolve() */
+  GArray *renewed_targets;     /* registry_target_t, to be sent to the other instances */
+  char *member_name;           /* "PEER_ADDRESS/CALL_ADDRESS" */
+  group_repair_t repair;
   io_timer_t timer;
   bool stopping;
   metric_t announcements;
--- a/src/group_repair.c
+++ b/src/group_repair.c
@@ -20,6 +20,54 @@
   return strcspn (b, "/") == size && strncmp (a, b, size) == 0;
 }
 
+static bool
+has_address (const raft_member_t *member, const char *peer_address)
+{
+  size_t size = strcspn (member->name, "/");
+  return strlen (peer_address) == size && strncmp (member->name, peer_address, size) == 0;
+}
+
+static const raft_member_t *
+find_member (const raft_status_t *status, uint64_t id)
+{
+  for (size_t i = 0; i < status->peer_count; i++)
+    {
+      if (status->peers[i].member.id == id)
+        return &status->peers[i].member;
+    }
+  return NULL;
+}
+
+void
+group_repair_init (group_repair_t *repair, size_t wanted_voter_count, int64_t now_us)
+{
+  *repair = (group_repair_t){ .wanted_voter_count = wanted_voter_count, .last_leader_us = now_us };
+}
+
+bool
+group_repair_needs_request (group_repair_t *repair, const raft_status_t *status, int64_t now_us)
+{
+  if (status->leader_id != 0)
+    repair->last_leader_us = now_us;
+  return find_member (status, status->id) == NULL
+         || now_us - repair->last_leader_us >= GROUP_REPAIR_NO_LEADER_TIMEOUT_US;
+}
+
+const raft_member_t *
+group_repair_receive_request (group_repair_t *repair, const raft_status_t *status, int64_t now_us,
+                              const raft_member_t *joining, const char *sender_address)
+{
+  if (status->role == RAFT_LEADER)
+    {
+      repair->joining = *joining;
+      repair->last_request_us = now_us;
+      return NULL;
+    }
+  bool forwarded = !has_address (joining, sender_address);
+  const raft_member_t *leader = forwarded ? NULL : find_member (status, status->leader_id);
+  return leader != NULL && leader->id != joining->id ? leader : NULL;
+}
+
 static bool
 is_silent (const raft_status_t *status, const raft_peer_t *peer, int64_t now_us, int64_t timeout_us)
 {
@@ -51,11 +99,8 @@
 decide_join (const raft_status_t *status, int64_t now_us, const raft_member_t *joining,
              size_t wanted_voter_count)
 {
-  for (size_t i = 0; i < status->peer_count; i++)
-    {
-      if (status->peers[i].member.id == joining->id)
-        return (group_repair_decision_t){ GROUP_REPAIR_ACTION_NONE, 0 };
-    }
+  if (find_member (status, joining->id) != NULL)
+    return (group_repair_decision_t){ GROUP_REPAIR_ACTION_NONE, 0 };
   for (size_t i = 0; i < status->peer_count; i++)
     {
       if (has_same_address (status->peers[i].member.name, joining->name))
@@ -90,3 +135,12 @@
     return decide_removal (silent_learner);
   return joining != NULL ? decide_join (status, now_us, joining, wanted_voter_count) : no_action;
 }
+
+group_repair_decision_t
+group_repair_next_change (const group_repair_t *repair, const raft_status_t *status, int64_t now_us)
+{
+  bool joining
+      = repair->joining.id != 0 && now_us - repair->last_request_us <= GROUP_REPAIR_REQUEST_TTL_US;
+  return group_repair_decide (status, now_us, joining ? &repair->joining : NULL,
+                              repair->wanted_voter_count);
+}
--- a/src/segment_log.c
+++ b/src/segment_log.c
@@ -12,6 +12,11 @@
 #define FILE_NAME_SIZE 128
 #define FIRST_INDEX 1
 
+/* Flag in the size field: END_BYTE follows the payload. Logs of earlier versions lack both. */
+#define SIZE_HAS_END_BYTE UINT32_C (0x80000000)
+/* Differs from zero, which unwritten space reads as, in more than one bit. */
+#define END_BYTE 0xff
+
 /* Offsets in a record header. */
 enum
 {
@@ -31,8 +36,10 @@
 typedef struct
 {
   const uint8_t *payload;
-  size_t size;
+  size_t size;       /* of the payload */
+  size_t total_size; /* with header and end byte */
   uint64_t index;
+  bool has_end_byte;
 } record_t;
 
 static uint32_t
@@ -71,10 +78,12 @@
   return false;
 }
 
-/* Returns whether all bytes are zero from START to the end of the file, or from a sector boundary
- * within the record at START to the end: space that was allocated but never written. */
+/* Returns whether the damaged record from START to RECORD_END was only written in part: all bytes
+ * are zero from a position within it up to the end of the file. A record with an end byte does not
+ * end with zeros. In one without, the zeros must begin at START or at a sector boundary. */
 static bool
-tail_is_unwritten (const uint8_t *data, size_t size, size_t start, size_t record_end)
+tail_is_unwritten (const uint8_t *data, size_t size, size_t start, size_t record_end,
+                   bool has_end_byte)
 {
   size_t zeros_start = size;
   while (zeros_start > start && data[zeros_start - 1] == 0)
@@ -82,11 +91,13 @@
   if (zeros_start == start)
     return true;
   size_t boundary = (zeros_start + SECTOR_BYTES - 1) / SECTOR_BYTES * SECTOR_BYTES;
-  return boundary < size && boundary < record_end;
+  size_t first = has_end_byte ? zeros_start : boundary;
+  return first < size && first < record_end;
 }
 
+/* HAS_END_BYTE tells whether the record has an end byte if its header is damaged. */
 static record_state_t
-parse_record (const uint8_t *data, size_t size, size_t offset, record_t *record)
+parse_record (const uint8_t *data, size_t size, size_t offset, bool has_end_byte, record_t *record)
 {
   const uint8_t *header = data + offset;
   size_t left = size - offset;
@@ -96,17 +107,22 @@
   if (bytes_get_u32 (header)
       != checksum (header + HEADER_PAYLOAD_SIZE_OFFSET,
                    SEGMENT_RECORD_HEADER_SIZE - HEADER_PAYLOAD_SIZE_OFFSET))
-    return tail_is_unwritten (data, size, offset, header_end) ? RECORD_TORN : RECORD_CORRUPT;
+    return tail_is_unwritten (data, size, offset, header_end, has_end_byte) ? RECORD_TORN
+                                                                            : RECORD_CORRUPT;
 
-  record->size = bytes_get_u32 (header + HEADER_PAYLOAD_SIZE_OFFSET);
+  uint32_t size_field = bytes_get_u32 (header + HEADER_PAYLOAD_SIZE_OFFSET);
+  record->has_end_byte = (size_field & SIZE_HAS_END_BYTE) != 0;
+  record->size = size_field & ~SIZE_HAS_END_BYTE;
+  record->total_size = SEGMENT_RECORD_HEADER_SIZE + record->size + record->has_end_byte;
   record->index = bytes_get_u64 (header + HEADER_INDEX_OFFSET);
   record->payload = header + SEGMENT_RECORD_HEADER_SIZE;
-  if (left - SEGMENT_RECORD_HEADER_SIZE < record->size)
+  if (left < record->total_size)
     return RECORD_TORN;
-  if (bytes_get_u32 (header + HEADER_PAYLOAD_CRC_OFFSET)
-      == checksum (record->payload, record->size))
+  if (bytes_get_u32 (header + HEADER_PAYLOAD_CRC_OFFSET) == checksum (record->payload, record->size)
+      && (!record->has_end_byte || record->payload[record->size] == END_BYTE))
     return RECORD_VALID;
-  bool torn = tail_is_unwritten (data, size, offset, header_end + record->size);
+  bool torn
+      = tail_is_unwritten (data, size, offset, offset + record->total_size, record->has_end_byte);
   return torn ? RECORD_TORN : RECORD_CORRUPT;
 }
 
@@ -124,10 +140,12 @@
               segment_log_record_fn_t fn, void *user, size_t *valid_size, anv_error_t *err)
 {
   size_t offset = 0;
+  bool has_end_byte = true;
   while (offset < content->len)
     {
       record_t record = { 0 };
-      record_state_t state = parse_record (content->data, content->len, offset, &record);
+      record_state_t state
+          = parse_record (content->data, content->len, offset, has_end_byte, &record);
       if (state == RECORD_TORN && is_last)
         break;
       if (state != RECORD_VALID)
@@ -137,7 +155,8 @@
       if (fn != NULL && !fn (user, record.index, record.payload, record.size, err))
         return false;
       log->next_index++;
-      offset += SEGMENT_RECORD_HEADER_SIZE + record.size;
+      offset += record.total_size;
+      has_end_byte = record.has_end_byte;
     }
   *valid_size = offset;
   return true;
@@ -265,7 +284,7 @@
 
   guint start = log->batch->len;
   bytes_put_u32 (log->batch, 0);
-  bytes_put_u32 (log->batch, (uint32_t)size);
+  bytes_put_u32 (log->batch, (uint32_t)size | SIZE_HAS_END_BYTE);
   bytes_put_u64 (log->batch, log->next_index);
   bytes_put_u32 (log->batch, checksum (data, size));
   uint8_t *header = log->batch->data + start;
@@ -273,6 +292,8 @@
                                           SEGMENT_RECORD_HEADER_SIZE - HEADER_PAYLOAD_SIZE_OFFSET));
   memcpy (header + HEADER_CRC_OFFSET, &crc, sizeof (crc));
   g_byte_array_append (log->batch, data, (guint)size);
+  const uint8_t end_byte = END_BYTE;
+  g_byte_array_append (log->batch, &end_byte, sizeof (end_byte));
   *index = log->next_index++;
   return true;
 }
@@ -362,8 +383,12 @@
     }
   size_t offset = 0;
   for (uint64_t i = log->batch_first_index; i < index; i++)
-    offset += SEGMENT_RECORD_HEADER_SIZE
-              + bytes_get_u32 (log->batch->data + offset + HEADER_PAYLOAD_SIZE_OFFSET);
+    {
+      record_t record = { 0 };
+      if (parse_record (log->batch->data, log->batch->len, offset, true, &record) != RECORD_VALID)
+        g_error ("damaged batch");
+      offset += record.total_size;
+    }
   g_byte_array_set_size (log->batch, (guint)offset);
   return true;
 }
@@ -386,10 +411,10 @@
     {
       record_t record = { 0 };
       ok = offset < content->len
-           && parse_record (content->data, content->len, offset, &record) == RECORD_VALID;
+           && parse_record (content->data, content->len, offset, true, &record) == RECORD_VALID;
       if (!ok)
         set_corrupt_error (name, offset, "damaged record", err);
-      offset += SEGMENT_RECORD_HEADER_SIZE + record.size;
+      offset += record.total_size;
     }
   ok = ok && ops->truncate (log->store, log->last_segment_handle, offset, err)
        && ops->sync (log->store, log->last_segment_handle, err);
--- a/src/segment_log.h
+++ b/src/segment_log.h
@@ -11,13 +11,15 @@
  *
  * A segment is the file "NAME-INDEX.seg1", where INDEX (20 digits) is the index of its first
  * record. A record is a header CRC-32 and the payload size (4 bytes each), the index (8 bytes), a
- * payload CRC-32 (4 bytes) and the payload; all integers are big-endian. The header CRC covers
- * size, index and payload CRC, which distinguishes a damaged size from a record whose end was never
- * written.
+ * payload CRC-32 (4 bytes), the payload and the byte 0xff; all integers are big-endian. The highest
+ * bit of the size is set. It is clear in records of earlier versions, which have no last byte. The
+ * header CRC covers size, index and payload CRC, which distinguishes a damaged size from a record
+ * whose end was never written.
  *
  * Recovery removes a torn record at the end of the last segment: one that is shorter than a
- * header or than its header says, or one that reads as zeros from its start or from a disk sector
- * boundary in it up to the end of the file. Any other checksum mismatch is corruption, which is
+ * header or than its header says, or one that reads as zeros from a byte in it up to the end of the
+ * file. Without the last byte, the zeros must begin with the record or at a disk sector boundary,
+ * because a payload may end with zeros. Any other checksum mismatch is corruption, which is
  * reported with file and offset and never repaired. This includes records of an unsynced batch that
  * reached the disk out of order.
  *
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -8,6 +8,8 @@
 import json
 import os
 import pathlib
+import re
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -187,13 +189,15 @@
         return f"127.{kind}.{self.port_block % 250 + 1}.{number + 1}"
 
     def start(self, controls=3, entries=2):
-        seeds = ",".join(f"{self.ip(1, i)}:{self.ports[0]}" for i in range(controls))
+        """The first three control instances are the seeds."""
+        seeds = ",".join(f"{self.ip(1, i)}:{self.ports[0]}" for i in range(min(controls, 3)))
         for i in range(controls):
             ip = self.ip(1, i)
             self.controls.append(Program(self, f"control-{i}", self.build / "anvillb-fleet-control", {
                 "INSTANCE": f"control-{i}", "DOMAIN": "abc"[i % 3], "CALL_LISTEN": f"{ip}:{self.ports[0]}",
                 "DIRECTORY_LISTEN": f"{ip}:{self.ports[1]}", "PEER_LISTEN": f"{ip}:{self.ports[2]}", "SEED": seeds,
-                "DATA_DIR": self.directory / f"data-{i}", "FOUND_GROUP": "true", "CALL_TIMEOUT_MS": 5000}).start())
+                "DATA_DIR": self.directory / f"data-{i}", "FOUND_GROUP": "true", "CALL_TIMEOUT_MS": 5000,
+                "TOLERATED_FAILURES": (controls - 1) // 2}).start())
         for i in range(entries):
             ip = self.ip(2, i)
             self.entries.append(Program(self, f"entry-{i}", self.build / "anvillb-fleet-entry", {
@@ -233,6 +237,22 @@
             ip, port, path = url.hostname, url.port, f"{url.path}?{url.query}"
         return status, json.loads(raw) if raw else None
 
+    def lose_disk(self, control):
+        """Kills a control instance and removes its data; start() brings it back as a new one."""
+        program = self.controls[control]
+        program.kill()
+        shutil.rmtree(self.directory / f"data-{control}")
+        program.settings["FOUND_GROUP"] = "false"
+        program.write_settings()
+        return program
+
+    def leader(self):
+        """Returns the number of the control instance that leads in the highest term, or None if it does not run."""
+        terms = [max((int(term) for term in re.findall(r"role=leader term=(\d+)", program.log())), default=0)
+                 for program in self.controls]
+        leader = terms.index(max(terms))
+        return leader if max(terms) > 0 and self.controls[leader].popen.poll() is None else None
+
     def live_control(self):
         return next(i for i, program in enumerate(self.controls) if program.popen.poll() is None)
 
--- a/tests/state/fake_disk.cc
+++ b/tests/state/fake_disk.cc
@@ -14,7 +14,36 @@
   if (op.truncate)
     durable.resize (std::min (durable.size (), op.size));
   else
-    durable += op.data;
+    write (op.offset, op.data);
+}
+
+void
+FakeDisk::Inode::write (size_t offset, const std::string &data)
+{
+  if (durable.size () < offset + data.size ())
+    durable.resize (offset + data.size (), '\0');
+  durable.replace (offset, data.size (), data);
+}
+
+// Applies an unsynced write after a power failure: it is present, missing or torn. The part that is
+// missing reads as zeros if the new size of the file was kept.
+void
+FakeDisk::Inode::apply_torn (const FileOp &op, rng_t *rng)
+{
+  size_t kept = 0;
+  switch (rng_uniform_int (rng, 3))
+    {
+    case 0:
+      kept = op.data.size ();
+      break;
+    case 1:
+      kept = rng_uniform_int (rng, op.data.size () + 1);
+      break;
+    }
+  if (kept > 0)
+    write (op.offset, op.data.substr (0, kept));
+  if (rng_uniform_int (rng, 2) == 0 && durable.size () < op.offset + op.data.size ())
+    durable.resize (op.offset + op.data.size (), '\0');
 }
 
 FakeDisk::FakeDisk (uint64_t seed) : disk_store_{ { &ops_ }, this }
@@ -57,14 +86,16 @@
   directory_ = durable_directory_;
   for (auto &[name, inode] : directory_)
     {
-      size_t kept_op_count
-          = skips_sync (inode->name) ? 0 : rng_uniform_int (&rng_, inode->pending.size () + 1);
-      for (size_t i = 0; i < kept_op_count; i++)
-        inode->apply (inode->pending[i]);
-      if (!skips_sync (inode->name) && kept_op_count < inode->pending.size ())
+      // After some power failures nothing that was unsynced is kept.
+      bool all_lost = skips_sync (inode->name) || rng_uniform_int (&rng_, 4) == 0;
+      for (const FileOp &op : inode->pending)
         {
-          const std::string &data = inode->pending[kept_op_count].data;
-          inode->durable += data.substr (0, rng_uniform_int (&rng_, data.size () + 1));
+          if (all_lost)
+            break;
+          if (!op.truncate)
+            inode->apply_torn (op, &rng_);
+          else if (rng_uniform_int (&rng_, 2) == 0)
+            inode->apply (op);
         }
       inode->pending.clear ();
       inode->cache = inode->durable;
@@ -130,8 +161,8 @@
   uint64_t in_use = used_bytes ();
   size_t fits = capacity_bytes > in_use ? std::min<uint64_t> (size, capacity_bytes - in_use) : 0;
   std::string written ((const char *)data, fits);
+  inode->pending.push_back ({ false, 0, inode->cache.size (), written });
   inode->cache += written;
-  inode->pending.push_back ({ false, 0, written });
   bytes_appended += fits;
   return fits == size || set_storage_error (err, STORAGE_ERROR_FULL, "no space left");
 }
@@ -213,7 +244,7 @@
       return false;
     InodePtr &inode = disk_of (store)->handles_.at (handle);
     inode->cache.resize (std::min (inode->cache.size (), size));
-    inode->pending.push_back ({ true, size, "" });
+    inode->pending.push_back ({ true, size, 0, "" });
     return true;
   },
   [] (file_store_t *store, const char *old_name, const char *new_name, anv_error_t *err) {
--- a/tests/state/fake_disk.h
+++ b/tests/state/fake_disk.h
@@ -11,9 +11,10 @@
 #include "rng.h"
 }
 
-// A disk in memory that implements file_ops. A crash keeps a random number of the unsynced
-// operations on each file and on the directory, in their order, and drops the later ones. Of the
-// first dropped append, a random prefix of its bytes is kept.
+// A disk in memory that implements file_ops. At a crash each unsynced write is present, missing or
+// torn, independently of the others, or all of a file are missing. What is missing reads as zeros
+// if the size of the file was kept. Of the unsynced operations on the directory, a random number is
+// kept, in their order.
 class FakeDisk
 {
 public:
@@ -58,7 +59,8 @@
   struct FileOp
   {
     bool truncate;
-    size_t size;
+    size_t size;   // of the file after a truncation
+    size_t offset; // of a write
     std::string data;
   };
   struct Inode
@@ -66,6 +68,8 @@
     std::string name, cache, durable;
     std::vector<FileOp> pending;
     void apply (const FileOp &op);
+    void write (size_t offset, const std::string &data);
+    void apply_torn (const FileOp &op, rng_t *rng);
   };
   using InodePtr = std::shared_ptr<Inode>;
   struct DirOp
--- a/tests/state/raft_sim.cc
+++ b/tests/state/raft_sim.cc
@@ -59,6 +59,15 @@
   return SECOND + slot * 17 * SECOND + (int64_t)((double)sim->time_us * clock_rate);
 }
 
+raft_member_t
+SimNode::member () const
+{
+  raft_member_t member = {};
+  member.id = id;
+  g_snprintf (member.name, sizeof (member.name), "h%d:1/h%d:2", slot, slot);
+  return member;
+}
+
 RaftSim::RaftSim (uint64_t seed, int member_count, bool small_snapshots)
 {
   rng_init (&rng, seed);
@@ -125,7 +134,7 @@
   for (int i = 0; i < member_count (); i++)
     {
       start (i);
-      members[i].id = nodes_[i]->id;
+      members[i] = nodes_[i]->member ();
     }
   for (int i = 0; i < voters; i++)
     raft_bootstrap (&nodes_[i]->raft, nodes_[i]->now (), members, voters, nullptr);
@@ -321,7 +330,7 @@
 bool
 RaftSim::add_member (int slot)
 {
-  raft_member_t member = { nodes_[slot]->id, false, "" };
+  raft_member_t member = nodes_[slot]->member ();
   int leader_slot = leader ();
   return leader_slot >= 0
          && raft_add_member (&nodes_[leader_slot]->raft, nodes_[leader_slot]->now (), &member,
--- a/tests/state/raft_sim.h
+++ b/tests/state/raft_sim.h
@@ -52,6 +52,8 @@
 
   SimNode (RaftSim *sim, int slot, uint64_t seed);
   int64_t now () const;
+  // Returns this instance as a member; its peer address is "hSLOT:1".
+  raft_member_t member () const;
 };
 
 // Simulates the members of a group in virtual time, and a network that drops, delays, duplicates
--- a/tests/state/test_segment_log.cc
+++ b/tests/state/test_segment_log.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <zlib.h>
 
 #include <map>
 
@@ -91,8 +92,8 @@
 }
 
 // Guards against a torn last write that hides complete records, is recovered as a record or makes
-// the log fail to open. The last segment is cut at every byte; the lost part is missing or reads as
-// zeros.
+// the log fail to open. The last segment is cut at every byte; the lost part is missing, or reads
+// as zeros up to or beyond its end.
 TEST (SegmentLog, TornTailAtEveryByte)
 {
   FakeDisk original (1);
@@ -104,19 +105,16 @@
       size_t complete_count = 0;
       for (size_t end = 0, i = 1; i <= 10; i++)
         {
-          end += SEGMENT_RECORD_HEADER_SIZE + record_text (i).size ();
+          end += SEGMENT_RECORD_HEADER_SIZE + record_text (i).size () + 1;
           complete_count += end <= cut;
         }
-      for (size_t zero_count : { (size_t)0, (size_t)2048 })
+      for (size_t zero_count : { (size_t)0, segment_content.size () - cut, (size_t)2048 })
         {
           FakeDisk disk (1);
-          // A file system leaves zeros only from a sector boundary on.
-          size_t kept_bytes = zero_count > 0 && cut % 512 != 0 ? 0 : cut;
-          disk.set_content (name, segment_content.substr (0, kept_bytes)
-                                      + std::string (zero_count, '\0'));
+          disk.set_content (name, segment_content.substr (0, cut) + std::string (zero_count, '\0'));
           TestLog log;
           ASSERT_TRUE (log.open (disk.store ())) << "cut " << cut << ": " << log.err.text;
-          EXPECT_EQ (log.records.size (), kept_bytes == cut ? complete_count : 0) << "cut " << cut;
+          EXPECT_EQ (log.records.size (), complete_count) << "cut " << cut;
           ASSERT_TRUE (log.append ("next") && log.sync ());
           segment_log_close (&log.log);
           ASSERT_TRUE (log.open (disk.store ()));
@@ -152,6 +150,47 @@
     }
 }
 
+// Returns RECORD in the format of earlier versions, which has no end byte.
+static std::string
+without_end_byte (const std::string &record)
+{
+  GByteArray *out = g_byte_array_new ();
+  std::string payload = record.substr (20, record.size () - 21);
+  bytes_put_u32 (out, payload.size ());
+  g_byte_array_append (out, (const uint8_t *)record.data () + 8, 12); // index, payload CRC
+  uint32_t crc = GUINT32_TO_BE (crc32 (0, out->data, out->len));
+  std::string old = std::string ((const char *)&crc, 4) + std::string ((char *)out->data, out->len);
+  g_byte_array_free (out, TRUE);
+  return old + payload;
+}
+
+// Guards against a log of an earlier version that cannot be opened, or in which damage to a payload
+// that ends with zeros passes for a record that was not written.
+TEST (SegmentLog, RecordsWithoutEndByteAreRead)
+{
+  FakeDisk disk (1);
+  TestLog log;
+  std::string payload ("\1\2\0\0", 4);
+  ASSERT_TRUE (log.open (disk.store ()) && log.append (payload) && log.sync ());
+  segment_log_close (&log.log);
+  std::string name = disk.names ().back ();
+  std::string old = without_end_byte (disk.content (name));
+
+  disk.set_content (name, old);
+  ASSERT_TRUE (log.open (disk.store ())) << log.err.text;
+  EXPECT_EQ (log.records.at (1), payload);
+  ASSERT_TRUE (log.append ("next") && log.sync ());
+  segment_log_close (&log.log);
+  ASSERT_TRUE (log.open (disk.store ())) << log.err.text;
+  EXPECT_EQ (log.records.at (2), "next");
+  segment_log_close (&log.log);
+
+  disk.set_content (name, old);
+  disk.flip_bit (name, SEGMENT_RECORD_HEADER_SIZE, 0);
+  EXPECT_FALSE (log.open (disk.store ()));
+  EXPECT_EQ (log.err.code, STORAGE_ERROR_CORRUPT);
+}
+
 // Guards against a missing segment that goes unnoticed.
 TEST (SegmentLog, MissingSegmentIsReported)
 {
