--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -198,6 +198,13 @@
   entry_service_t *service = r->service;
   scheduler_submit_result_t result = entry_service_submit (service, &r->waiter, &request);
 
+  /* The scheduler learns from summaries, which arrive at intervals, so it can select an entry that
+   * has left since. */
+  if (result.decision == SCHEDULER_FORWARD && choose_entry (r, result.entry_id) == NULL)
+    {
+      request.local_only = true;
+      result = entry_service_submit (service, &r->waiter, &request);
+    }
   switch (result.decision)
     {
     case SCHEDULER_QUEUED:
--- a/src/raft.c
+++ b/src/raft.c
@@ -61,28 +61,42 @@
     return;
   r->role = role;
   r->leader_id = leader;
+  if (leader != 0)
+    r->failed_election_count = 0;
   LOG_DEBUG ("role=%s group=%s term=%" PRIu64 " leader=%016" PRIx64, raft_role_name (role),
              r->options.name, r->meta.term, leader);
   if (r->io->ops->role_changed != NULL)
     r->io->ops->role_changed (r->io, role, r->meta.term, leader);
 }
 
-bool
-raft_become_follower (raft_t *r, int64_t now_us, uint64_t term, uint64_t leader)
+static void
+follow (raft_t *r, int64_t now_us, uint64_t leader)
 {
-  if (term > r->meta.term)
-    {
-      if (!raft_save_term_and_vote (r, term, 0))
-        return false;
-      r->leader_match_index = 0;
-      r->reply_due = false;
-    }
   if (r->role != RAFT_FOLLOWER)
     raft_election_reset_timeout (r, now_us);
   raft_read_abort (r);
   r->transferee = 0;
   g_clear_pointer (&r->outgoing_snapshot, g_byte_array_unref);
   raft_set_role (r, RAFT_FOLLOWER, leader);
+}
+
+bool
+raft_enter_term (raft_t *r, int64_t now_us, uint64_t term, uint64_t vote)
+{
+  if (!raft_save_term_and_vote (r, term, vote))
+    return false;
+  r->leader_match_index = 0;
+  r->reply_due = false;
+  follow (r, now_us, 0);
+  return true;
+}
+
+bool
+raft_become_follower (raft_t *r, int64_t now_us, uint64_t term, uint64_t leader)
+{
+  if (term > r->meta.term && !raft_enter_term (r, now_us, term, 0))
+    return false;
+  follow (r, now_us, leader);
   return true;
 }
 
@@ -254,8 +268,13 @@
       reply_to_stale_message (r, m);
       return;
     }
-  if (m->term > r->meta.term && may_raise_term (m) && !raft_become_follower (r, now_us, m->term, 0))
-    return;
+  if (m->term > r->meta.term && may_raise_term (m))
+    {
+      /* A vote is stored with the term, as each costs syncs. */
+      bool votes = m->type == RAFT_VOTE && raft_election_is_up_to_date (r, m);
+      if (!raft_enter_term (r, now_us, m->term, votes ? m->from : 0))
+        return;
+    }
   handle_message (r, now_us, m);
 }
 
--- a/src/raft_election.c
+++ b/src/raft_election.c
@@ -59,14 +59,21 @@
     }
 }
 
+/* The interval between elections doubles up to this many times. */
+#define MAX_RETRY_DOUBLINGS 4
+
 /* Schedules the next pre-vote in one to three heartbeat intervals, not after an election timeout. A
  * voter that heard from the leader later than this member ignores the request, and candidates can
- * split the votes; neither should delay the election by another timeout. */
+ * split the votes; neither should delay the election by another timeout. From the second election
+ * on the interval doubles, because a new election invalidates the votes of the last one, which come
+ * late from slow disks. */
 static void
 schedule_election_retry (raft_t *r, int64_t now_us)
 {
-  uint64_t random_us = rng_uniform_int (&r->rng, 2 * (uint64_t)r->options.heartbeat_interval_us);
-  r->election_deadline_us = now_us + r->options.heartbeat_interval_us + (int64_t)random_us;
+  unsigned doublings = r->failed_election_count > 0 ? r->failed_election_count - 1 : 0;
+  int64_t interval_us = r->options.heartbeat_interval_us << MIN (doublings, MAX_RETRY_DOUBLINGS);
+  uint64_t random_us = rng_uniform_int (&r->rng, 2 * (uint64_t)interval_us);
+  r->election_deadline_us = now_us + interval_us + (int64_t)random_us;
 }
 
 static void
@@ -77,7 +84,9 @@
       raft_become_follower (r, now_us, r->meta.term, 0);
       return;
     }
-  schedule_election_retry (r, now_us);
+  /* NOW_US is older than the syncs of the term and vote, so the next tick schedules the retry. */
+  r->election_started = true;
+  r->failed_election_count++;
   r->leader_match_index = 0;
   r->reply_due = false;
   reset_votes (r);
@@ -107,14 +116,19 @@
     return;
   /* A single voter need not wait for a leader's messages. */
   bool single_voter = raft_quorum_size (r) == 1;
+  if (r->election_started)
+    {
+      r->election_started = false;
+      schedule_election_retry (r, now_us);
+      return;
+    }
   if (!single_voter && now_us < r->election_deadline_us)
     return;
   start_pre_vote (r, now_us);
 }
 
-/* Returns whether the candidate's log in M is at least as up to date as this member's. */
-static bool
-is_up_to_date (const raft_t *r, const raft_message_t *m)
+bool
+raft_election_is_up_to_date (const raft_t *r, const raft_message_t *m)
 {
   uint64_t last_term = raft_log_last_term (&r->log);
   if (m->log_term != last_term)
@@ -126,16 +140,16 @@
 raft_election_on_vote (raft_t *r, int64_t now_us, const raft_message_t *m)
 {
   raft_message_t reply = { .type = RAFT_VOTE_REPLY, .pre_vote = m->pre_vote };
-  bool grant = is_up_to_date (r, m);
+  bool grant = raft_election_is_up_to_date (r, m);
   if (m->pre_vote)
     grant = grant && m->term > r->meta.term;
   else
     grant = grant && (r->meta.vote == 0 || r->meta.vote == m->from);
 
   /* The vote must be durable before the candidate may count it. */
-  if (grant && !m->pre_vote && r->meta.vote == 0)
+  if (grant && !m->pre_vote)
     {
-      if (!raft_save_term_and_vote (r, r->meta.term, m->from))
+      if (r->meta.vote == 0 && !raft_save_term_and_vote (r, r->meta.term, m->from))
         return;
       raft_election_reset_timeout (r, now_us);
     }
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -16,6 +16,10 @@
  * stored. */
 bool raft_become_follower (raft_t *r, int64_t now_us, uint64_t term, uint64_t leader);
 
+/* Becomes a follower without a leader in the new term TERM, in which it has voted for VOTE (0: not
+ * yet). Returns false if they could not be stored. */
+bool raft_enter_term (raft_t *r, int64_t now_us, uint64_t term, uint64_t vote);
+
 /* Sets role and known leader, and reports a change to the owner. */
 void raft_set_role (raft_t *r, raft_role_t role, uint64_t leader);
 
@@ -33,6 +37,9 @@
 size_t raft_quorum_size (const raft_t *r);
 
 /* raft_election */
+/* Returns whether the log of the candidate that sent M is at least as up to date as this one. */
+bool raft_election_is_up_to_date (const raft_t *r, const raft_message_t *m);
+
 /* Starts a new random election timeout. */
 void raft_election_reset_timeout (raft_t *r, int64_t now_us);
 void raft_election_tick (raft_t *r, int64_t now_us);
--- a/tests/state/raft_sim.h
+++ b/tests/state/raft_sim.h
@@ -44,7 +44,9 @@
   bool restart_pending = false; // restart after the current call, with a power failure
   bool damaged = false;         // the last start was refused because of corruption
   double clock_rate = 1;
-  uint64_t applied_index = 0; // state: the last applied index and a hash of all data
+  int64_t busy_until_us = 0;    // end of the syncs of the last call, in simulated time
+  uint64_t call_sync_count = 0; // syncs of the disk before the current call
+  uint64_t applied_index = 0;   // state: the last applied index and a hash of all data
   uint64_t state_hash = 0;
   // By index: term and data.
   std::map<uint64_t, std::pair<uint64_t, std::string> > pending_proposals;
@@ -119,6 +121,7 @@
   double loss_probability = 0, duplicate_probability = 0, slow_probability = 0;
   double crash_after_vote_probability = 0; // that a voter restarts after a granted vote
   double mean_link_delay_us = 1000;        // mean message delay in addition to 200 us
+  int64_t sync_us = 0; // duration of a sync, during which the member does nothing else
   int64_t time_us = 0;
   rng_t rng;
   uint64_t messages = 0, bytes = 0, acked_count = 0, confirmed_reads = 0, elections_won = 0;
@@ -150,6 +153,7 @@
   };
   void schedule (int64_t due_us, int slot, const std::string &message);
   void run_next_event ();
+  int64_t end_of_syncs (const SimNode &node) const;
   void deliver (SimNode &node, const std::string &bytes);
   void check_leader_log (SimNode &node, uint64_t term);
   void check_vote (uint64_t voter, uint64_t term, uint64_t candidate);
--- a/tests/state/test_raft.cc
+++ b/tests/state/test_raft.cc
@@ -188,6 +188,21 @@
   raft_message_t last_sent = {};
 };
 
+// Guards against candidates that start the next election before the votes of the last one, which
+// each take two syncs, can arrive, so that no leader is elected while the disks are slow.
+TEST (Raft, LeaderIsElectedOnSlowDisks)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      RaftSim sim (seed, 3, false);
+      sim.bootstrap (3);
+      sim.sync_us = 150 * MS;
+      ASSERT_TRUE (sim.run_until ([&] { return sim.leader () >= 0; }, 5 * SECOND)) << seed;
+      sim.run_for (2 * SECOND);
+      EXPECT_EQ (sim.elections_won, 1u) << seed;
+    }
+}
+
 // Guards against a leader that counts entries of an earlier term as committed before one of its own
 // term is (another leader could still replace them), or changes the membership before that.
 TEST (Raft, EarlierTermsAreCommittedWithTheCurrentTerm)
