Data path: bounded reading of bytes that belong to no answer

A server that sent interim responses, a response to another request, or the body of a refused or rejected response without end kept the attempt, a slot and the processor busy until the deadline; a refused request was retried only after that. The connection now ends after 1 MiB before the head of the response (attempt invalid, which counts against the target), and after 64 KiB of a body that is dropped (the attempt ends as its head says).

--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -5,6 +5,9 @@
 #define LOG_MODULE "proxy"
 #include "log.h"
 
+/* A response whose body is longer is not read to its end when it is not passed on. */
+#define MAX_DISCARDED_BYTES (64U * 1024)
+
 static const char *const end_names[ATTEMPT_END_COUNT] = {
   [ATTEMPT_COMPLETE] = "complete",
   [ATTEMPT_SHED] = "shed",
@@ -272,6 +275,17 @@
     g_string_append_len (attempt->captured, bytes, (gssize)size);
 }
 
+/* Drops SIZE bytes of the body. Ends the attempt and closes the connection if the body is long. */
+static void
+discard_body (proxy_request_t *request, size_t size)
+{
+  request->attempt.discarded_bytes += size;
+  if (request->attempt.discarded_bytes <= MAX_DISCARDED_BYTES)
+    return;
+  upstream_pool_cancel (&request->exchange);
+  end_attempt (request, request->attempt.discarded_as, "long response discarded", false);
+}
+
 static void
 on_body (upstream_exchange_t *exchange, const char *bytes, size_t size)
 {
@@ -279,7 +293,10 @@
   caller_exchange_t *caller = request->caller;
 
   if (request->attempt.discarding)
-    return;
+    {
+      discard_body (request, size);
+      return;
+    }
   capture_body (&request->attempt, bytes, size);
   if (!request->response_chunked)
     caller->ops->write (caller, bytes, size);
--- a/src/proxy_request.h
+++ b/src/proxy_request.h
@@ -30,6 +30,7 @@
   bool wrote_bytes;           /* at least one byte of the request was written to the socket */
   bool not_run;               /* the response proves that the request was not run */
   bool discarding;            /* the response is read but not passed on */
+  size_t discarded_bytes;     /* of its body */
   attempt_end_t discarded_as; /* how the attempt ends if discarding is set */
   int status;                 /* response status; 0 if no response has arrived */
   GString *captured;          /* response body for ended(); NULL if it is not captured */
--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -5,6 +5,10 @@
 #define LOG_MODULE "upstream_conn"
 #include "log.h"
 
+/* Most bytes that may precede the head of the response: interim responses, and responses to other
+ * requests, which are dropped. */
+#define MAX_PRECEDING_BYTES (1024U * 1024)
+
 static void
 free_conn (io_deferred_t *deferred)
 {
@@ -63,6 +67,8 @@
   conn->state = UPSTREAM_CONN_BUSY;
   conn->got_response_bytes = false;
   conn->paused = false;
+  conn->preceding_bytes = 0;
+  conn->got_response_head = false;
   conn->skipping_response = false;
   record_progress (conn);
   conn->exchange_started_us = conn->last_progress_us;
@@ -177,6 +183,7 @@
     }
   if (status >= 200)
     {
+      conn->got_response_head = true;
       exchange->ops->head (exchange, &conn->codec.head);
       return;
     }
@@ -284,6 +291,11 @@
     }
   conn->got_response_bytes = true;
   process_input (conn, buffer, (size_t)size);
+  if (conn->state != UPSTREAM_CONN_BUSY || conn->got_response_head)
+    return;
+  conn->preceding_bytes += (size_t)size;
+  if (conn->preceding_bytes > MAX_PRECEDING_BYTES)
+    fail_exchange (conn, UPSTREAM_INVALID, "too many bytes before the response");
 }
 
 static void
--- a/src/upstream_conn.h
+++ b/src/upstream_conn.h
@@ -91,8 +91,10 @@
   int64_t last_progress_us;    /* last progress, or last time when none was expected */
   bool got_response_bytes;     /* bytes were received, even if only of a dropped response */
   bool paused;                 /* upstream_exchange_pause() has stopped reading */
-  bool skipping_response;      /* the response being read belongs to another request */
-  bool retired;                /* must not be reused for another exchange */
+  size_t preceding_bytes;      /* received since the request, before the head of its response */
+  bool got_response_head;
+  bool skipping_response; /* the response being read belongs to another request */
+  bool retired;           /* must not be reused for another exchange */
 };
 
 /* Starts to connect to ADDRESS for EXCHANGE. If ADDRESS is NULL, the exchange fails. Failures are
