Platform: odd entries of other writers name no target, and end none

Heartbeats and deregistrations are refused above 64 KiB, with an id that isn't visible ASCII, with names that hold control characters, with port 0, and with a start more than an hour ahead. json_parse() refuses NUL and control characters in strings and more than 300,000 values. Numbers of native announcements and of the load header that are out of range no longer depend on the processor.

PlatformInput.SurvivesMutations feeds 20,000 random changes of heartbeats, configurations and patches to the parsers, each run with sanitizers too.

--- a/src/entry_announce.c
+++ b/src/entry_announce.c
@@ -49,7 +49,7 @@
   const char *echo = json_get_string (json, "echo", "");
   const char *colon = strrchr (echo, ':');
   const char *id = core->options.instance;
-  double held_ms = json_get_number (json, "echo_held_ms", -1);
+  int64_t held_ms = json_get_integer (json, "echo_held_ms", -1);
 
   /* Timestamps of another entry, or of an earlier process of this one, cannot be compared with the
    * clock of this process. */
@@ -59,7 +59,7 @@
       || strncmp (echo, own_prefix, strlen (own_prefix)) != 0)
     return LINK_CLOCK_AGE_UNKNOWN;
   int64_t echo_us = g_ascii_strtoll (colon + 1, NULL, 10);
-  return target_compute_max_age_us (entry_core_now (core), echo_us, (int64_t)(held_ms * US_PER_MS));
+  return target_compute_max_age_us (entry_core_now (core), echo_us, held_ms * US_PER_MS);
 }
 
 /* Stores the announcement JSON in OUT, whose strings belong to JSON. Returns NULL, or the reason
@@ -79,7 +79,7 @@
     .address = json_get_string (json, "address", ""),
     .domain = json_get_string (json, "domain", ""),
     .load = json_get_number (json, "load", 0),
-    .sent_us = (int64_t)(json_get_number (json, "sent_ms", 0) * US_PER_MS),
+    .sent_us = json_get_integer (json, "sent_ms", 0) * US_PER_MS,
   };
   if (*out->service == '\0' || strlen (out->service) >= SERVICE_NAME_SIZE)
     return "service is missing or too long";
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -280,7 +280,7 @@
   if (*end != ',')
     return;
   unsigned long waiting = strtoul (end + 1, &end, 10);
-  if (*end != ',' || running + waiting > UINT16_MAX)
+  if (*end != ',' || running > UINT16_MAX || waiting > UINT16_MAX)
     return;
   /* The target counts the answered request as running. */
   unsigned long busy = running + waiting;
--- a/src/json_util.c
+++ b/src/json_util.c
@@ -6,33 +6,50 @@
 /* 2^53; a double represents every integer up to this one. */
 #define MAX_EXACT_INTEGER 9007199254740992.0
 
-static bool
-is_depth_allowed (const char *text, size_t size)
+/* Checks a string from TEXT on, after its opening quote. Returns the number of bytes up to and
+ * including the closing quote, or to the end of TEXT. A NUL would end the string early for its
+ * readers, and control characters are not valid JSON. */
+static size_t
+scan_string (const char *text, size_t size, const char **reason)
+{
+  for (size_t i = 0; i < size; i++)
+    {
+      if ((unsigned char)text[i] < ' ')
+        *reason = "control character in a string";
+      if (size - i >= 6 && memcmp (text + i, "\\u0000", 6) == 0)
+        *reason = "NUL in a string";
+      if (text[i] == '"' || *reason != NULL)
+        return i + 1;
+      if (text[i] == '\\')
+        i++;
+    }
+  return size;
+}
+
+/* Returns why the document cannot be parsed within the limits, or NULL. */
+static const char *
+check_limits (const char *text, size_t size)
 {
   int depth = 0;
-  bool in_string = false;
+  size_t value_count = 1;
+  const char *reason = NULL;
 
-  for (size_t i = 0; i < size; i++)
+  for (size_t i = 0; i < size && reason == NULL; i++)
     {
       char c = text[i];
-      if (in_string)
-        {
-          if (c == '\\')
-            i++;
-          else if (c == '"')
-            in_string = false;
-          continue;
-        }
       if (c == '"')
-        in_string = true;
+        i += scan_string (text + i + 1, size - i - 1, &reason);
       else if (c == '{' || c == '[')
         depth++;
       else if (c == '}' || c == ']')
         depth--;
+      value_count += c == ',' || c == '{' || c == '[';
       if (depth > JSON_MAX_DEPTH)
-        return false;
+        reason = "nested too deeply";
+      else if (value_count > JSON_MAX_VALUES)
+        reason = "too many values";
     }
-  return true;
+  return reason;
 }
 
 static bool
@@ -60,11 +77,9 @@
   if (reason == NULL)
     reason = &ignored;
 
-  if (!is_depth_allowed (text, size))
-    {
-      *reason = "nested too deeply";
-      return NULL;
-    }
+  *reason = check_limits (text, size);
+  if (*reason != NULL)
+    return NULL;
 
   const char *end = NULL;
   cJSON *value = cJSON_ParseWithLengthOpts (text, size, &end, false);
@@ -104,6 +119,13 @@
   return cJSON_IsNumber (member) ? member->valuedouble : fallback;
 }
 
+int64_t
+json_get_integer (const cJSON *object, const char *key, int64_t fallback)
+{
+  double number = json_get_number (object, key, (double)fallback);
+  return (int64_t)CLAMP (number, -MAX_EXACT_INTEGER, MAX_EXACT_INTEGER);
+}
+
 bool
 json_read_exact_integer (const cJSON *number, int64_t *value)
 {
--- a/src/json_util.h
+++ b/src/json_util.h
@@ -9,9 +9,12 @@
 
 /* Deepest nesting that json_parse() accepts. */
 #define JSON_MAX_DEPTH 32
+/* Most values in one document, which bounds the memory of the parsed document. */
+#define JSON_MAX_VALUES 300000
 
 /* Parses SIZE bytes of TEXT, which must hold exactly one JSON value, nested at most JSON_MAX_DEPTH
- * deep and without duplicate keys in an object. On an error, returns NULL and stores a static
+ * deep, with at most about JSON_MAX_VALUES values, without duplicate keys in an object and without
+ * NUL or unescaped control characters in strings. On an error, returns NULL and stores a static
  * string in REASON, which may be NULL. Free the result with cJSON_Delete(). */
 cJSON *json_parse (const char *text, size_t size, const char **reason);
 
@@ -21,6 +24,9 @@
 /* Returns the number member KEY of OBJECT, or FALLBACK if it is absent or of another type. */
 double json_get_number (const cJSON *object, const char *key, double fallback);
 
+/* As json_get_number(), converted to an integer, with the value limited to +/- 2^53. */
+int64_t json_get_integer (const cJSON *object, const char *key, int64_t fallback);
+
 /* If NUMBER is a number with an integer value that a double represents exactly, stores it in VALUE
  * and returns true. NUMBER may be NULL. */
 bool json_read_exact_integer (const cJSON *number, int64_t *value);
--- a/tests/http/test_proxy_endless.cc
+++ b/tests/http/test_proxy_endless.cc
@@ -27,10 +27,11 @@
     EXPECT_TRUE (peer->ended || peer->reset) << "the connection stays open";
     return sent;
   }
-  /* Expects that the attempt at a server that sends HEAD and then BLOCK without end ends as END, and
-   * that the caller gets STATUS. */
+  /* Expects that the attempt at a server that sends HEAD and then BLOCK without end ends as END,
+   * and that the caller gets STATUS. */
   void
-  expect_end (const std::string &head, const std::string &block, const char *end, const char *status)
+  expect_end (const std::string &head, const std::string &block, const char *end,
+              const char *status)
   {
     SCOPED_TRACE (head.substr (0, 40) + block.substr (0, 20));
     size_t connection_count = server.peers.size ();
--- a/tests/platform/test_platform_config.cc
+++ b/tests/platform/test_platform_config.cc
@@ -7,6 +7,7 @@
 {
 #include "json_util.h"
 #include "platform_adapter.h"
+#include "rng.h"
 #include "version_store.h"
 }
 
@@ -207,12 +208,44 @@
 
 namespace
 {
-// Parses BODY as a heartbeat of the instance i-1, received at 1000 us.
+constexpr int64_t WALL_MS = 1000000000000;
+
+// Parses BODY as a heartbeat of the instance ID, received at 1000 us.
 bool
-read_heartbeat (const std::string &body, registry_target_t *target)
+read_heartbeat (const std::string &body, registry_target_t *target, const char *id = "i-1")
 {
   std::string text = to_json (body);
-  return platform_read_heartbeat ("i-1", text.data (), text.size (), 1000, target);
+  return platform_read_heartbeat (id, text.data (), text.size (), 1000, WALL_MS, target) == nullptr;
+}
+
+// Returns whether BODY is a valid deregistration of the instance ID.
+bool
+read_deregistration (const std::string &body, int64_t *started_at_ms, const char *id = "i-1")
+{
+  std::string text = to_json (body);
+  return platform_read_deregistration (id, text.data (), text.size (), WALL_MS, started_at_ms)
+         == nullptr;
+}
+
+std::string
+repeat (const std::string &text, size_t count)
+{
+  std::string out;
+  for (size_t i = 0; i < count; i++)
+    out += text;
+  return out;
+}
+
+// A valid heartbeat in which the value of the member KEY is replaced by VALUE.
+std::string
+heartbeat_with (const std::string &key, const std::string &value)
+{
+  std::string body = "{'address':'10.0.0.1:80','born':77,'info':{'service':'s','version':'v',"
+                     "'zone':'z','slots':4},'status':{'state':'ready','sequence':4,"
+                     "'warmup_left_ms':250}}";
+  size_t start = body.find ("'" + key + "':") + key.size () + 3;
+  size_t end = body.find_first_of (",}", body[start] == '{' ? body.find ('}', start) : start);
+  return body.substr (0, start) + value + body.substr (end + (body[start] == '{'));
 }
 }
 
@@ -240,3 +273,117 @@
          "{" + address + "," + info + "," + status + ",'born':'1'}" })
     EXPECT_FALSE (read_heartbeat (body, &target)) << body;
 }
+
+// Guards against a process that ends, or memory without bounds, because of one odd entry of another
+// writer: values nested very deeply, numbers out of range, ports that are none, long texts, names
+// with NUL or line breaks, and keys that stand twice.
+TEST (PlatformHeartbeat, OddEntriesAreRejected)
+{
+  registry_target_t target;
+  const std::string digits (400, '9');
+  const std::string deep = repeat ("[", 10000) + repeat ("]", 10000);
+  ASSERT_TRUE (read_heartbeat (heartbeat_with ("slots", "4"), &target));
+  for (const char *key : { "slots", "sequence", "born" })
+    {
+      for (const std::string &value :
+           { digits, "-" + digits, std::string ("1e999"), std::string ("-1e999"),
+             std::string ("NaN"), std::string ("9007199254740994"), deep })
+        EXPECT_FALSE (read_heartbeat (heartbeat_with (key, value), &target)) << key << value;
+    }
+  for (const char *value : { "NaN", "'250'", "[250]" })
+    EXPECT_FALSE (read_heartbeat (heartbeat_with ("warmup_left_ms", value), &target)) << value;
+  for (const char *port : { "0", "65536", "-1", "+80", "080000", "", "8o", "99999999999999999999" })
+    EXPECT_FALSE (read_heartbeat (
+        heartbeat_with ("address", "'10.0.0.1:" + std::string (port) + "'"), &target))
+        << port;
+  for (const char *key : { "address", "service", "version", "zone", "state" })
+    {
+      for (const std::string &text :
+           { std::string ("s\\u0000t"), std::string ("s\0t", 3), std::string ("s\\nt"),
+             std::string ("s\nt"), std::string ("s\\r\\nX: y"), std::string ("\xff\xfe"),
+             std::string (4 << 20, 'x'), std::string () })
+        EXPECT_FALSE (read_heartbeat (heartbeat_with (key, "'" + text + "'"), &target))
+            << key << text.substr (0, 20);
+    }
+  for (const char *key : { "info", "status" })
+    {
+      for (const std::string &value : { deep, std::string ("null"), std::string ("7"),
+                                        std::string ("[]"), std::string ("{}") })
+        EXPECT_FALSE (read_heartbeat (heartbeat_with (key, value), &target)) << key;
+    }
+  EXPECT_FALSE (read_heartbeat (deep, &target));
+  EXPECT_FALSE (read_heartbeat ("{'extra':" + deep + "," + heartbeat_with ("slots", "4").substr (1),
+                                &target));
+  EXPECT_FALSE (read_heartbeat ("{'born':1," + heartbeat_with ("slots", "4").substr (1), &target));
+  EXPECT_FALSE (read_heartbeat ("[" + repeat ("0,", 4 << 20) + "0]", &target));
+  for (const std::string &id :
+       { std::string (), std::string ("i 1"), std::string ("i\r\nX: y"), std::string ("i\x7f"),
+         std::string ("\xc3\xa9"), std::string (REGISTRY_ID_SIZE, 'i') })
+    EXPECT_FALSE (read_heartbeat (heartbeat_with ("slots", "4"), &target, id.c_str ())) << id;
+  EXPECT_TRUE (read_heartbeat (heartbeat_with ("born", std::to_string (WALL_MS + 5000)), &target));
+}
+
+// Guards against a call of another writer that ends a sound target, or all later incarnations of
+// one.
+TEST (PlatformHeartbeat, OddDeregistrationsAreRejected)
+{
+  int64_t started_at_ms = 0;
+  EXPECT_TRUE (read_deregistration ("", &started_at_ms));
+  EXPECT_TRUE (read_deregistration ("{}", &started_at_ms));
+  EXPECT_TRUE (read_deregistration ("{'born':77}", &started_at_ms));
+  EXPECT_EQ (started_at_ms, 77);
+  for (const std::string &body :
+       { std::string ("{"), std::string ("x"), std::string ("7"), std::string ("[]"),
+         std::string ("{'born':'1'}"), std::string ("{'born':-1}"), std::string ("{'born':1e999}"),
+         std::string ("{'born':9007199254740000}"), std::string ("{'born':1,'born':2}"),
+         repeat ("{'a':", 10000) + "1" + repeat ("}", 10000), std::string (4 << 20, ' ') + "{}" })
+    EXPECT_FALSE (read_deregistration (body, &started_at_ms)) << body.substr (0, 40);
+  EXPECT_FALSE (read_deregistration ("", &started_at_ms, "i\nj"));
+}
+
+// Guards against input that makes a parser read out of bounds or never end: valid bodies with
+// random changes. The sanitizers see what the results don't show.
+TEST (PlatformInput, SurvivesMutations)
+{
+  const std::string bodies[] = { to_json (heartbeat_with ("slots", "4")), to_json (CONFIG),
+                                 to_json ("{'version':'0000000d','upsert':{'routes':[{'name':'r-a',"
+                                          "'host':'h','path_prefix':'/x/','route_type':'safe',"
+                                          "'timeout_ms':5,'service':'s'}]},'drop':{'routes':"
+                                          "['r-b']}}") };
+  const std::string pieces[]
+      = { "\"", "{", "}", "[", "]", ":", ",", "\\u0000", "1e999", "-", "null" };
+  rng_t rng;
+  rng_init (&rng, 7);
+  for (int i = 0; i < 20000; i++)
+    {
+      std::string text = bodies[i % G_N_ELEMENTS (bodies)];
+      for (uint64_t n = rng_uniform_int (&rng, 6); n > 0 && !text.empty (); n--)
+        {
+          size_t position = rng_uniform_int (&rng, text.size ());
+          switch (rng_uniform_int (&rng, 4))
+            {
+            case 0:
+              text[position] = (char)rng_uniform_int (&rng, 256);
+              break;
+            case 1:
+              text.erase (position, rng_uniform_int (&rng, 20));
+              break;
+            case 2:
+              text.insert (position, pieces[rng_uniform_int (&rng, G_N_ELEMENTS (pieces))]);
+              break;
+            default:
+              text.insert (position, text.substr (rng_uniform_int (&rng, text.size ()), 30));
+            }
+        }
+      registry_target_t target;
+      int64_t started_at_ms = 0;
+      platform_change_t change;
+      anv_error_t err = {};
+      platform_read_heartbeat ("i-1", text.data (), text.size (), 1000, WALL_MS, &target);
+      platform_read_deregistration ("i-1", text.data (), text.size (), WALL_MS, &started_at_ms);
+      if (platform_read_config (text.data (), text.size (), "0000000c", &change, &err))
+        platform_change_clear (&change);
+      if (platform_read_patch (text.data (), text.size (), "0000000c", &change, &err))
+        platform_change_clear (&change);
+    }
+}
