Entry: a request that may have run is never refused as not run

On a route that may be repeated, a request whose first attempt may have run and for which no target was left was answered 503, which promises that it has not run. It is answered 502 now, as on other routes. platform_requests plays a target that runs a request, loses the answer and takes no further connection: 503 before, 502 now.

--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -150,7 +150,7 @@
       return;
     }
   metric_inc (&r->policy->refused[decision->verdict]);
-  if (r->possibly_run && !r->route->idempotent)
+  if (r->possibly_run)
     respond (r, 502, "no answer of the target", 0);
   else
     respond (r, 503, balancer_verdict_name (decision->verdict), decision->retry_after_us);
--- a/tests/platform/requests.py
+++ b/tests/platform/requests.py
@@ -46,6 +46,7 @@
     statuses, _, _, _ = send_many("/unsafe/x", method="POST")
     say(f"a target takes no connection: {statuses}")
     count_before = len(faulty.requests)
+    faulty.announced, healthy.announced, unreachable.announced = faulty.identity, healthy.identity, unreachable.identity
     faulty.identity = "i-other"
     statuses = set()
 
@@ -55,6 +56,17 @@
 
     wait_until(replacement_noticed, "the entry notices that the target was replaced")
     say(f"address taken over by another target: {sorted(statuses)}, run there {len(faulty.requests) - count_before}")
+    for target in (faulty, healthy, unreachable):
+        wait_until(lambda: fleet.rpc("instances.deregister", {"born": target.born}, instance=target.announced)[0] == 200,
+                   "an acknowledgement")
+    for path, method in (("/safe/x", "GET"), ("/unsafe/x", "POST")):
+        last = fleet.add_target("s1")
+        wait_until(lambda: last.send_heartbeat() == 200, "a heartbeat")
+        wait_until(lambda: fleet.request("/safe/x")[1] == 200, "the last target is in use")
+        last.mode = "reset and stop"
+        attempt, status, _, _ = fleet.request(path, method=method, deadline_ms=3000)
+        say(f"{method} whose answer was lost, no target left: {status}, run {fleet.executions(attempt)}")
+        wait_until(lambda: last.deregister() == 200, "an acknowledgement")
 
 
 def slow_body():
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -62,7 +62,8 @@
     """A target that announces itself and answers requests in the protocol of the platform.
 
     mode selects a fault: "full" refuses every request, "full once" the first attempt of each request, "refuses after the
-    run" a request that it recorded as run, "refuses POST after the run" only those with this method, "reset" closes the connection, "unsigned" leaves the signature out, "late"
+    run" a request that it recorded as run, "refuses POST after the run" only those with this method, "reset" closes the connection, "reset and stop"
+    also takes no further connection, "unsigned" leaves the signature out, "late"
     sends the answer of another request first, "errors" answers with 500, "normal" has no fault. "busy" refuses every
     request and asks for a pause of pause_s. "leaving" says in each answer that the target leaves; "spoiled leaving" says
     it in a success without a signature, "late leaving" in an additional answer to another request.
@@ -137,7 +138,9 @@
                                                            self.command == "POST"):
             self.answer(503, [("Not-Executed", "1")])
             return
-        if self.target.mode == "reset":
+        if self.target.mode in ("reset", "reset and stop"):
+            if self.target.mode == "reset and stop":
+                self.target.stop()
             self.close_connection = True
             self.connection.close()
             return
