Planned stop: answer requests that have arrived but were not read or accepted

When an entry stopped accepting, it closed connections that looked idle although a request waited in their buffer, and closing the listening socket reset the connections in its backlog. Both are requests that had just arrived, cut off without an answer. It now accepts what waits, and reads each idle connection once, before it closes. Proxy.DrainAnswersWhatHasArrived failed before (neither request reached the server).

--- a/src/caller_conn.c
+++ b/src/caller_conn.c
@@ -415,6 +415,9 @@
 void
 caller_conn_drain (caller_conn_t *conn)
 {
+  /* A request may have arrived that is not read yet. */
+  if (conn->state == CALLER_IDLE)
+    on_readable (&conn->stream);
   if (conn->state == CALLER_IDLE && !http_codec_is_mid_message (&conn->codec)
       && conn->pipelined_input == NULL)
     start_lingering_close (conn);
--- a/src/caller_listener.c
+++ b/src/caller_listener.c
@@ -181,6 +181,11 @@
 void
 caller_listener_drain (caller_listener_t *listener)
 {
+  /* Closing the socket would reset the connections that wait to be accepted. */
+  while (listener->socket != NULL
+         && caller_listener_open_count (listener) < listener->options.max_connections
+         && accept_one (listener))
+    ;
   stop_accepting (listener);
   LIST_FOREACH_SAFE (&listener->conns, node)
   {
--- a/tests/http/test_proxy_flow.cc
+++ b/tests/http/test_proxy_flow.cc
@@ -407,6 +407,29 @@
   EXPECT_TRUE (wait_until ([&] { return caller_listener_open_count (&listener) == 0; }));
 }
 
+// Guards against a shutdown that cuts off what has just arrived: a request that waits in the buffer
+// of an accepted connection, and one on a connection that waits to be accepted.
+TEST_F (Proxy, DrainAnswersWhatHasArrived)
+{
+  peer_ptr accepted = connect_caller ("");
+  ASSERT_TRUE (wait_until ([&] { return caller_listener_open_count (&listener) == 1; }));
+  accepted->send_all (GET_A);
+  peer_ptr waiting = connect_caller (GET_A);
+  proxy.draining = true;
+  caller_listener_drain (&listener);
+  for (size_t i = 0; i < 2; i++)
+    {
+      peer_ptr peer = wait_for_request (i, "\r\n\r\n");
+      ASSERT_NE (peer, nullptr);
+      peer->send_all (OK_AB);
+    }
+  for (const peer_ptr &caller : { accepted, waiting })
+    {
+      EXPECT_TRUE (wait_until ([&] { return caller->ended || caller->reset; }));
+      EXPECT_TRUE (caller->received ("Connection: close\r\n\r\nab"));
+    }
+}
+
 // Guards against a request that may run only once and is lost on a connection that its peer dropped
 // while it was idle. Requests that can be sent again may use such a connection.
 TEST_F (Proxy, NonRepeatableRequestAvoidsIdleConnections)
