Fleet messages: values out of range are limited where they are decoded

A duration near the limits of its type overflowed when it was added to the time, a cell count of four billion would have been allocated for, and a capacity could be NaN. All come from own processes, so only a fault of ours could send them. FleetWire.SurvivesMutations decodes 30,000 changed messages of each kind; StoredMembershipSurvivesMutations does it for stored records.

--- a/src/fleet_wire.c
+++ b/src/fleet_wire.c
@@ -13,6 +13,9 @@
 /* Evidence is sent as an integer number of hundredths. */
 #define EVIDENCE_SCALE 100.0
 #define LOAD_FIELD_COUNT 3
+/* Limits on what a message may say. */
+#define MAX_CELLS 65536
+#define MAX_DURATION_US INT64_C (1000000000000000)
 /* Largest text of a configuration after decompression. */
 #define MAX_TEXT_BYTES (31U << 20)
 
@@ -40,7 +43,7 @@
   status->wants_view = wire_read_bool (reader);
   status->capacity = wire_read_double (reader);
   status->state = (entry_state_t)MIN (state, (uint64_t)ENTRY_LEAVING);
-  return wire_reader_finish (reader, NULL);
+  return isfinite (status->capacity) && wire_reader_finish (reader, NULL);
 }
 
 static void
@@ -79,10 +82,10 @@
   view->in_contact = wire_read_bool (reader);
   view->members = read_strings (reader);
   view->peers = read_strings (reader);
-  view->cell_count = (unsigned)wire_read_uint (reader);
+  uint64_t cell_count = wire_read_uint (reader);
   view->own_cell_index = (unsigned)wire_read_uint (reader);
-  view->cell_count = MAX (view->cell_count, 1);
-  return wire_reader_finish (reader, NULL);
+  view->cell_count = (unsigned)CLAMP (cell_count, 1, MAX_CELLS);
+  return cell_count <= MAX_CELLS && wire_reader_finish (reader, NULL);
 }
 
 void
@@ -116,6 +119,14 @@
   return deflate_decompress (data, size, MAX_TEXT_BYTES);
 }
 
+/* Reads a duration, limited so that sums with a time don't overflow. */
+static int64_t
+read_duration_us (wire_reader_t *reader)
+{
+  int64_t duration_us = wire_read_int (reader);
+  return CLAMP (duration_us, -MAX_DURATION_US, MAX_DURATION_US);
+}
+
 static void
 write_target (wire_writer_t *writer, const registry_target_t *target, int64_t now_us)
 {
@@ -147,8 +158,8 @@
   target->sequence = wire_read_uint (reader);
   uint64_t state = wire_read_uint (reader);
   target->state = (registry_state_t)MIN (state, (uint64_t)REGISTRY_GONE);
-  target->warmup_end_us = now_us + wire_read_int (reader);
-  target->last_announcement_us = now_us - wire_read_int (reader);
+  target->warmup_end_us = now_us + read_duration_us (reader);
+  target->last_announcement_us = now_us - read_duration_us (reader);
   wire_read_array_end (reader);
 }
 
--- a/tests/fleet/test_fleet_wire.cc
+++ b/tests/fleet/test_fleet_wire.cc
@@ -1,10 +1,13 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 extern "C"
 {
 #include "fleet_wire.h"
+#include "raft_store.h"
+#include "rng.h"
 }
 
 namespace
@@ -129,3 +132,184 @@
   EXPECT_EQ (g_array_index (decoded, fleet_load_report_t, 0).target_id, UINT64_MAX);
   EXPECT_EQ (g_array_index (decoded, fleet_load_report_t, 0).evidence, -1.5);
 }
+
+namespace
+{
+constexpr int64_t NOW_US = 5000000000;
+
+// Decodes MESSAGE as each kind of message, whatever its type. Returns whether one of them accepts
+// it. Checks what the receivers rely on.
+bool
+decode_as_any (const std::string &message)
+{
+  bool accepted = false;
+  for (int kind = 0; kind < 6; kind++)
+    {
+      wire_reader_t reader;
+      wire_type_t type;
+      if (!wire_reader_init (&reader, (const uint8_t *)message.data (), message.size (), &type,
+                             nullptr))
+        return accepted;
+      fleet_status_t status = {};
+      fleet_view_t view = {};
+      version_seal_t seal;
+      g_autoptr (GArray) items = nullptr;
+      GBytes *text = nullptr;
+      switch (kind)
+        {
+        case 0:
+          accepted |= fleet_status_decode (&status, &reader);
+          EXPECT_LE ((int)status.state, (int)ENTRY_LEAVING);
+          break;
+        case 1:
+          accepted |= fleet_view_decode (&view, &reader);
+          EXPECT_GE (view.cell_count, 1u);
+          EXPECT_LE (view.cell_count, 65536u);
+          fleet_view_clear (&view);
+          break;
+        case 2:
+          text = fleet_config_decode (&seal, &reader);
+          accepted |= text != nullptr;
+          g_bytes_unref (text);
+          break;
+        case 3:
+          items = g_array_new (FALSE, TRUE, sizeof (registry_target_t));
+          accepted |= fleet_targets_decode (items, NOW_US, &reader);
+          break;
+        case 4:
+          items = g_array_new (FALSE, TRUE, sizeof (registry_departure_t));
+          accepted |= fleet_departed_decode (items, &reader);
+          break;
+        default:
+          items = g_array_new (FALSE, TRUE, sizeof (fleet_load_report_t));
+          accepted |= fleet_load_decode (items, &reader);
+          break;
+        }
+      wire_reader_destroy (&reader);
+    }
+  return accepted;
+}
+
+std::string
+take_text (wire_writer_t *writer)
+{
+  std::string text (writer->buffer.data, writer->buffer.size);
+  wire_writer_destroy (writer);
+  return text;
+}
+
+// Returns one message of each kind.
+std::vector<std::string>
+sample_messages ()
+{
+  std::vector<std::string> messages;
+  wire_writer_t writer;
+  fleet_status_t status = { "10.0.0.1:1", ENTRY_READY, 7, true, false, true, 12.5 };
+  fleet_status_encode (&status, &writer);
+  messages.push_back (take_text (&writer));
+  fleet_view_t view = { true, g_ptr_array_new (), g_ptr_array_new (), 3, 1 };
+  g_ptr_array_add (view.members, (gpointer) "10.0.0.1:1");
+  g_ptr_array_add (view.peers, (gpointer) "10.0.0.2:1");
+  fleet_view_encode (&view, &writer);
+  fleet_view_clear (&view);
+  messages.push_back (take_text (&writer));
+  version_seal_t seal = {};
+  GBytes *text = g_bytes_new_static ("{\"routes\":{}}", 13);
+  fleet_config_encode (&seal, text, &writer);
+  g_bytes_unref (text);
+  messages.push_back (take_text (&writer));
+  registry_target_t target = { "i-1", "s", "10.0.0.3:1",   "z",           "v",          4,
+                               77,    5,   REGISTRY_READY, NOW_US + 1000, NOW_US - 1000 };
+  GArray *targets = g_array_new (FALSE, FALSE, sizeof (target));
+  g_array_append_val (targets, target);
+  fleet_targets_encode (targets, NOW_US, &writer);
+  g_array_unref (targets);
+  messages.push_back (take_text (&writer));
+  registry_departure_t departure = { "i-1", 77, REGISTRY_DRAINING, 0 };
+  GArray *departures = g_array_new (FALSE, FALSE, sizeof (departure));
+  g_array_append_val (departures, departure);
+  fleet_departed_encode (departures, &writer);
+  g_array_unref (departures);
+  messages.push_back (take_text (&writer));
+  fleet_load_report_t load = { 99, 2, -1.5 };
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (load));
+  g_array_append_val (loads, load);
+  fleet_load_encode (loads, &writer);
+  g_array_unref (loads);
+  messages.push_back (take_text (&writer));
+  return messages;
+}
+
+void
+mutate (std::string *bytes, rng_t *rng)
+{
+  for (uint64_t n = 1 + rng_uniform_int (rng, 4); n > 0 && !bytes->empty (); n--)
+    {
+      size_t position = rng_uniform_int (rng, bytes->size ());
+      // 0xd3 and 0xcf begin 64-bit integers, 0xcb a double, 0xdd an array with a 32-bit length.
+      static const char starts[] = "\xd3\xcf\xcb\xdd\xff\x7f\x80";
+      switch (rng_uniform_int (rng, 4))
+        {
+        case 0:
+          (*bytes)[position] = (char)rng_next (rng);
+          break;
+        case 1:
+          (*bytes)[position] = starts[rng_uniform_int (rng, sizeof (starts) - 1)];
+          break;
+        case 2:
+          bytes->insert (position, 8, (char)rng_next (rng));
+          break;
+        default:
+          bytes->erase (position, 1 + rng_uniform_int (rng, 9));
+        }
+    }
+}
+}
+
+// Guards against a process that ends, or computes with values out of range, because of a damaged
+// message of another process (run under the sanitizers).
+TEST (FleetWire, SurvivesMutations)
+{
+  std::vector<std::string> samples = sample_messages ();
+  int accepted = 0;
+  rng_t rng;
+  rng_init (&rng, 11);
+  for (const std::string &sample : samples)
+    EXPECT_TRUE (decode_as_any (sample));
+  for (int round = 0; round < 30000; round++)
+    {
+      std::string bytes = samples[round % samples.size ()];
+      mutate (&bytes, &rng);
+      accepted += decode_as_any (bytes);
+    }
+  EXPECT_GT (accepted, 0);
+}
+
+// The same for the membership in a stored record.
+TEST (FleetWire, StoredMembershipSurvivesMutations)
+{
+  raft_config_t config = {};
+  GByteArray *out = g_byte_array_new ();
+  config.founder_id = 5;
+  for (config.count = 0; config.count < 5; config.count++)
+    {
+      config.members[config.count].id = 100 + config.count;
+      g_strlcpy (config.members[config.count].name, "10.0.0.1:1/10.0.0.1:2", RAFT_NAME_SIZE);
+    }
+  raft_config_encode (&config, out);
+  std::string sample ((const char *)out->data, out->len);
+  g_byte_array_free (out, TRUE);
+  rng_t rng;
+  rng_init (&rng, 12);
+  for (int round = 0; round < 30000; round++)
+    {
+      std::string bytes = sample;
+      size_t used = 0;
+      mutate (&bytes, &rng);
+      if (raft_config_decode ((const uint8_t *)bytes.data (), bytes.size (), &config, &used))
+        {
+          EXPECT_LE (used, bytes.size ());
+          EXPECT_LE (config.count, (size_t)RAFT_MAX_MEMBERS);
+        }
+    }
+}
