--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -390,14 +390,14 @@
 static void
 give_up (gateway_request_t *r, const attempt_result_t *result)
 {
+  int64_t available_us = balancer_available_after_us (&r->service->balancer, now_us (r));
   switch (result->end)
     {
     case ATTEMPT_SHED:
     case ATTEMPT_CONNECT_FAILED:
       if (!r->possibly_run)
         respond (r, 503, "no target took the request",
-                 MAX (balancer_available_after_us (&r->service->balancer, now_us (r)),
-                      UNAVAILABLE_RETRY_AFTER_US));
+                 MAX (available_us, UNAVAILABLE_RETRY_AFTER_US));
       else
         respond (r, 502, "no answer of the target", 0);
       break;
