Traffic splits are a module of their own; one search for a member

Moves only: the choice of a split's part is traffic_split, raft_status_find_member() replaces both searches, and one comparison of peer addresses serves names and addresses. test_group_repair, test_balancer, test_raft, test_feed_client and platform_configurations (traffic split 3:1) pass as before.

--- a/src/gateway_core.c
+++ b/src/gateway_core.c
@@ -27,14 +27,6 @@
   int64_t last_load_report_us;
 } gateway_peer_t;
 
-/* State of a traffic split, for the weighted choice of its parts. */
-typedef struct
-{
-  char *route_id; /* key */
-  uint64_t weights_hash;
-  double *request_counts; /* requests of each part, plus a random start offset */
-} split_state_t;
-
 int64_t
 gateway_core_now (const gateway_core_t *core)
 {
@@ -68,15 +60,6 @@
   g_free (service);
 }
 
-static void
-free_split (gpointer data)
-{
-  split_state_t *state = data;
-  g_free (state->route_id);
-  g_free (state->request_counts);
-  g_free (state);
-}
-
 gateway_service_t *
 gateway_core_get_service (gateway_core_t *core, const char *name)
 {
@@ -416,48 +399,7 @@
 const config_service_t *
 gateway_core_choose_service (gateway_core_t *core, const config_route_t *route)
 {
-  uint64_t weights_hash = 1;
-  double weight_sum = 0;
-  double request_total = 1;
-  if (route->split == NULL)
-    return config_doc_service (core->doc, route->service);
-  for (uint32_t i = 0; i < route->split_count; i++)
-    {
-      const config_split_t *part = &route->split[i];
-      weights_hash = (weights_hash ^ part->weight) * FNV_PRIME;
-      weights_hash = hash_text (weights_hash, config_doc_service (core->doc, part->service)->name);
-      weight_sum += part->weight;
-    }
-  split_state_t *state = g_hash_table_lookup (core->splits, route->id);
-  if (state == NULL || state->weights_hash != weights_hash)
-    {
-      state = g_new0 (split_state_t, 1);
-      state->route_id = g_strdup (route->id);
-      state->weights_hash = weights_hash;
-      state->request_counts = g_new0 (double, route->split_count);
-      g_hash_table_replace (core->splits, state->route_id, state);
-      /* The entries start at different offsets, so that the requests of all entries together follow
-       * the weights even when each entry has few. */
-      double offset = rng_uniform_double (core->options.rng);
-      for (uint32_t i = 0; i < route->split_count; i++)
-        state->request_counts[i] = i == 0 ? offset : offset * route->split[i].weight / weight_sum;
-    }
-  for (uint32_t i = 0; i < route->split_count; i++)
-    request_total += state->request_counts[i];
-  uint32_t chosen = 0;
-  double max_deficit = -G_MAXDOUBLE;
-  for (uint32_t i = 0; i < route->split_count; i++)
-    {
-      double deficit
-          = request_total * route->split[i].weight / weight_sum - state->request_counts[i];
-      if (route->split[i].weight > 0 && deficit > max_deficit)
-        {
-          max_deficit = deficit;
-          chosen = i;
-        }
-    }
-  state->request_counts[chosen] += 1;
-  return config_doc_service (core->doc, route->split[chosen].service);
+  return traffic_split_choose (&core->split, core->doc, route, core->options.rng);
 }
 
 static void
@@ -584,7 +526,7 @@
   target_registry_init (&core->registry);
   core->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
   core->targets = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  core->splits = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_split);
+  traffic_split_init (&core->split);
   core->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   io_timer_init (&core->tick, on_tick);
   io_deferred_init (&core->deferred_load_reports, send_load_reports);
@@ -606,7 +548,7 @@
   feed_client_destroy (&core->feed);
   g_clear_pointer (&core->targets, g_hash_table_unref);
   g_clear_pointer (&core->services, g_hash_table_unref);
-  g_clear_pointer (&core->splits, g_hash_table_unref);
+  traffic_split_destroy (&core->split);
   g_clear_pointer (&core->peers, g_hash_table_unref);
   target_registry_destroy (&core->registry);
   g_clear_pointer (&core->routes, route_table_free);
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -5,6 +5,7 @@
 #include "http_dialect.h"
 #include "retry_budget.h"
 #include "route_table.h"
+#include "traffic_split.h"
 #include "upstream_pool.h"
 
 /* gateway_core - state of an entry in a fleet with control instances: configuration, targets and
@@ -62,9 +63,9 @@
   gateway_core_options_t options;
   feed_client_t feed;
   target_registry_t registry;
-  GHashTable *services;  /* name -> gateway_service_t */
-  GHashTable *targets;   /* hash of the target -> gateway_target_t */
-  GHashTable *splits;    /* route id -> split_state_t */
+  GHashTable *services; /* name -> gateway_service_t */
+  GHashTable *targets;  /* hash of the target -> gateway_target_t */
+  traffic_split_t split;
   GHashTable *peers;     /* hash of the instance id -> gateway_peer_t */
   config_doc_t *doc;     /* configuration in force; NULL before the first one */
   route_table_t *routes; /* routing table of doc */
--- a/src/group_repair.c
+++ b/src/group_repair.c
@@ -12,7 +12,8 @@
   return hash != 0 ? hash : 1;
 }
 
-/* Returns whether two member names, "PEER_ADDRESS/OPERATOR_ADDRESS", have the same peer address. */
+/* Returns whether A and B, each "PEER_ADDRESS/OPERATOR_ADDRESS" or only the first of these, have
+ * the same peer address. */
 static bool
 has_same_address (const char *a, const char *b)
 {
@@ -20,24 +21,6 @@
   return strcspn (b, "/") == size && strncmp (a, b, size) == 0;
 }
 
-static bool
-has_address (const raft_member_t *member, const char *peer_address)
-{
-  size_t size = strcspn (member->name, "/");
-  return strlen (peer_address) == size && strncmp (member->name, peer_address, size) == 0;
-}
-
-static const raft_member_t *
-find_member (const raft_status_t *status, uint64_t id)
-{
-  for (size_t i = 0; i < status->peer_count; i++)
-    {
-      if (status->peers[i].member.id == id)
-        return &status->peers[i].member;
-    }
-  return NULL;
-}
-
 void
 group_repair_init (group_repair_t *repair, size_t wanted_voter_count, int64_t now_us)
 {
@@ -49,7 +32,7 @@
 {
   if (status->leader_id != 0)
     repair->last_leader_us = now_us;
-  return find_member (status, status->id) == NULL
+  return raft_status_find_member (status, status->id) == NULL
          || now_us - repair->last_leader_us >= GROUP_REPAIR_NO_LEADER_TIMEOUT_US;
 }
 
@@ -63,8 +46,9 @@
       repair->last_request_us = now_us;
       return NULL;
     }
-  bool forwarded = !has_address (joining, sender_address);
-  const raft_member_t *leader = forwarded ? NULL : find_member (status, status->leader_id);
+  bool forwarded = !has_same_address (joining->name, sender_address);
+  const raft_member_t *leader
+      = forwarded ? NULL : raft_status_find_member (status, status->leader_id);
   return leader != NULL && leader->id != joining->id ? leader : NULL;
 }
 
@@ -99,7 +83,7 @@
 decide_join (const raft_status_t *status, int64_t now_us, const raft_member_t *joining,
              size_t wanted_voter_count)
 {
-  if (find_member (status, joining->id) != NULL)
+  if (raft_status_find_member (status, joining->id) != NULL)
     return (group_repair_decision_t){ GROUP_REPAIR_ACTION_NONE, 0 };
   for (size_t i = 0; i < status->peer_count; i++)
     {
--- a/src/raft.c
+++ b/src/raft.c
@@ -429,6 +429,17 @@
   };
 }
 
+const raft_member_t *
+raft_status_find_member (const raft_status_t *status, uint64_t id)
+{
+  for (size_t i = 0; i < status->peer_count; i++)
+    {
+      if (status->peers[i].member.id == id)
+        return &status->peers[i].member;
+    }
+  return NULL;
+}
+
 bool
 raft_in_contact (const raft_t *r, int64_t now_us)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -277,6 +277,9 @@
 /* Stores the current state of the member in *STATUS. */
 void raft_get_status (const raft_t *r, raft_status_t *status);
 
+/* Returns the member ID in STATUS, or NULL. */
+const raft_member_t *raft_status_find_member (const raft_status_t *status, uint64_t id);
+
 /* Returns whether the member received a message from the leader within the maximum election
  * timeout, or leads and is in contact with a majority. */
 bool raft_in_contact (const raft_t *r, int64_t now_us);
--- a/src/replica_group.c
+++ b/src/replica_group.c
@@ -23,17 +23,6 @@
   return io_loop_now_us (group->options.loop);
 }
 
-static const raft_member_t *
-find_member (const raft_status_t *status, uint64_t id)
-{
-  for (size_t i = 0; i < status->peer_count; i++)
-    {
-      if (status->peers[i].member.id == id)
-        return &status->peers[i].member;
-    }
-  return NULL;
-}
-
 void
 replica_group_split_member_name (const char *name, char *peer_address, char *operator_address)
 {
@@ -53,7 +42,7 @@
   char operator_address[LINK_ADDRESS_SIZE];
 
   raft_get_status (&group->raft, &status);
-  const raft_member_t *member = find_member (&status, message->to);
+  const raft_member_t *member = raft_status_find_member (&status, message->to);
   const uint64_t *number = g_hash_table_lookup (group->link_numbers, &message->to);
   raft_wire_encode (message, &writer);
   if (member != NULL)
@@ -394,7 +383,7 @@
   if (!group->started)
     return;
   raft_get_status (&group->raft, &status);
-  const raft_member_t *leader = find_member (&status, status.leader_id);
+  const raft_member_t *leader = raft_status_find_member (&status, status.leader_id);
   if (leader != NULL)
     g_strlcpy (name, leader->name, RAFT_NAME_SIZE);
 }
