Raft: timers of elections that are decided

A member whose election ended because another one won scheduled its retry at the next tick, after one to three heartbeat intervals instead of an election timeout. And since a vote is stored with its term, each repeated vote request of the same candidate reset the timer of its voters, so a member that cannot receive could keep the others from electing a leader: with the first fault mended, MemberThatCannotReceiveDoesNotDeposeTheLeader showed it. The timer is reset once for each vote, as before. test_raft, test_raft_faults, test_claim_faults and test_group_repair_faults pass.

--- a/src/raft.c
+++ b/src/raft.c
@@ -88,6 +88,9 @@
   r->leader_match_index = 0;
   r->reply_due = false;
   follow (r, now_us, 0);
+  /* Once for each vote: a candidate that repeats its request must not delay other elections. */
+  if (vote != 0)
+    raft_election_reset_timeout (r, now_us);
   return true;
 }
 
--- a/src/raft.h
+++ b/src/raft.h
@@ -187,7 +187,7 @@
   uint64_t config_index;          /* entry that PEERS comes from, or the last one of the snapshot */
   int64_t last_leader_message_us; /* last RAFT_APPEND or RAFT_SNAPSHOT of the leader */
   int64_t election_deadline_us;
-  bool election_started;          /* since the last tick, which schedules the retry */
+  bool election_started;          /* the next tick schedules the retry */
   unsigned failed_election_count; /* started by this member since it last knew a leader */
   int64_t leading_since_us;       /* start of the term as leader */
   uint64_t term_start_index;      /* first entry of this term as leader */
--- a/src/raft_election.c
+++ b/src/raft_election.c
@@ -11,6 +11,7 @@
   int64_t random_us
       = (int64_t)rng_uniform_int (&r->rng, (uint64_t)r->options.min_election_timeout_us);
   r->election_deadline_us = now_us + r->options.min_election_timeout_us + random_us;
+  r->election_started = false;
 }
 
 bool
@@ -147,9 +148,9 @@
     grant = grant && (r->meta.vote == 0 || r->meta.vote == m->from);
 
   /* The vote must be durable before the candidate may count it. */
-  if (grant && !m->pre_vote)
+  if (grant && !m->pre_vote && r->meta.vote == 0)
     {
-      if (r->meta.vote == 0 && !raft_save_term_and_vote (r, r->meta.term, m->from))
+      if (!raft_save_term_and_vote (r, r->meta.term, m->from))
         return;
       raft_election_reset_timeout (r, now_us);
     }
