--- a/src/entry_announce.c
+++ b/src/entry_announce.c
@@ -110,7 +110,7 @@
 entry_announce_handle (entry_core_t *core, const char *body, size_t size, const char **reason)
 {
   target_announcement_t announcement;
-  cJSON *json = json_parse (body, size, reason);
+  cJSON *json = json_parse_strict (body, size, reason);
   if (json == NULL)
     return NULL;
   *reason = parse_announcement (core, json, &announcement);
--- a/src/json_util.c
+++ b/src/json_util.c
@@ -6,17 +6,18 @@
 /* 2^53; a double represents every integer up to this one. */
 #define MAX_EXACT_INTEGER 9007199254740992.0
 
-/* Checks a string from TEXT on, after its opening quote. Returns the number of bytes up to and
- * including the closing quote, or to the end of TEXT. A NUL would end the string early for its
- * readers, and control characters are not valid JSON. */
+/* Scans a string from TEXT on, after its opening quote. Returns the number of bytes up to and
+ * including the closing quote, or to the end of TEXT. If STRICT is set, stores in *REASON what is
+ * wrong: a NUL would end the string early for its readers, and control characters are not valid
+ * JSON. */
 static size_t
-scan_string (const char *text, size_t size, const char **reason)
+scan_string (const char *text, size_t size, bool strict, const char **reason)
 {
   for (size_t i = 0; i < size; i++)
     {
-      if ((unsigned char)text[i] < ' ')
+      if (strict && (unsigned char)text[i] < ' ')
         *reason = "control character in a string";
-      if (size - i >= 6 && memcmp (text + i, "\\u0000", 6) == 0)
+      if (strict && size - i >= 6 && memcmp (text + i, "\\u0000", 6) == 0)
         *reason = "NUL in a string";
       if (text[i] == '"' || *reason != NULL)
         return i + 1;
@@ -26,9 +27,10 @@
   return size;
 }
 
-/* Returns why the document cannot be parsed within the limits, or NULL. */
+/* Returns why the document cannot be parsed within the limits, or NULL. If STRICT is not set, only
+ * its depth is limited. */
 static const char *
-check_limits (const char *text, size_t size)
+check_limits (const char *text, size_t size, bool strict)
 {
   int depth = 0;
   size_t value_count = 1;
@@ -38,7 +40,7 @@
     {
       char c = text[i];
       if (c == '"')
-        i += scan_string (text + i + 1, size - i - 1, &reason);
+        i += scan_string (text + i + 1, size - i - 1, strict, &reason);
       else if (c == '{' || c == '[')
         depth++;
       else if (c == '}' || c == ']')
@@ -46,7 +48,7 @@
       value_count += c == ',' || c == '{' || c == '[';
       if (depth > JSON_MAX_DEPTH)
         reason = "nested too deeply";
-      else if (value_count > JSON_MAX_VALUES)
+      else if (strict && value_count > JSON_MAX_VALUES)
         reason = "too many values";
     }
   return reason;
@@ -70,14 +72,10 @@
   return false;
 }
 
-cJSON *
-json_parse (const char *text, size_t size, const char **reason)
+static cJSON *
+parse (const char *text, size_t size, bool strict, const char **reason)
 {
-  const char *ignored = NULL;
-  if (reason == NULL)
-    reason = &ignored;
-
-  *reason = check_limits (text, size);
+  *reason = check_limits (text, size, strict);
   if (*reason != NULL)
     return NULL;
 
@@ -105,6 +103,20 @@
   return value;
 }
 
+cJSON *
+json_parse (const char *text, size_t size, const char **reason)
+{
+  const char *ignored = NULL;
+  return parse (text, size, false, reason != NULL ? reason : &ignored);
+}
+
+cJSON *
+json_parse_strict (const char *text, size_t size, const char **reason)
+{
+  const char *ignored = NULL;
+  return parse (text, size, true, reason != NULL ? reason : &ignored);
+}
+
 const char *
 json_get_string (const cJSON *object, const char *key, const char *fallback)
 {
--- a/src/json_util.h
+++ b/src/json_util.h
@@ -9,15 +9,19 @@
 
 /* Deepest nesting that json_parse() accepts. */
 #define JSON_MAX_DEPTH 32
-/* Most values in one document, which bounds the memory of the parsed document. */
+/* Most values in a document that json_parse_strict() accepts, which bounds its memory. */
 #define JSON_MAX_VALUES 300000
 
 /* Parses SIZE bytes of TEXT, which must hold exactly one JSON value, nested at most JSON_MAX_DEPTH
- * deep, with at most about JSON_MAX_VALUES values, without duplicate keys in an object and without
- * NUL or unescaped control characters in strings. On an error, returns NULL and stores a static
+ * deep and without duplicate keys in an object. On an error, returns NULL and stores a static
  * string in REASON, which may be NULL. Free the result with cJSON_Delete(). */
 cJSON *json_parse (const char *text, size_t size, const char **reason);
 
+/* The same for input from outside: also refuses documents with more than about JSON_MAX_VALUES
+ * values, and strings with NUL or unescaped control characters. What the replicated log holds is
+ * read with json_parse(), whose result must be the same at all members, also of other versions. */
+cJSON *json_parse_strict (const char *text, size_t size, const char **reason);
+
 /* Returns the string member KEY of OBJECT, or FALLBACK if it is absent or of another type. */
 const char *json_get_string (const cJSON *object, const char *key, const char *fallback);
 
