Route splits carry the project's word, not the platform's

The module that was parted from gateway_core was called traffic_split, which is the platform's name of the field; only platform/ knows those. Renamed to route_split, nothing else.

--- a/src/gateway_core.c
+++ b/src/gateway_core.c
@@ -399,7 +399,7 @@
 const config_service_t *
 gateway_core_choose_service (gateway_core_t *core, const config_route_t *route)
 {
-  return traffic_split_choose (&core->split, core->doc, route, core->options.rng);
+  return route_split_choose (&core->split, core->doc, route, core->options.rng);
 }
 
 static void
@@ -526,7 +526,7 @@
   target_registry_init (&core->registry);
   core->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
   core->targets = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  traffic_split_init (&core->split);
+  route_split_init (&core->split);
   core->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   io_timer_init (&core->tick, on_tick);
   io_deferred_init (&core->deferred_load_reports, send_load_reports);
@@ -548,7 +548,7 @@
   feed_client_destroy (&core->feed);
   g_clear_pointer (&core->targets, g_hash_table_unref);
   g_clear_pointer (&core->services, g_hash_table_unref);
-  traffic_split_destroy (&core->split);
+  route_split_destroy (&core->split);
   g_clear_pointer (&core->peers, g_hash_table_unref);
   target_registry_destroy (&core->registry);
   g_clear_pointer (&core->routes, route_table_free);
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -5,7 +5,7 @@
 #include "http_dialect.h"
 #include "retry_budget.h"
 #include "route_table.h"
-#include "traffic_split.h"
+#include "route_split.h"
 #include "upstream_pool.h"
 
 /* gateway_core - state of an entry in a fleet with control instances: configuration, targets and
@@ -65,7 +65,7 @@
   target_registry_t registry;
   GHashTable *services; /* name -> gateway_service_t */
   GHashTable *targets;  /* hash of the target -> gateway_target_t */
-  traffic_split_t split;
+  route_split_t split;
   GHashTable *peers;     /* hash of the instance id -> gateway_peer_t */
   config_doc_t *doc;     /* configuration in force; NULL before the first one */
   route_table_t *routes; /* routing table of doc */
--- a/src/traffic_split.c
+++ b/src/route_split.c
@@ -1,4 +1,4 @@
-#include "traffic_split.h"
+#include "route_split.h"
 
 #define HASH_PRIME UINT64_C (0x100000001b3)
 
@@ -19,20 +19,20 @@
 }
 
 void
-traffic_split_init (traffic_split_t *split)
+route_split_init (route_split_t *split)
 {
   split->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_state);
 }
 
 void
-traffic_split_destroy (traffic_split_t *split)
+route_split_destroy (route_split_t *split)
 {
   g_clear_pointer (&split->routes, g_hash_table_unref);
 }
 
 const config_service_t *
-traffic_split_choose (traffic_split_t *split, const config_doc_t *doc, const config_route_t *route,
-                      rng_t *rng)
+route_split_choose (route_split_t *split, const config_doc_t *doc, const config_route_t *route,
+                    rng_t *rng)
 {
   uint64_t weights_hash = 1;
   double weight_sum = 0;
