review: case 1 keeps to the limits of garbled answers, and bytes without an id

Cause: the share of garbled answers at the garbling target depended on the placement; a 503 without an id, after a complete answer, is passed on as the answer of the next request. Change: 40 plain answers of the garbling target before each garbled one; a third part of the script.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,4 +1,4 @@
-"""A target sends the rejection of a request twice, the second copy late."""
+"""A target sends the rejection of a request twice, the second copy late; or other bytes after a complete answer."""
 
 import pathlib
 import sys
@@ -10,13 +10,13 @@
 
 from deployment import ZONES, Connection, main, route  # noqa: E402
 
-REQUEST_COUNT = 40  # of each route; one answer of each 40 comes twice
-MARKED = 20
-WORK_S = 0.15
+PLAIN_COUNT = 40  # answers of the garbling target before each one that is garbled: x = 0.024
+WORK_S = 0.02
 SHORT_HOLD_S = 0.4
-LONG_HOLD_S = 2.0
+LONG_HOLD_S = 4.0
 LATE_S = 0.1
 GARBLING = "i-commesse-1"  # one of two targets
+PAGE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"  # belongs to no request: it has no Attempt-Id
 
 
 def run(deployment, trouble):
@@ -29,19 +29,22 @@
             rejected.add(request["attempt"])
             target.reply(connection, request, 503, not_executed=True)
             if trouble:
-                threading.Timer(LATE_S, send_copy, (target, connection, request)).start()
+                copy = target.build(request, 503, not_executed=True)
+                threading.Timer(LATE_S, send_more, (target, connection, "503 Not-Executed once more", copy)).start()
             return
         target.begin_run(request)
         if request["path"].endswith("/hold"):
             time.sleep(SHORT_HOLD_S if target.name == GARBLING else LONG_HOLD_S)
         else:
-            time.sleep(2 * LATE_S if marked else WORK_S)
+            time.sleep(2 * LATE_S if marked or request["path"].endswith("/next") else WORK_S)
         target.reply(connection, request, 200, b"deposit taken")
+        if trouble and request["path"].endswith("/spilling"):
+            threading.Timer(LATE_S, send_more, (target, connection, "a 503 without an id", PAGE)).start()
 
-    def send_copy(target, connection, request):
-        deployment.record.write(f"{target.name} sends its answer to {request['attempt']} once more: 503 Not-Executed")
+    def send_more(target, connection, what, data):
+        deployment.record.write(f"{target.name} sends bytes after its complete answer: {what}")
         try:
-            connection.sendall(target.build(request, 503, not_executed=True))
+            connection.sendall(data)
         except OSError as error:
             deployment.record.write(f"the connection is closed already ({type(error).__name__})")
 
@@ -59,23 +62,21 @@
         answers[attempt] = connection.receive(attempt)
         connection.close()
 
-    def send_marked(prefix):
-        """Sends a marked request while the slot of the other target is in use by a long one."""
-        holding = [threading.Thread(target=request, args=(prefix + "hold",)) for _ in range(2)]
+    def send_to_garbling(paths):
+        """Sends requests while the slot of the other target is in use by a long one."""
+        holding = [threading.Thread(target=request, args=("/capture/hold",)) for _ in range(2)]
         for thread in holding:
             thread.start()
             time.sleep(0.1)
         time.sleep(2 * SHORT_HOLD_S)
-        request(prefix + "marked")
+        for path in paths:
+            request(path)
         for thread in holding:
             thread.join()
 
     for prefix in ("/deposit/", "/capture/"):
-        for i in range(REQUEST_COUNT):
-            if i == MARKED:
-                send_marked(prefix)
-            else:
-                request(prefix + "a")
+        send_to_garbling([prefix + "a"] * PLAIN_COUNT + [prefix + "marked"])
+    send_to_garbling(["/capture/a"] * PLAIN_COUNT + ["/capture/spilling", "/capture/next"])
     time.sleep(1)
 
     runs = [run[1] for target in targets for run in target.runs]
