--- a/review/4/run.py
+++ b/review/4/run.py
@@ -8,7 +8,7 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib"))
 
-from deployment import BOUNDS, ZONES, Connection, main, route  # noqa: E402
+from deployment import BOUNDS, ZONES, CannotRun, Connection, main, route  # noqa: E402
 
 PARTS = 20
 PART_S = 0.2  # a map is sent for 4 s
@@ -44,6 +44,10 @@
     connection = Connection(deployment, deployment.front())
     attempt = connection.send("GET", "/map/a", 15000)
     time.sleep(STOP_AFTER_S)
+    # The client keeps this response for three times its ttl_s, as some clients do.
+    addresses, ttl_s = deployment.resolve(ZONES[0])
+    if deployment.front() not in addresses or 3 * ttl_s < SECOND_REQUEST_S + 0.5:
+        raise CannotRun("the client may not use the address for long enough")
     stop = deployment.record.now()
     if trouble:
         deployment.signal("front-1", signal.SIGTERM)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -365,13 +365,26 @@
     def front(self, name="front-1"):
         return self.machines[name]["front"]
 
+    def resolve(self, zone):
+        """Asks the directory for entries, as a client does. Returns (addresses, ttl_s)."""
+        for machine in [m for m in self.machines.values() if m["role"] == "control"]:
+            answer = self.call(machine["directory"], "GET", f"/-/resolve?name={HOST}&region=padana&zone={zone}")
+            if answer.status == 200:
+                body = json.loads(answer.body)
+                self.record.write(f"the directory answers {body['addresses']} ttl_s={body['ttl_s']}")
+                return body["addresses"], body["ttl_s"]
+        return [], 0
+
     def wait_ready(self):
-        """Waits until each entry is ready and has had the targets for some seconds."""
+        """Waits until each entry is ready and in the directory, and has had the targets for some seconds."""
         for name, machine in self.machines.items():
             if machine["role"] == "entry":
                 wait_until(lambda m=machine: self.call(m["ready"], "GET", "/-/ready").status == 200, f"{name} is ready")
         wait_until(lambda: all(f"id={t.name}" in self.log(name) for t in self.targets
                                for name, m in self.machines.items() if m["role"] == "entry"), "the entries know the targets")
+        for name, machine in self.machines.items():
+            if machine["role"] == "entry":
+                wait_until(lambda m=machine: m["front"] in self.resolve(m["zone"])[0], f"{name} is in the directory", 10)
         time.sleep(4)
 
     def log(self, name):
@@ -394,6 +407,7 @@
 def main(case_directory, run):
     """Runs RUN(deployment, trouble), which returns the violations, and exits with 1, 0 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # leaves the deployment, which ends its processes
     try:
         with Deployment(case_directory) as deployment:
             violations = run(deployment, trouble)
@@ -404,10 +418,7 @@
             if keep_log:
                 for name in deployment.machines:
                     (pathlib.Path(keep_log) / f"{name}.log").write_text(deployment.log(name))
-    except CannotRun as error:
-        print(f"cannot run: {error}", file=sys.stderr)
-        sys.exit(2)
-    except Exception as error:  # pylint: disable=broad-except
+    except Exception as error:
         print(f"cannot run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(2)
     for violation in violations:
