Planned stop: close connections that become idle after the drain

Cause: caller_listener_drain() closes the connections that are idle at one moment. A connection that was carrying a response whose head had passed before SIGTERM, so without Connection: close, became idle later and took requests until the process ended.

Change: a connection remembers that it is draining.

--- a/src/caller_conn.c
+++ b/src/caller_conn.c
@@ -12,6 +12,7 @@
 #define FLUSH_TIMEOUT_US (30 * G_USEC_PER_SEC)
 
 static void process_input (caller_conn_t *conn, const char *bytes, size_t size);
+static void close_if_unused (caller_conn_t *conn);
 
 static void
 arm_timer (caller_conn_t *conn, int64_t delay_us)
@@ -106,17 +107,15 @@
   conn->discarded_bytes = 0;
   http_codec_reset (&conn->codec);
   arm_timer (conn, conn->options->idle_timeout_us);
-  if (conn->pipelined_input != NULL)
+  if (conn->pipelined_input != NULL || conn->draining)
     io_loop_defer (conn->options->loop, &conn->resume);
   update_reading (conn);
 }
 
 static void
-on_resume (io_deferred_t *deferred)
+process_pipelined_input (caller_conn_t *conn)
 {
-  caller_conn_t *conn = CONTAINER_OF (deferred, caller_conn_t, resume);
   GString *pipelined_input = conn->pipelined_input;
-
   if (pipelined_input == NULL || conn->state == CALLER_REQUEST)
     return;
   conn->pipelined_input = NULL;
@@ -124,6 +123,17 @@
   g_string_free (pipelined_input, TRUE);
 }
 
+/* Processes the requests that arrived during the last one. If there are none, a connection that is
+ * draining closes. */
+static void
+on_resume (io_deferred_t *deferred)
+{
+  caller_conn_t *conn = CONTAINER_OF (deferred, caller_conn_t, resume);
+  process_pipelined_input (conn);
+  if (conn->draining)
+    close_if_unused (conn);
+}
+
 static void
 write_error_response (caller_conn_t *conn, int status, const char *reason)
 {
@@ -412,8 +422,9 @@
   return conn;
 }
 
-void
-caller_conn_drain (caller_conn_t *conn)
+/* Closes the connection if no byte of a request has arrived. */
+static void
+close_if_unused (caller_conn_t *conn)
 {
   /* A request may have arrived that is not read yet. */
   if (conn->state == CALLER_IDLE)
@@ -422,3 +433,10 @@
       && conn->pipelined_input == NULL)
     start_lingering_close (conn);
 }
+
+void
+caller_conn_drain (caller_conn_t *conn)
+{
+  conn->draining = true;
+  close_if_unused (conn);
+}
--- a/src/caller_conn.h
+++ b/src/caller_conn.h
@@ -44,10 +44,11 @@
   bool paused;           /* the proxy has stopped reading the request body */
   bool output_shut_down;
   bool input_ended;
+  bool draining;            /* closes as soon as no request has arrived */
   size_t discarded_bytes;   /* of the body of the current request */
   GString *pipelined_input; /* unparsed input after the current request; NULL if empty */
   io_timer_t timer;
-  io_deferred_t resume; /* processes PIPELINED_INPUT */
+  io_deferred_t resume; /* goes on after a request, see on_resume() */
   io_deferred_t free;
   char address[64]; /* IP address of the caller, without port */
 };
@@ -57,8 +58,9 @@
 caller_conn_t *caller_conn_new (const caller_conn_options_t *options, GSocket *socket,
                                 GIOStream *tls);
 
-/* Closes the connection if it waits for a request of which no byte has arrived. Any other
- * connection closes after the first response that starts while proxy_t.draining is set. */
+/* Closes the connection as soon as it waits for a request of which no byte has arrived: at once, or
+ * after the requests that have arrived. A response that starts while proxy_t.draining is set is the
+ * last one on its connection. */
 void caller_conn_drain (caller_conn_t *conn);
 
 /* Closes the connection immediately and cancels its request, if any. */
--- a/tests/http/test_proxy_flow.cc
+++ b/tests/http/test_proxy_flow.cc
@@ -430,6 +430,24 @@
     }
 }
 
+// Guards against a connection that is busy when the idle ones are closed and stays open for further
+// requests, although nothing in its response asked the caller to leave.
+TEST_F (Proxy, DrainClosesWhatBecomesIdle)
+{
+  peer_ptr caller = connect_caller (GET_A);
+  peer_ptr peer = wait_for_request (0, "\r\n\r\n");
+  peer->send_all ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab");
+  ASSERT_TRUE (wait_until_received (caller, "\r\n\r\nab"));
+  proxy.draining = true;
+  caller_listener_drain (&listener);
+  peer->send_all ("cd");
+  ASSERT_TRUE (wait_until ([&] { return caller->ended || caller->reset; }));
+  EXPECT_TRUE (caller->received ("\r\n\r\nabcd"));
+  EXPECT_FALSE (caller->received ("Connection: close"));
+  caller->close_socket ();
+  EXPECT_TRUE (wait_until ([&] { return caller_listener_open_count (&listener) == 0; }));
+}
+
 // Guards against a request that may run only once and is lost on a connection that its peer dropped
 // while it was idle. Requests that can be sent again may use such a connection.
 TEST_F (Proxy, NonRepeatableRequestAvoidsIdleConnections)
