Connections: a request is sent at most once on each of them

Cause: a rejected request went out again on the connection that had carried the rejection. All attempts carry the caller's id, so a late copy of the rejection passed for the answer to the second attempt, as proof that it had not run. A response without an id was accepted as well, so bytes after an answer could end the next request with a 503.

Change: an exchange remembers the connections that carried it, and the pool never returns it to one of them. A response that lacks the id of its request is dropped like one with another id.

Why this works: a copy on the earlier connection finds it idle, which closes it, or busy with a request of another id, which drops it.

--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -11,8 +11,8 @@
 {
   /* Request: milliseconds until the caller stops waiting. Reduced at each hop. */
   const char *deadline_header;
-  /* Request and response: id of the request. A response with a different id belongs to another
-   * request and is dropped. */
+  /* Request and response: id of the request. If a request has one, each response to it repeats it;
+   * a response without the id or with another one belongs to another request and is dropped. */
   const char *request_id_header;
   /* Request: id of the only target that may run the request. */
   const char *expected_target_header;
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -206,8 +206,8 @@
          && (dialect->not_run_value == NULL || strcmp (value, dialect->not_run_value) == 0);
 }
 
-/* Returns whether the response belongs to this request. It is accepted if the request or the
- * response has no id. */
+/* Returns whether the response belongs to this request. Every response to a request with an id must
+ * repeat it; bytes after an earlier response may look like a response without one. */
 static bool
 is_own_response (upstream_exchange_t *exchange, const http_head_t *head)
 {
@@ -217,7 +217,7 @@
     return true;
   const char *request_id = http_headers_get (&request->headers, field);
   const char *response_id = http_headers_get (&head->headers, field);
-  return request_id == NULL || response_id == NULL || strcmp (request_id, response_id) == 0;
+  return request_id == NULL || g_strcmp0 (request_id, response_id) == 0;
 }
 
 static void
--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -61,6 +61,27 @@
                   conn->last_progress_us + stall_timeout_us);
 }
 
+bool
+upstream_conn_suits (const upstream_conn_t *conn, const upstream_exchange_t *exchange)
+{
+  if (exchange->used_connection_count > UPSTREAM_MAX_USED_CONNECTIONS)
+    return false;
+  for (unsigned i = 0; i < exchange->used_connection_count; i++)
+    {
+      if (exchange->used_connections[i] == conn->number)
+        return false;
+    }
+  return true;
+}
+
+static void
+record_use (const upstream_conn_t *conn, upstream_exchange_t *exchange)
+{
+  if (exchange->used_connection_count < UPSTREAM_MAX_USED_CONNECTIONS)
+    exchange->used_connections[exchange->used_connection_count] = conn->number;
+  exchange->used_connection_count++;
+}
+
 static void
 start_exchange (upstream_conn_t *conn)
 {
@@ -70,6 +91,7 @@
   conn->preceding_bytes = 0;
   conn->got_response_head = false;
   conn->skipping_response = false;
+  record_use (conn, conn->exchange);
   record_progress (conn);
   conn->exchange_started_us = conn->last_progress_us;
   arm_stall_check (conn);
@@ -175,8 +197,8 @@
   if (status >= 200 && exchange->ops->is_own_response != NULL
       && !exchange->ops->is_own_response (exchange, &conn->codec.head))
     {
-      LOG_NOTICE ("response to another request dropped target=%s status=%d", conn->target->address,
-                  status);
+      LOG_NOTICE ("response to another request dropped target=%s status=%d reused=%d",
+                  conn->target->address, status, exchange->on_reused_connection);
       conn->skipping_response = true;
       conn->retired = true;
       return;
@@ -353,6 +375,7 @@
   conn->state = UPSTREAM_CONN_CONNECTING;
   conn->pool = pool;
   conn->target = target;
+  conn->number = pool->opened_count;
   conn->created_us = now_us;
   conn->last_progress_us = now_us;
   list_node_init (&conn->node);
--- a/src/upstream_conn.h
+++ b/src/upstream_conn.h
@@ -46,8 +46,13 @@
   void (*failed) (upstream_exchange_t *exchange, upstream_failure_t failure, const char *detail);
 } upstream_exchange_ops_t;
 
+/* Most connections that an exchange remembers. */
+#define UPSTREAM_MAX_USED_CONNECTIONS 8
+
 /* The owner sets OPS and the options from STALL_TIMEOUT_US to AVOID_STALE_CONNECTION before it
- * calls upstream_pool_acquire(). */
+ * calls upstream_pool_acquire(). To send the same request again, it passes the same struct: the
+ * request is sent at most once on each connection, since a repeated response to the first attempt
+ * cannot be told from the response to the next one. */
 struct upstream_exchange
 {
   const upstream_exchange_ops_t *ops;
@@ -64,6 +69,10 @@
   bool request_sent;         /* set by the owner after the last write of the request */
   bool stalled;              /* the connection has stalled; see UPSTREAM_STALLED */
   bool on_reused_connection; /* the connection has carried an earlier exchange */
+  /* Numbers of the connections on which the request was sent. Beyond the limit the count goes on,
+   * and the request is sent on new connections only. */
+  uint64_t used_connections[UPSTREAM_MAX_USED_CONNECTIONS];
+  unsigned used_connection_count;
 };
 
 typedef enum
@@ -79,6 +88,7 @@
   upstream_conn_state_t state;
   upstream_pool_t *pool;
   upstream_target_t *target;
+  uint64_t number;  /* counts the connections of the pool, from 1 */
   list_node_t node; /* on the active or the idle list of the target */
   byte_stream_t stream;
   http_codec_t codec;
@@ -105,6 +115,9 @@
 /* Assigns the idle connection CONN to EXCHANGE, and calls ready(). */
 void upstream_conn_assign (upstream_conn_t *conn, upstream_exchange_t *exchange);
 
+/* Returns whether the request of EXCHANGE may be sent on CONN: it was not sent there before. */
+bool upstream_conn_suits (const upstream_conn_t *conn, const upstream_exchange_t *exchange);
+
 /* Closes the connection without calling back its exchange. */
 void upstream_conn_close (upstream_conn_t *conn);
 
--- a/src/upstream_pool.c
+++ b/src/upstream_pool.c
@@ -95,26 +95,70 @@
   list_push_back (&target->active, &conn->node);
 }
 
+/* Returns the idle connection that has been idle longest, or NULL. */
+static upstream_conn_t *
+longest_idle (const upstream_target_t *target)
+{
+  if (list_is_empty (&target->idle))
+    return NULL;
+  return CONTAINER_OF (target->idle.head.prev, upstream_conn_t, node);
+}
+
+/* Returns the most recently used idle connection on which EXCHANGE may be sent, or NULL. */
+static upstream_conn_t *
+find_suitable_idle (const upstream_target_t *target, const upstream_exchange_t *exchange)
+{
+  LIST_FOREACH (&target->idle, node)
+  {
+    upstream_conn_t *conn = CONTAINER_OF (node, upstream_conn_t, node);
+    if (upstream_conn_suits (conn, exchange))
+      return conn;
+  }
+  return NULL;
+}
+
+static void
+reuse_connection (upstream_conn_t *conn, upstream_exchange_t *exchange)
+{
+  list_remove (&conn->node);
+  list_push_back (&conn->target->active, &conn->node);
+  conn->pool->reuse_count++;
+  upstream_conn_assign (conn, exchange);
+}
+
+/* Closes the idle connection CONN and opens one for EXCHANGE in its place. */
+static void
+replace_connection (upstream_conn_t *conn, upstream_exchange_t *exchange)
+{
+  upstream_target_t *target = conn->target;
+  /* The place stays reserved: a target without connections is freed, and a free place goes to an
+   * exchange that waits. */
+  target->connection_count++;
+  upstream_conn_close (conn);
+  target->connection_count--;
+  open_connection (target, exchange);
+}
+
 /* Assigns idle and new connections to waiting exchanges. */
 static void
 assign_connections (upstream_target_t *target)
 {
   while (!list_is_empty (&target->waiting))
     {
-      list_node_t *idle = list_first (&target->idle);
-      if (idle == NULL && target->connection_count >= target->max_connections)
+      list_node_t *first = list_first (&target->waiting);
+      upstream_exchange_t *exchange = CONTAINER_OF (first, upstream_exchange_t, node);
+      upstream_conn_t *suitable = find_suitable_idle (target, exchange);
+      upstream_conn_t *oldest = longest_idle (target);
+      bool below_limit = target->connection_count < target->max_connections;
+      if (oldest == NULL && !below_limit)
         return;
-      list_node_t *node = list_pop_front (&target->waiting);
-      upstream_exchange_t *exchange = CONTAINER_OF (node, upstream_exchange_t, node);
-      if (idle == NULL)
-        {
-          open_connection (target, exchange);
-          continue;
-        }
-      list_remove (idle);
-      list_push_back (&target->active, idle);
-      target->pool->reuse_count++;
-      upstream_conn_assign (CONTAINER_OF (idle, upstream_conn_t, node), exchange);
+      list_remove (first);
+      if (suitable != NULL)
+        reuse_connection (suitable, exchange);
+      else if (below_limit)
+        open_connection (target, exchange);
+      else
+        replace_connection (oldest, exchange);
     }
 }
 
