Connection pool: keep the target while its only connection is replaced

Cause: to make room at the limit, upstream_pool_acquire() closed the connection that had been idle longest. Without connections and waiting exchanges the target is freed, and the function went on using it.

Change: the place of the closed connection stays reserved until the new one is opened, in the function that already replaces connections for waiting exchanges.

--- a/src/upstream_pool.c
+++ b/src/upstream_pool.c
@@ -188,16 +188,19 @@
   exchange->request_sent = false;
   if (exchange->prefer_new_connection || is_idle_too_long (target, exchange))
     {
-      /* Any idle connection may be broken, so a new one is opened. At the connection limit, the one
-       * that has been idle longest is closed to make room. */
-      list_node_t *longest_idle = list_is_empty (&target->idle) ? NULL : target->idle.head.prev;
-      if (longest_idle != NULL && target->connection_count >= target->max_connections)
-        upstream_conn_close (CONTAINER_OF (longest_idle, upstream_conn_t, node));
+      /* Any idle connection may be broken, so a new one is opened, at the connection limit in place
+       * of the one that has been idle longest. */
+      upstream_conn_t *oldest = longest_idle (target);
       if (target->connection_count < target->max_connections)
         {
           open_connection (target, exchange);
           return;
         }
+      if (oldest != NULL)
+        {
+          replace_connection (oldest, exchange);
+          return;
+        }
     }
   list_push_back (&target->waiting, &exchange->node);
   assign_connections (target);
--- a/tests/http/test_proxy.cc
+++ b/tests/http/test_proxy.cc
@@ -425,6 +425,31 @@
   EXPECT_EQ (policy.captured_body, "");
 }
 
+// Guards against the use of a freed target: at a limit of one connection, the only one is closed to
+// make room for the new one that a retry prefers.
+TEST_F (Proxy, OnlyConnectionIsReplaced)
+{
+  policy.max_attempts = 2;
+  policy.dispatch.max_connections = 1;
+  policy.dispatch.prefer_new_connection = true;
+  policy.reject_response = true;
+  peer_ptr caller = connect_caller (GET_A);
+  peer_ptr first = wait_for_request (0, "\r\n\r\n");
+  first->send_all ("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+  peer_ptr second = wait_for_request (1, "\r\n\r\n");
+  ASSERT_NE (second, nullptr);
+  EXPECT_EQ (upstream_pool_connection_count (pool.get (), server.address.c_str ()), 1);
+  EXPECT_TRUE (wait_until ([&] { return first->ended; }));
+  policy.reject_response = false;
+  second->send_all (OK_AB);
+  ASSERT_TRUE (wait_until_received (caller, "\r\n\r\nab"));
+  caller->input.clear ();
+  caller->send_all (GET_A);
+  wait_for_request (2, "\r\n\r\n")->send_all (OK_AB);
+  ASSERT_TRUE (wait_until_received (caller, "\r\n\r\nab"));
+  EXPECT_EQ (upstream_pool_connection_count (pool.get (), server.address.c_str ()), 1);
+}
+
 // Guards against more connections to a target than allowed, and against requests that are never
 // sent.
 TEST_F (Proxy, ConnectionLimitOfATarget)
