Planned stop: refuse in time what cannot be answered before the end

Cause: the queue did not know when the process ends, and nothing answered the requests that were left then.

Change: the balancer refuses a request as soon as it is not expected to be answered before the stop. Shortly before the process ends the proxy answers the rest: 503 if no target can have run the request, else 504.

Why this works: a refusal is sent while the process still runs, it is true because the request was never written to a target, and its Retry-After tells the caller that another entry may take the request at once.

Tests of the balancer and the proxy for each decision.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -66,7 +66,7 @@
 const char *
 balancer_verdict_name (balancer_verdict_t verdict)
 {
-  static const char *const names[] = { "dispatch", "no_time", "no_target" };
+  static const char *const names[] = { "dispatch", "no_time", "no_target", "stopping" };
   return names[verdict];
 }
 
@@ -293,6 +293,8 @@
 balancer_next (balancer_t *b, int64_t now_us, balancer_decision_t *out)
 {
   bool passes_less_urgent = false;
+  if (balancer_refuse_for_stop (b, now_us, out))
+    return true;
   tracked_request_t *tracked = balancer_choose_request (b, now_us, &passes_less_urgent);
   if (tracked == NULL)
     return false;
@@ -306,6 +308,12 @@
   return true;
 }
 
+void
+balancer_set_stop (balancer_t *b, int64_t stop_us)
+{
+  b->stop_us = stop_us;
+}
+
 static void
 record_connect_failure (tracked_target_t *target, int64_t now_us)
 {
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -96,8 +96,11 @@
   BALANCER_DISPATCH,
   BALANCER_REFUSE_NO_TIME,   /* it could not be answered in time behind the requests ahead of it */
   BALANCER_REFUSE_NO_TARGET, /* no target is known, reachable and not paused */
+  BALANCER_REFUSE_STOPPING,  /* it could not be answered before this entry stops */
 } balancer_verdict_t;
 
+#define BALANCER_VERDICT_COUNT (BALANCER_REFUSE_STOPPING + 1)
+
 typedef struct
 {
   balancer_verdict_t verdict;
@@ -139,6 +142,7 @@
                                           time a target is sought for it */
   double outside_share; /* share of placements that may use targets outside the cell, 0 to 1 */
   unsigned consecutive_urgent_count; /* dispatches while a less urgent request was waiting */
+  int64_t stop_us;                   /* time at which this entry stops; 0: it does not */
 } balancer_t;
 
 void balancer_init (balancer_t *b, const balancer_options_t *options, uint64_t seed);
@@ -169,6 +173,10 @@
  * the queue is empty or holds only deferred requests, see deferred_count. */
 bool balancer_can_dispatch (balancer_t *b, int64_t now_us, const balancer_request_t *request);
 
+/* Sets the time at which this entry stops. From now on a request is refused as soon as it is not
+ * expected to be answered by then. Call balancer_next() afterwards. */
+void balancer_set_stop (balancer_t *b, int64_t stop_us);
+
 /* Copies REQUEST into the queue. Call balancer_next() afterwards. */
 void balancer_submit (balancer_t *b, int64_t now_us, const balancer_request_t *request);
 
@@ -204,5 +212,5 @@
 /* Returns the suspicion of a target, 0 to 1; 1 for an unknown one. */
 double balancer_suspicion (const balancer_t *b, int64_t now_us, uint64_t id);
 
-/* Returns the name of VERDICT: "dispatch", "no_time" or "no_target". */
+/* Returns the name of VERDICT: "dispatch", "no_time", "no_target" or "stopping". */
 const char *balancer_verdict_name (balancer_verdict_t verdict);
--- a/src/balancer_internal.h
+++ b/src/balancer_internal.h
@@ -94,6 +94,10 @@
 tracked_request_t *balancer_choose_request (balancer_t *b, int64_t now_us,
                                             bool *passes_less_urgent);
 
+/* Refuses the first request in the queue that cannot be answered before this entry stops, even if
+ * it is dispatched now, and stores the refusal in OUT. Returns whether there is one. */
+bool balancer_refuse_for_stop (balancer_t *b, int64_t now_us, balancer_decision_t *out);
+
 /* Refuses the first request in the queue that cannot be answered in time behind those ahead of it,
  * or the first of all if no target is reachable, and stores the refusal in OUT. Returns whether
  * there is one. */
--- a/src/balancer_queue.c
+++ b/src/balancer_queue.c
@@ -10,6 +10,10 @@
  * waiting request only have to meet the deadline. */
 #define MAX_ADMISSION_LATENESS 0.25
 
+/* A request is dispatched before a stop only if the mean latency of its kind and this many mean
+ * deviations are left. Being cut off at its target is worse for a caller than a refusal. */
+#define STOP_MARGIN_DEVIATIONS 3
+
 /* Time constant of the exponential decay of arrival rates. */
 #define ARRIVAL_DECAY_US 1000000.0
 
@@ -184,6 +188,30 @@
   return true;
 }
 
+/* Returns whether TRACKED is expected to be answered before this entry stops if it is dispatched at
+ * START_US. */
+static bool
+ends_before_stop (balancer_t *b, const tracked_request_t *tracked, int64_t start_us)
+{
+  const kind_latency_t *latency = balancer_latency (b, tracked->request.kind);
+  double latest_us = latency->mean_us + STOP_MARGIN_DEVIATIONS * latency->mean_deviation_us;
+  return b->stop_us == 0 || start_us + (int64_t)latest_us <= b->stop_us;
+}
+
+bool
+balancer_refuse_for_stop (balancer_t *b, int64_t now_us, balancer_decision_t *out)
+{
+  if (b->stop_us == 0)
+    return false;
+  LIST_FOREACH (&b->queue, node)
+  {
+    tracked_request_t *tracked = CONTAINER_OF (node, tracked_request_t, node);
+    if (!ends_before_stop (b, tracked, now_us))
+      return refuse (b, tracked, now_us, BALANCER_REFUSE_STOPPING, 0, out);
+  }
+  return false;
+}
+
 bool
 balancer_refuse_one (balancer_t *b, int64_t now_us, balancer_decision_t *out)
 {
@@ -210,6 +238,8 @@
     if (capacity.target_count == 0)
       return refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TARGET,
                      balancer_available_after_us (b, now_us), out);
+    if (!ends_before_stop (b, tracked, now_us + wait_us))
+      return refuse (b, tracked, now_us, BALANCER_REFUSE_STOPPING, 0, out);
     if (now_us + wait_us + (int64_t)mean_latency_us > latest_end_us)
       return refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TIME, wait_us, out);
   }
--- a/src/fleet_entry_tasks.c
+++ b/src/fleet_entry_tasks.c
@@ -23,8 +23,10 @@
  * of all entries and for retries at the edges of the sliding window of retry_budget. */
 #define RETRY_SHARE_FRACTION 0.85
 #define DRAIN_CHECK_PERIOD_US INT64_C (50000)
-/* The process ends this long before the end of the grace period, when it would be killed. */
+/* Requests are ended this long before the end of the grace period, when the process would be
+ * killed. The process ends once the answers have had some time to be written. */
 #define GRACE_MARGIN_US INT64_C (300000)
+#define LAST_ANSWERS_US INT64_C (150000)
 
 typedef struct
 {
@@ -46,6 +48,7 @@
   io_timer_t drain_timer;
   int64_t drain_started_us; /* time at which SIGTERM arrived; 0: it has not */
   bool listener_closed;     /* no longer accepts connections */
+  bool requests_ended; /* the rest of the requests was answered at the end of the grace period */
   bool initialised;
   bool failed;
   metric_t upstream_connections;
@@ -233,9 +236,15 @@
                   caller_listener_open_count (&tasks.listener),
                   proxy_in_flight_count (&tasks.proxy));
     }
+  if (!tasks.requests_ended && draining_us >= grace_us - GRACE_MARGIN_US)
+    {
+      tasks.requests_ended = true;
+      LOG_NOTICE ("ending requests in_flight=%zu", proxy_in_flight_count (&tasks.proxy));
+      proxy_end_requests (&tasks.proxy);
+    }
   if (tasks.listener_closed && caller_listener_open_count (&tasks.listener) == 0)
     finish ("idle");
-  else if (draining_us >= grace_us - GRACE_MARGIN_US)
+  else if (draining_us >= grace_us - GRACE_MARGIN_US + LAST_ANSWERS_US)
     finish ("grace period");
   else
     io_timer_set (tasks.loop, timer, now_us () + DRAIN_CHECK_PERIOD_US);
@@ -276,7 +285,8 @@
               caller_listener_open_count (&tasks.listener), proxy_in_flight_count (&tasks.proxy));
   tasks.drain_started_us = now_us ();
   tasks.proxy.draining = true;
-  gateway_core_leave (&tasks.core);
+  gateway_core_leave (&tasks.core, tasks.drain_started_us + fleet_options.grace_s * G_USEC_PER_SEC
+                                       - GRACE_MARGIN_US);
   io_timer_set (tasks.loop, &tasks.drain_timer, now_us () + DRAIN_CHECK_PERIOD_US);
 }
 
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -236,10 +236,7 @@
     gateway_core_cancel (r->policy->core, r->service, r->balancer_request.id);
   r->state = GATEWAY_ENDED;
   LOG_INFO ("cancelled id=%s reason=%s attempts=%u", quote_request_id (r, id),
-            reason == CANCEL_CALLER_GONE ? "caller_gone"
-            : reason == CANCEL_DEADLINE  ? "deadline"
-                                         : "caller_error",
-            r->attempt_count);
+            cancel_reason_name (reason), r->attempt_count);
 }
 
 static void
@@ -377,6 +374,7 @@
       return BALANCER_UNREACHABLE;
     case ATTEMPT_CALLER_GONE:
     case ATTEMPT_CALLER_ERROR:
+    case ATTEMPT_STOPPING:
     case ATTEMPT_CLOSED_REUSED: /* the target may have closed the connection while it was idle */
       return BALANCER_ABANDONED;
     case ATTEMPT_STALLED:
@@ -486,7 +484,8 @@
 gateway_policy_init (gateway_policy_t *policy, gateway_core_t *core, const http_dialect_t *dialect,
                      metric_registry_t *counters)
 {
-  static const char *const reasons[] = { NULL, "reason=\"no_time\"", "reason=\"no_target\"" };
+  static const char *const reasons[BALANCER_VERDICT_COUNT]
+      = { NULL, "reason=\"no_time\"", "reason=\"no_target\"", "reason=\"stopping\"" };
   *policy = (gateway_policy_t){ .policy.ops = &policy_ops, .core = core, .dialect = dialect };
   for (size_t i = 1; i < G_N_ELEMENTS (reasons); i++)
     metric_register (counters, &policy->refused[i], METRIC_KIND_COUNTER, "anvillb_refused_total",
--- a/src/gateway_policy.h
+++ b/src/gateway_policy.h
@@ -14,7 +14,8 @@
   request_policy_t policy; /* first member */
   gateway_core_t *core;
   const http_dialect_t *dialect;
-  metric_t refused[3]; /* by balancer_verdict_t; [BALANCER_DISPATCH] is not exported */
+  metric_t refused[BALANCER_VERDICT_COUNT]; /* by balancer_verdict_t; [BALANCER_DISPATCH] is not
+                                               exported */
   metric_t retries;
   metric_t retries_denied;
   metric_t queue_wait;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -8,6 +8,9 @@
 /* Digits of the remaining time in milliseconds; 9 digits allow 11 days. */
 #define MAX_DEADLINE_DIGITS 9
 #define NS_PER_US 1000
+/* Retry-After, in seconds, of requests that this process refuses because it stops. Another one may
+ * take them at once. */
+#define STOPPING_RETRY_AFTER "0"
 
 int64_t
 proxy_now_us (const proxy_request_t *request)
@@ -30,6 +33,7 @@
     "end=\"complete\"",      "end=\"shed\"",      "end=\"discarded\"",   "end=\"connect_failed\"",
     "end=\"closed_reused\"", "end=\"closed\"",    "end=\"truncated\"",   "end=\"invalid\"",
     "end=\"stalled\"",       "end=\"timed_out\"", "end=\"caller_gone\"", "end=\"caller_error\"",
+    "end=\"stopping\"",
   };
   proxy_counters_t *counters = &proxy->counters;
   metric_registry_t *registry = proxy->options.counters;
@@ -239,6 +243,46 @@
   end_with_error (request, CANCEL_DEADLINE, end, status, "deadline exceeded");
 }
 
+const char *
+cancel_reason_name (cancel_reason_t reason)
+{
+  static const char *const names[] = {
+    [CANCEL_CALLER_GONE] = "caller_gone",
+    [CANCEL_DEADLINE] = "deadline",
+    [CANCEL_CALLER_ERROR] = "caller_error",
+    [CANCEL_STOPPING] = "stopping",
+  };
+  return names[reason];
+}
+
+/* Returns a request whose response has not started, or NULL. */
+static proxy_request_t *
+find_unanswered (const proxy_t *proxy)
+{
+  LIST_FOREACH (&proxy->requests, node)
+  {
+    proxy_request_t *request = CONTAINER_OF (node, proxy_request_t, node);
+    if (!request->response_started)
+      return request;
+  }
+  return NULL;
+}
+
+void
+proxy_end_requests (proxy_t *proxy)
+{
+  proxy_request_t *request = NULL;
+  /* The policy may answer others when one ends, so each search begins anew. */
+  while ((request = find_unanswered (proxy)) != NULL)
+    {
+      bool not_run = !request->possibly_run && !request->attempt.wrote_bytes;
+      g_free (request->retry_after);
+      request->retry_after = g_strdup (STOPPING_RETRY_AFTER);
+      end_with_error (request, CANCEL_STOPPING, ATTEMPT_STOPPING, not_run ? 503 : 504,
+                      "instance is stopping");
+    }
+}
+
 void
 proxy_request_arm_deadline (proxy_request_t *request)
 {
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -83,6 +83,10 @@
 /* Ends all requests and aborts their caller connections. */
 void proxy_destroy (proxy_t *proxy);
 
+/* Answers all requests whose response has not started, shortly before the process ends: 503 if no
+ * target can have run the request, otherwise 504. */
+void proxy_end_requests (proxy_t *proxy);
+
 /* Returns the number of requests in progress. */
 size_t proxy_in_flight_count (const proxy_t *proxy);
 
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -21,6 +21,7 @@
   [ATTEMPT_TIMED_OUT] = "timed_out",
   [ATTEMPT_CALLER_GONE] = "caller_gone",
   [ATTEMPT_CALLER_ERROR] = "caller_error",
+  [ATTEMPT_STOPPING] = "stopping",
 };
 
 const char *
--- a/src/request_policy.h
+++ b/src/request_policy.h
@@ -84,9 +84,10 @@
   ATTEMPT_TIMED_OUT, /* its time limit or the deadline of the request has passed */
   ATTEMPT_CALLER_GONE,
   ATTEMPT_CALLER_ERROR, /* malformed or too large request body */
+  ATTEMPT_STOPPING,     /* this process stops */
 } attempt_end_t;
 
-#define ATTEMPT_END_COUNT (ATTEMPT_CALLER_ERROR + 1)
+#define ATTEMPT_END_COUNT (ATTEMPT_STOPPING + 1)
 
 typedef struct
 {
@@ -107,6 +108,7 @@
   CANCEL_CALLER_GONE,
   CANCEL_DEADLINE,
   CANCEL_CALLER_ERROR,
+  CANCEL_STOPPING, /* this process stops */
 } cancel_reason_t;
 
 typedef struct
@@ -142,8 +144,9 @@
   const request_policy_ops_t *ops;
 };
 
-/* Returns the name of END in lower case, for log lines and spans. */
+/* Return the name of END or REASON in lower case, for log lines and spans. */
 const char *attempt_end_name (attempt_end_t end);
+const char *cancel_reason_name (cancel_reason_t reason);
 
 /* Set and return the data of the policy for the request; NULL at first. */
 void proxy_request_set_data (proxy_request_t *request, void *data);
--- a/tests/fleet/test_balancer.cc
+++ b/tests/fleet/test_balancer.cc
@@ -488,6 +488,41 @@
   EXPECT_EQ (balancer_request_count (&balancer), 0u);
 }
 
+// Guards against requests that wait behind others until the entry stops, although it is known
+// earlier that they cannot be answered by then. Latencies are 100 ms, give or take 40 ms.
+TEST_F (Balancer, StopRefusesAtOnceWhatCannotEnd)
+{
+  add_target (1, 1);
+  uint64_t running = submit (0, 0, 10 * SECOND, 20 * SECOND);
+  ASSERT_EQ (next_dispatch_target (0), 1u);
+  std::vector<uint64_t> waiting;
+  for (int i = 0; i < 20; i++)
+    waiting.push_back (submit (0, 0, 10 * SECOND, 20 * SECOND));
+  ASSERT_TRUE (next_decisions (0).empty ());
+  balancer_set_stop (&balancer, SECOND);
+  std::vector<balancer_decision_t> refusals = next_decisions (0);
+  ASSERT_GE (refusals.size (), 10u);
+  ASSERT_LE (refusals.size (), 15u);
+  for (const balancer_decision_t &refusal : refusals)
+    EXPECT_EQ (refusal.verdict, BALANCER_REFUSE_STOPPING);
+  balancer_finish (&balancer, 100 * MS, running, BALANCER_OK, 100 * MS);
+  std::vector<balancer_decision_t> decisions = next_decisions (100 * MS);
+  ASSERT_EQ (decisions.size (), 1u);
+  EXPECT_EQ (decisions[0].verdict, BALANCER_DISPATCH);
+  EXPECT_EQ (decisions[0].request_id, waiting[0]);
+}
+
+// Guards against a dispatch shortly before the entry stops, which would be cut off at the target.
+TEST_F (Balancer, NothingIsDispatchedShortlyBeforeAStop)
+{
+  add_target (1);
+  balancer_set_stop (&balancer, SECOND);
+  submit (700 * MS);
+  EXPECT_EQ (next_decisions (700 * MS).at (0).verdict, BALANCER_DISPATCH);
+  submit (850 * MS);
+  EXPECT_EQ (next_decisions (850 * MS).at (0).verdict, BALANCER_REFUSE_STOPPING);
+}
+
 // Guards against a cancelled request that is dispatched later.
 TEST_F (Balancer, CancelledRequestIsNotDispatched)
 {
--- a/tests/http/test_proxy_flow.cc
+++ b/tests/http/test_proxy_flow.cc
@@ -448,6 +448,49 @@
   EXPECT_TRUE (wait_until ([&] { return caller_listener_open_count (&listener) == 0; }));
 }
 
+// Guards against requests that get no answer when the process stops: one without a target, one that
+// waits for a connection, and one whose target is at work. Only the last may have run.
+TEST_F (Proxy, EndOfTheProcessAnswersAllRequests)
+{
+  policy.dispatch.max_connections = 1;
+  peer_ptr running = connect_caller (GET_A);
+  peer_ptr peer = wait_for_request (0, "\r\n\r\n");
+  peer_ptr unsent = connect_caller (GET_A);
+  ASSERT_TRUE (wait_until ([&] { return policy.attempt_count == 2; }));
+  policy.postpone_decision = true;
+  peer_ptr waiting = connect_caller (GET_A);
+  ASSERT_TRUE (wait_until ([&] { return proxy_in_flight_count (&proxy) == 3; }));
+  proxy.draining = true;
+  proxy_end_requests (&proxy);
+  for (const peer_ptr &caller : { running, unsent, waiting })
+    {
+      ASSERT_TRUE (wait_until ([&] { return caller->ended || caller->reset; }));
+      EXPECT_TRUE (caller->received ("Connection: close"));
+    }
+  EXPECT_TRUE (running->received ("HTTP/1.1 504"));
+  EXPECT_TRUE (running->received ("Anvillb-Outcome: unknown"));
+  for (const peer_ptr &caller : { unsent, waiting })
+    {
+      EXPECT_TRUE (caller->received ("HTTP/1.1 503"));
+      EXPECT_TRUE (caller->received ("Retry-After: 0\r\n"));
+      EXPECT_TRUE (caller->received ("Anvillb-Not-Run: 1"));
+    }
+  EXPECT_TRUE (wait_until ([&] { return peer->ended; }));
+  EXPECT_EQ (peer->count ("GET /a"), 1u);
+}
+
+// Guards against a response that is cut when the process answers the other requests.
+TEST_F (Proxy, EndOfTheProcessLeavesStartedResponses)
+{
+  peer_ptr caller = connect_caller (GET_A);
+  peer_ptr peer = wait_for_request (0, "\r\n\r\n");
+  peer->send_all ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab");
+  ASSERT_TRUE (wait_until_received (caller, "\r\n\r\nab"));
+  proxy_end_requests (&proxy);
+  peer->send_all ("cd");
+  ASSERT_TRUE (wait_until_received (caller, "\r\n\r\nabcd"));
+}
+
 // Guards against a request that may run only once and is lost on a connection that its peer dropped
 // while it was idle. Requests that can be sent again may use such a connection.
 TEST_F (Proxy, NonRepeatableRequestAvoidsIdleConnections)
