anvillb-entry: answer what is left at the drain limit

Change: at the limit the proxy answers every request whose response has not begun, 503 with Anvillb-Not-Run or 504 with Anvillb-Outcome: unknown, and the process ends 150 ms later.

Evidence: system scenario drain_limit cuts requests off without the change and none with it.

--- a/src/entry_tasks.c
+++ b/src/entry_tasks.c
@@ -16,6 +16,8 @@
 #define DRAIN_CHECK_PERIOD_US 50000
 /* Time for the outcomes of claims to be recorded, from when connections are no longer accepted. */
 #define CLAIMS_GRACE_US (10 * G_USEC_PER_SEC)
+/* Time for the last answers to be written, after the drain limit. */
+#define LAST_ANSWERS_US 150000
 #define MAX_LINKS 4096
 
 static void
@@ -54,8 +56,16 @@
 on_drain_limit_timer (io_timer_t *timer)
 {
   entry_tasks_t *tasks = CONTAINER_OF (timer, entry_tasks_t, drain_limit_timer);
+  if (tasks->requests_ended)
+    {
+      g_main_loop_quit (tasks->main_loop);
+      return;
+    }
   LOG_WARNING ("drain limit reached in_flight=%zu", proxy_in_flight_count (&tasks->proxy));
-  g_main_loop_quit (tasks->main_loop);
+  tasks->requests_ended = true;
+  tasks->proxy.draining = true;
+  proxy_end_requests (&tasks->proxy);
+  io_timer_set (tasks->loop, timer, io_loop_now_us (tasks->loop) + LAST_ANSWERS_US);
 }
 
 void
--- a/src/entry_tasks.h
+++ b/src/entry_tasks.h
@@ -36,7 +36,8 @@
   int64_t claims_grace_end_us; /* shutdown does not wait for claims after this time */
   bool leaving;
   bool stopped_accepting;
-  bool failed; /* the supervisor has given up on a task */
+  bool requests_ended; /* the rest of the requests was answered at the drain limit */
+  bool failed;         /* the supervisor has given up on a task */
 } entry_tasks_t;
 
 /* Starts all tasks with the settings in entry_options. Returns false and sets ERR on failure. */
