Planned stop: refuse requests that arrive after the drain

Reported by operators: in a planned stop, requests that came late in the grace period were taken and passed on, and cut without an answer at its end, among them requests that may not be repeated (LOST).

Can it happen here: yes. A request behind another one on its connection, or one whose head was complete only after the drain, was passed on until the process ended; a target that hangs then keeps it until the cut.

Change: once an entry has stopped accepting, a request that it reads is answered 503 with Retry-After 0 and Connection: close. Requests that had arrived by then are still served.

Evidence: Proxy.RequestsAfterTheDrainAreRefused fails without the change (the request waits at the target) and passes with it.

--- a/src/fleet_entry_tasks.c
+++ b/src/fleet_entry_tasks.c
@@ -232,6 +232,8 @@
     {
       tasks.listener_closed = true;
       caller_listener_drain (&tasks.listener);
+      /* A request that is read from now on could be cut off at its target when the process ends. */
+      tasks.proxy.refusing = true;
       LOG_NOTICE ("no longer accepting connections=%zu in_flight=%zu",
                   caller_listener_open_count (&tasks.listener),
                   proxy_in_flight_count (&tasks.proxy));
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -11,6 +11,9 @@
 /* Retry-After, in seconds, of requests that this process refuses because it stops. Another one may
  * take them at once. */
 #define STOPPING_RETRY_AFTER "0"
+#define STOPPING_TEXT "instance is stopping"
+/* Size of the buffer for a quoted request id in a log line. */
+#define LOGGED_ID_SIZE 96
 
 int64_t
 proxy_now_us (const proxy_request_t *request)
@@ -255,6 +258,25 @@
   return names[reason];
 }
 
+static void
+set_retry_after_stop (proxy_request_t *request)
+{
+  g_free (request->retry_after);
+  request->retry_after = g_strdup (STOPPING_RETRY_AFTER);
+}
+
+static void
+refuse_for_stop (proxy_request_t *request)
+{
+  char buffer[LOGGED_ID_SIZE];
+  const char *field = request->proxy->options.dialect->request_id_header;
+  const char *id = field != NULL ? http_headers_get (&request->headers, field) : NULL;
+  LOG_INFO ("refused id=%s reason=stopping",
+            log_quote (id != NULL ? id : "", buffer, sizeof (buffer)));
+  set_retry_after_stop (request);
+  proxy_request_send_error (request, 503, STOPPING_TEXT);
+}
+
 /* Returns a request whose response has not started, or NULL. */
 static proxy_request_t *
 find_unanswered (const proxy_t *proxy)
@@ -276,10 +298,9 @@
   while ((request = find_unanswered (proxy)) != NULL)
     {
       bool not_run = !request->possibly_run && !request->attempt.wrote_bytes;
-      g_free (request->retry_after);
-      request->retry_after = g_strdup (STOPPING_RETRY_AFTER);
+      set_retry_after_stop (request);
       end_with_error (request, CANCEL_STOPPING, ATTEMPT_STOPPING, not_run ? 503 : 504,
-                      "instance is stopping");
+                      STOPPING_TEXT);
     }
 }
 
@@ -363,7 +384,9 @@
   if (request->head.deadline_us != 0)
     request->deadline_us = MIN (request->deadline_us, request->head.deadline_us);
 
-  if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") != 0)
+  if (request->proxy->refusing)
+    refuse_for_stop (request);
+  else if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") != 0)
     proxy_request_send_error (request, 417, "unknown expectation");
   else if (!deadline_valid)
     proxy_request_send_error (request, 400, "malformed remaining time");
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -76,6 +76,7 @@
   proxy_counters_t counters;
   list_t requests; /* proxy_request_t that have not ended */
   bool draining;   /* responses carry Connection: close */
+  bool refusing;   /* new requests are answered 503, as the process is about to stop */
 } proxy_t;
 
 void proxy_init (proxy_t *proxy, const proxy_options_t *options);
--- a/tests/http/test_proxy_flow.cc
+++ b/tests/http/test_proxy_flow.cc
@@ -448,6 +448,33 @@
   EXPECT_TRUE (wait_until ([&] { return caller_listener_open_count (&listener) == 0; }));
 }
 
+// Guards against requests that arrive after the drain, behind another one or after the first part
+// of their head, and are passed on although the process may end before their answer.
+TEST_F (Proxy, RequestsAfterTheDrainAreRefused)
+{
+  peer_ptr pipelining = connect_caller (GET_A);
+  peer_ptr incomplete = connect_caller ("GET /a HTTP/1.1\r\n");
+  peer_ptr peer = wait_for_request (0, "\r\n\r\n");
+  peer->send_all ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab");
+  ASSERT_TRUE (wait_until_received (pipelining, "\r\n\r\nab"));
+  proxy.draining = true;
+  caller_listener_drain (&listener);
+  proxy.refusing = true;
+  pipelining->send_all (GET_A);
+  incomplete->send_all ("Host: crew\r\n\r\n");
+  peer->send_all ("cd");
+  for (const peer_ptr &caller : { pipelining, incomplete })
+    {
+      ASSERT_TRUE (wait_until ([&] { return caller->ended || caller->reset; }));
+      EXPECT_TRUE (caller->received ("HTTP/1.1 503"));
+      EXPECT_TRUE (caller->received ("Anvillb-Not-Run: 1"));
+      EXPECT_TRUE (caller->received ("Connection: close"));
+    }
+  EXPECT_TRUE (pipelining->received ("\r\n\r\nabcd"));
+  EXPECT_EQ (peer->count ("GET /a"), 1u);
+  EXPECT_EQ (server.peers.size (), 1u);
+}
+
 // Guards against requests that get no answer when the process stops: one without a target, one that
 // waits for a connection, and one whose target is at work. Only the last may have run.
 TEST_F (Proxy, EndOfTheProcessAnswersAllRequests)
