Entry: a status that means "not run" needs a proof

Reported by operators: callers were told 'not run, try again' for requests that a target had run (REFUSED).

The status went to the caller, who takes it as an assurance.

Change: the dialect names the statuses that callers take as an assurance. For a request that may run only once, such an answer without proof becomes 502. The answer of a target to a repeatable request passes unchanged.

Evidence: platform_requests, "503 without proof", gives 503 without the change and 502 with it.

--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -358,6 +358,9 @@
   record_target_load (r, headers);
   if (status >= 200 && status < 300)
     return is_valid_success (r, headers);
+  /* Passed on, the status would tell the caller that the request was not run, without proof. */
+  if (!r->route->idempotent && http_dialect_means_not_run (r->policy->dialect, status))
+    return false;
   return status < 500 || !r->route->idempotent || !take_retry (r, true);
 }
 
--- a/src/http_dialect.c
+++ b/src/http_dialect.c
@@ -10,3 +10,14 @@
   .sends_outcome_headers = true,
   .sends_forwarding_headers = true,
 };
+
+bool
+http_dialect_means_not_run (const http_dialect_t *dialect, int status)
+{
+  for (const int *known = dialect->not_run_statuses; known != NULL && *known != 0; known++)
+    {
+      if (*known == status)
+        return true;
+    }
+  return false;
+}
--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -35,6 +35,9 @@
   /* Response with status 503: header field with the time in seconds for which the target wants no
    * requests from this process. */
   const char *pause_header;
+  /* Statuses that tell callers that the request was not run and will not be, ending with 0; NULL if
+   * no status alone does. */
+  const int *not_run_statuses;
   /* Responses that the proxy generates carry Anvillb-Not-Run or Anvillb-Outcome to tell whether the
    * request ran. Without these fields the status tells: 503 means not run, 502 and 504 mean that
    * the outcome is unknown. */
@@ -43,5 +46,8 @@
   bool sends_forwarding_headers;
 } http_dialect_t;
 
+/* Returns whether callers take STATUS as the assurance that the request was not run. */
+bool http_dialect_means_not_run (const http_dialect_t *dialect, int status);
+
 /* Dialect of the product's own interface. */
 extern const http_dialect_t http_dialect_native;
--- a/tests/platform/requests.py
+++ b/tests/platform/requests.py
@@ -32,6 +32,10 @@
         say(f"{mode}: repeatable requests {statuses}, wrong answers {wrong_answers}")
         _, run_twice, wrong_answers, refused_after_run = send_many("/unsafe/x", method="POST")
         say(f"{mode}: others run twice {run_twice}, wrong answers {wrong_answers}, refused after they ran {refused_after_run}")
+    faulty.mode = healthy.mode = "unproven refusal"
+    results = [fleet.request("/unsafe/x", method="POST") for _ in range(4)]
+    say(f"503 without proof: {sorted({status for _, status, _, _ in results})}, "
+        f"run {sorted({fleet.executions(attempt) for attempt, *_ in results})}")
     faulty.mode = healthy.mode = "full once"
     attempt, status, _, _ = fleet.request("/unsafe/x", method="POST", body=slow_body(), length=7)
     say(f"refused by one target, body sent after the head: {status}, run {fleet.executions(attempt)}")
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -62,7 +62,7 @@
     """A target that announces itself and answers requests in the protocol of the platform.
 
     mode selects a fault: "full" refuses every request, "full once" the first attempt of each request, "refuses after the
-    run" a request that it recorded as run, "refuses POST after the run" only those with this method, "reset" closes the connection, "reset and stop"
+    run" a request that it recorded as run, "unproven refusal" answers 503 without saying that the request was not run, "refuses POST after the run" only those with this method, "reset" closes the connection, "reset and stop"
     also takes no further connection, "unsigned" leaves the signature out, "late"
     sends the answer of another request first, "errors" answers with 500, "normal" has no fault. "busy" refuses every
     request and asks for a pause of pause_s. "leaving" says in each answer that the target leaves; "spoiled leaving" says
@@ -138,6 +138,9 @@
                                                            self.command == "POST"):
             self.answer(503, [("Attempt-Id", attempt), ("Not-Executed", "1")])
             return
+        if self.target.mode == "unproven refusal":
+            self.answer(503, [("Attempt-Id", attempt), ("Server-Signature", "s." + self.target.identity)])
+            return
         if self.target.mode in ("reset", "reset and stop"):
             if self.target.mode == "reset and stop":
                 self.target.stop()
