anvillb-entry: accept no more requests at the drain limit

Requests that arrived in the 150 ms between the last answers and the end of the process were cut off.

Change: the limit first stops accepting and refuses what is read from then on, and then answers what is left.

--- a/src/entry_tasks.c
+++ b/src/entry_tasks.c
@@ -35,20 +35,24 @@
                 io_loop_now_us (tasks->loop) + DRAIN_CHECK_PERIOD_US);
 }
 
+static void
+stop_accepting (entry_tasks_t *tasks)
+{
+  if (tasks->stopped_accepting)
+    return;
+  tasks->stopped_accepting = true;
+  tasks->proxy.draining = true;
+  tasks->claims_grace_end_us = io_loop_now_us (tasks->loop) + CLAIMS_GRACE_US;
+  caller_listener_drain (&tasks->listener);
+  LOG_NOTICE ("no longer accepting connections=%zu in_flight=%zu",
+              caller_listener_open_count (&tasks->listener), proxy_in_flight_count (&tasks->proxy));
+}
+
 static void
 on_drain_timer (io_timer_t *timer)
 {
   entry_tasks_t *tasks = CONTAINER_OF (timer, entry_tasks_t, drain_timer);
-  if (!tasks->stopped_accepting)
-    {
-      tasks->stopped_accepting = true;
-      tasks->proxy.draining = true;
-      tasks->claims_grace_end_us = io_loop_now_us (tasks->loop) + CLAIMS_GRACE_US;
-      caller_listener_drain (&tasks->listener);
-      LOG_NOTICE ("no longer accepting connections=%zu in_flight=%zu",
-                  caller_listener_open_count (&tasks->listener),
-                  proxy_in_flight_count (&tasks->proxy));
-    }
+  stop_accepting (tasks);
   check_drained (tasks);
 }
 
@@ -63,7 +67,8 @@
     }
   LOG_WARNING ("drain limit reached in_flight=%zu", proxy_in_flight_count (&tasks->proxy));
   tasks->requests_ended = true;
-  tasks->proxy.draining = true;
+  tasks->proxy.refusing = true;
+  stop_accepting (tasks);
   proxy_end_requests (&tasks->proxy);
   io_timer_set (tasks->loop, timer, io_loop_now_us (tasks->loop) + LAST_ANSWERS_US);
 }
