anvillb-entry: ids of attempts, so that a second copy ends no other request

Reported by operators: a server sent a second copy of an answer, late, on a connection that was in use again; the next caller got it.

Change: each attempt carries Anvillb-Attempt, a random id. A backend server repeats it in all its responses or ignores it. Once it has sent an id on a connection, a response there with another id or none is dropped. Entries repeat the id to each other.

Evidence: Proxy.SecondCopyOfAResponseIsDropped gives the caller the copy without the change. Not protected: backend servers that ignore the field.

--- a/src/entry_request_claim.c
+++ b/src/entry_request_claim.c
@@ -4,6 +4,7 @@
 
 #define LOG_MODULE "entry_request"
 #include "entry_claims.h"
+#include "http_dialect.h"
 #include "log.h"
 
 #define IDEMPOTENCY_KEY_HEADER "Idempotency-Key"
@@ -159,6 +160,8 @@
   http_headers_remove_hop_by_hop (&recorded);
   http_headers_remove (&recorded, "Content-Length");
   http_headers_remove (&recorded, "Date");
+  /* A replayed response belongs to another attempt. */
+  http_headers_remove (&recorded, http_dialect_native.attempt_id_header);
   if (r->record_headers == NULL)
     r->record_headers = g_string_new (NULL);
   g_string_truncate (r->record_headers, 0);
--- a/src/http_dialect.c
+++ b/src/http_dialect.c
@@ -4,6 +4,7 @@
 
 const http_dialect_t http_dialect_native = {
   .deadline_header = "Anvillb-Deadline-Ms",
+  .attempt_id_header = "Anvillb-Attempt",
   .not_run_header = "Anvillb-Shed",
   .not_run_value = "1",
   .not_run_status = 503,
--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -14,6 +14,10 @@
   /* Request and response: id of the request. If a request has one, each response to it repeats it;
    * a response without the id or with another one belongs to another request and is dropped. */
   const char *request_id_header;
+  /* Request and response: id that the proxy gives each attempt. A target repeats it in all its
+   * responses, or does not support it. A response with another id is dropped, and so is one without
+   * an id on a connection on which the target has sent ids. Used without request_id_header. */
+  const char *attempt_id_header;
   /* Request: id of the only target that may run the request. */
   const char *expected_target_header;
   /* Response: header field that says that the target did not run the request, with the value and
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -1,5 +1,6 @@
 #include "proxy_request.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define LOG_MODULE "proxy"
@@ -207,18 +208,27 @@
          && (dialect->not_run_value == NULL || strcmp (value, dialect->not_run_value) == 0);
 }
 
-/* Returns whether the response belongs to this request. Every response to a request with an id must
- * repeat it; bytes after an earlier response may look like a response without one. */
-static bool
-is_own_response (upstream_exchange_t *exchange, const http_head_t *head)
+static response_owner_t
+response_owner (upstream_exchange_t *exchange, const http_head_t *head)
 {
   const proxy_request_t *request = CONTAINER_OF (exchange, proxy_request_t, exchange);
-  const char *field = request->proxy->options.dialect->request_id_header;
-  if (field == NULL)
-    return true;
-  const char *request_id = http_headers_get (&request->headers, field);
-  const char *response_id = http_headers_get (&head->headers, field);
-  return request_id == NULL || g_strcmp0 (request_id, response_id) == 0;
+  const http_dialect_t *dialect = request->proxy->options.dialect;
+
+  if (dialect->request_id_header != NULL)
+    {
+      /* Every response to a request with an id must repeat it; bytes after an earlier response may
+       * look like a response without one. */
+      const char *request_id = http_headers_get (&request->headers, dialect->request_id_header);
+      const char *response_id = http_headers_get (&head->headers, dialect->request_id_header);
+      return g_strcmp0 (request_id, response_id) == 0 ? RESPONSE_OWN : RESPONSE_OF_ANOTHER;
+    }
+  if (dialect->attempt_id_header == NULL)
+    return RESPONSE_WITHOUT_ID;
+  const char *attempt_id = http_headers_get (&head->headers, dialect->attempt_id_header);
+  /* An entry of an earlier version leaves the id out of the responses that it generates. */
+  if (attempt_id == NULL)
+    return request->attempt.options.target_is_entry ? RESPONSE_OWN : RESPONSE_WITHOUT_ID;
+  return strcmp (request->attempt.id, attempt_id) == 0 ? RESPONSE_OWN : RESPONSE_OF_ANOTHER;
 }
 
 static void
@@ -361,7 +371,7 @@
 static const upstream_exchange_ops_t exchange_ops = {
   .ready = on_ready,
   .written = on_written,
-  .is_own_response = is_own_response,
+  .response_owner = response_owner,
   .head = on_head,
   .body = on_body,
   .complete = on_complete,
@@ -379,6 +389,7 @@
   http_headers_append_all (&attempt->extra_headers, dispatch->extra_headers);
   attempt->options.address = attempt->address;
   attempt->options.extra_headers = &attempt->extra_headers;
+  g_snprintf (attempt->id, sizeof (attempt->id), "%016" PRIx64, rng_next (options->rng));
   span_start_child (&attempt->span, "attempt", &request->span, options->rng, proxy_wall_time_ns ());
   request->state = REQUEST_ATTEMPT;
   request->attempt_count++;
--- a/src/proxy_message.c
+++ b/src/proxy_message.c
@@ -38,6 +38,27 @@
   http_headers_append (out, "Via", VIA_VALUE);
 }
 
+static void
+add_attempt_id (const proxy_request_t *request, http_headers_t *out)
+{
+  const char *field = request->proxy->options.dialect->attempt_id_header;
+  if (field != NULL)
+    http_headers_set (out, field, request->attempt.id);
+}
+
+/* Repeats the attempt id that the caller, another entry, gave the request. */
+static void
+repeat_attempt_id (const proxy_request_t *request, http_headers_t *out)
+{
+  const char *field = request->proxy->options.dialect->attempt_id_header;
+  if (field == NULL)
+    return;
+  const char *id = http_headers_get (&request->headers, field);
+  http_headers_remove (out, field);
+  if (id != NULL)
+    http_headers_append (out, field, id);
+}
+
 static void
 add_trace_and_deadline_fields (proxy_request_t *request, http_headers_t *out)
 {
@@ -71,6 +92,7 @@
     http_headers_append (&out, "Host", request->attempt.address);
   if (request->proxy->options.dialect->sends_forwarding_headers)
     add_forwarding_fields (request, &out);
+  add_attempt_id (request, &out);
   add_trace_and_deadline_fields (request, &out);
   if (request->chunked)
     http_headers_append (&out, "Transfer-Encoding", "chunked");
@@ -112,6 +134,7 @@
       http_headers_remove (&out, "Anvillb-Not-Run");
       http_headers_set (&out, "Anvillb-Outcome", "unknown");
     }
+  repeat_attempt_id (request, &out);
   if (head->status == 204)
     http_headers_remove (&out, "Content-Length");
   if (request->proxy->options.dialect->sends_forwarding_headers)
@@ -142,6 +165,11 @@
     request_id = http_headers_get (&request->headers, dialect->request_id_header);
   if (request_id != NULL)
     g_string_append_printf (text, "%s: %s\r\n", dialect->request_id_header, request_id);
+  const char *attempt_id = NULL;
+  if (dialect->attempt_id_header != NULL)
+    attempt_id = http_headers_get (&request->headers, dialect->attempt_id_header);
+  if (attempt_id != NULL)
+    g_string_append_printf (text, "%s: %s\r\n", dialect->attempt_id_header, attempt_id);
   if (!response->reports_outcome || !dialect->sends_outcome_headers)
     return;
   if (!request->possibly_run)
--- a/src/proxy_request.h
+++ b/src/proxy_request.h
@@ -22,6 +22,7 @@
 typedef struct
 {
   char *address;
+  char id[17]; /* random, in hexadecimal; sent if the dialect has a field for it */
   http_headers_t extra_headers;
   request_dispatch_t options; /* address and extra_headers point to the copies above */
   int64_t start_us;
--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -183,6 +183,26 @@
   exchange->ops->complete (exchange);
 }
 
+/* Returns whether the response that begins belongs to the request of the exchange. */
+static bool
+is_own_response (upstream_conn_t *conn)
+{
+  upstream_exchange_t *exchange = conn->exchange;
+  if (exchange->ops->response_owner == NULL)
+    return true;
+  switch (exchange->ops->response_owner (exchange, &conn->codec.head))
+    {
+    case RESPONSE_OWN:
+      conn->peer_sends_ids = true;
+      return true;
+    case RESPONSE_WITHOUT_ID:
+      return !conn->peer_sends_ids;
+    case RESPONSE_OF_ANOTHER:
+      break;
+    }
+  return false;
+}
+
 static void
 handle_head (upstream_conn_t *conn)
 {
@@ -194,8 +214,7 @@
       fail_exchange (conn, UPSTREAM_INVALID, "unexpected 101");
       return;
     }
-  if (status >= 200 && exchange->ops->is_own_response != NULL
-      && !exchange->ops->is_own_response (exchange, &conn->codec.head))
+  if (status >= 200 && !is_own_response (conn))
     {
       LOG_NOTICE ("response to another request dropped target=%s status=%d reused=%d",
                   conn->target->address, status, exchange->on_reused_connection);
--- a/src/upstream_conn.h
+++ b/src/upstream_conn.h
@@ -27,15 +27,24 @@
   UPSTREAM_STALLED, /* no progress while another connection to the target makes progress */
 } upstream_failure_t;
 
+/* To which request a response belongs, by the ids in both. */
+typedef enum
+{
+  RESPONSE_OWN,
+  RESPONSE_OF_ANOTHER,
+  RESPONSE_WITHOUT_ID, /* of a peer that may not support ids */
+} response_owner_t;
+
 typedef struct
 {
   /* The exchange has a connection; write the request with upstream_exchange_write(). */
   void (*ready) (upstream_exchange_t *exchange);
   /* SIZE bytes of the request were written to the socket. */
   void (*written) (upstream_exchange_t *exchange, size_t size);
-  /* Returns whether the response belongs to the request. If not, it is read and dropped, and the
-   * exchange waits for the next response. NULL accepts every response. */
-  bool (*is_own_response) (upstream_exchange_t *exchange, const http_head_t *head);
+  /* Tells to which request the response belongs. If it is another one, the response is read and
+   * dropped, and the exchange waits for the next one; likewise without an id, if the peer has sent
+   * ids on this connection. NULL accepts every response. */
+  response_owner_t (*response_owner) (upstream_exchange_t *exchange, const http_head_t *head);
   /* The head of the final response was received; 1xx responses are dropped. */
   void (*head) (upstream_exchange_t *exchange, http_head_t *head);
   /* SIZE bytes of the response body were received. */
@@ -104,6 +113,7 @@
   size_t preceding_bytes;      /* received since the request, before the head of its response */
   bool got_response_head;
   bool skipping_response; /* the response being read belongs to another request */
+  bool peer_sends_ids;    /* an earlier response carried the id of its request */
   bool retired;           /* must not be reused for another exchange */
 };
 
--- a/tests/fakes/fake_backend.c
+++ b/tests/fakes/fake_backend.c
@@ -14,6 +14,7 @@
   fake_conn_t *conn = CONTAINER_OF (deferred, fake_conn_t, deferred_free);
   http_codec_destroy (&conn->codec);
   g_free (conn->echo);
+  g_free (conn->attempt_id);
   g_free (conn->key);
   g_free (conn);
 }
@@ -75,6 +76,8 @@
     g_string_append_printf (text, "X-Echo: %s%s\r\n", conn->echo,
                             fault_occurs (conn->backend, conn->backend->faults.echo_wrong) ? "0"
                                                                                            : "");
+  if (conn->attempt_id != NULL)
+    g_string_append_printf (text, "Anvillb-Attempt: %s\r\n", conn->attempt_id);
   g_string_append (text, "\r\n");
   if (!conn->is_head_request)
     g_string_append_len (text, body, (gssize)size);
@@ -194,7 +197,9 @@
     backend->stats.requests++;
   conn->is_head_request = strcmp (head->method, "HEAD") == 0;
   g_free (conn->echo);
+  g_free (conn->attempt_id);
   g_free (conn->key);
+  conn->attempt_id = g_strdup (http_headers_get (&head->headers, "Anvillb-Attempt"));
   conn->echo = g_strdup (http_headers_get (&head->headers, "X-Loadgen-Id"));
   conn->key = g_strdup (http_headers_get (&head->headers, "Idempotency-Key"));
   if (conn->probe)
--- a/tests/fakes/fake_backend.h
+++ b/tests/fakes/fake_backend.h
@@ -100,8 +100,9 @@
   bool waiting;
   bool silent; /* sends nothing more */
   bool is_head_request;
-  char *echo; /* X-Loadgen-Id of the request; NULL if absent */
-  char *key;  /* Idempotency-Key of the request; NULL if absent */
+  char *echo;       /* X-Loadgen-Id of the request; NULL if absent */
+  char *attempt_id; /* Anvillb-Attempt of the request; NULL if absent */
+  char *key;        /* Idempotency-Key of the request; NULL if absent */
 } fake_conn_t;
 
 /* fake_backend.c */
--- a/tests/http/test_proxy.cc
+++ b/tests/http/test_proxy.cc
@@ -323,6 +323,52 @@
   EXPECT_FALSE (caller->received ("503"));
 }
 
+// Guards against a second copy of a response that arrives while the next request uses the
+// connection and becomes its answer. The backend server repeats the ids of attempts.
+TEST_F (Proxy, SecondCopyOfAResponseIsDropped)
+{
+  auto attempt_id = [] (const peer_ptr &peer) {
+    size_t start = peer->input.rfind ("Anvillb-Attempt: ");
+    return start == std::string::npos ? "" : peer->input.substr (start + 17, 16);
+  };
+  auto respond = [] (const std::string &id, const char *body) {
+    return "HTTP/1.1 200 OK\r\nAnvillb-Attempt: " + id + "\r\nContent-Length: 2\r\n\r\n" + body;
+  };
+  peer_ptr caller = connect_caller (GET_A);
+  peer_ptr peer = wait_for_request (0, "\r\n\r\n");
+  const std::string first_id = attempt_id (peer);
+  peer->send_all (respond (first_id, "ab"));
+  ASSERT_TRUE (wait_until_received (caller, "\r\n\r\nab"));
+  EXPECT_FALSE (caller->received ("Anvillb-Attempt"));
+  caller->input.clear ();
+  caller->send_all (GET_A);
+  ASSERT_TRUE (wait_until ([&] { return peer->count ("GET /a") == 2; }));
+  EXPECT_NE (attempt_id (peer), first_id);
+  peer->send_all (respond (first_id, "ab") + OK_AB + respond (attempt_id (peer), "cd"));
+  ASSERT_TRUE (wait_until_received (caller, "\r\n\r\n"));
+  EXPECT_TRUE (caller->received ("\r\n\r\ncd"));
+  EXPECT_FALSE (caller->received ("\r\n\r\nab"));
+}
+
+// Guards against a response without an attempt id for an entry that forwarded the request with one.
+TEST_F (Proxy, AttemptIdOfAnotherEntryIsRepeated)
+{
+  const char *request
+      = "GET /a HTTP/1.1\r\nHost: crew\r\nAnvillb-Attempt: 00000000000000aa\r\n\r\n";
+  peer_ptr caller = connect_caller (request);
+  peer_ptr peer = wait_for_request (0, "\r\n\r\n");
+  EXPECT_EQ (peer->count ("Anvillb-Attempt: "), 1u);
+  EXPECT_FALSE (peer->received ("00000000000000aa"));
+  peer->send_all (OK_AB);
+  ASSERT_TRUE (wait_until_received (caller, "\r\n\r\nab"));
+  EXPECT_TRUE (caller->received ("Anvillb-Attempt: 00000000000000aa\r\n"));
+  policy.targets = { "127.0.0.1:1" };
+  caller->input.clear ();
+  caller->send_all (request);
+  ASSERT_TRUE (wait_until_received (caller, "HTTP/1.1 502"));
+  EXPECT_TRUE (caller->received ("Anvillb-Attempt: 00000000000000aa\r\n"));
+}
+
 // Guards against work that continues at the backend server after the caller has disconnected.
 TEST_F (Proxy, CallerDisconnectClosesUpstream)
 {
