Tests: targets that write without end, against a running entry

Reported by operators: a faulty target sent bytes without end, in a head or a body; the machine that had called it kept them all and ran out of memory.

Can it happen here: not shown.

--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -22,6 +22,23 @@
 HOST = "host.example"
 WAIT_LIMIT_S = 30
 
+_FIELD = b"X: " + b"x" * 8000 + b"\r\n"
+_OWN = b"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Signature: s\r\n"
+_CHUNK = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+# Answers without end: the first bytes, in which ID stands for the id of the request, and what follows again and again.
+ENDLESS = {
+    "endless line": (b"", b"x" * 65536),
+    "endless head": (_OWN, _FIELD),
+    "endless interim responses": (b"", b"HTTP/1.1 103 Early Hints\r\n" + _FIELD + b"\r\n"),
+    "endless responses to others": (b"", b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 2\r\n\r\nab"),
+    "endless body": (_OWN + b"\r\n", b"x" * 65536),
+    "endless chunks": (_OWN + b"Transfer-Encoding: chunked\r\n\r\n", _CHUNK),
+    "endless chunk size": (_OWN + b"Transfer-Encoding: chunked\r\n\r\n", b"0" * 65536),
+    "endless trailers": (_OWN + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", _FIELD),
+    "endless unsigned body": (b"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\n\r\n", b"x" * 65536),
+    "endless rejection": (b"HTTP/1.1 503 Full\r\nAttempt-Id: ID\r\nNot-Executed: 1\r\n\r\n", b"x" * 65536),
+}
+
 
 class Program:
     """One running program with its settings in the environment."""
@@ -66,7 +83,8 @@
     also takes no further connection, "unsigned" leaves the signature out, "late"
     sends the answer of another request first, "errors" answers with 500, "normal" has no fault. "busy" refuses every
     request and asks for a pause of pause_s. "leaving" says in each answer that the target leaves; "spoiled leaving" says
-    it in a success without a signature, "late leaving" in an additional answer to another request.
+    it in a success without a signature, "late leaving" in an additional answer to another request. The modes of ENDLESS
+    write bytes without end; cut_count counts the connections that were closed meanwhile.
     """
 
     def __init__(self, fleet, number, service, zone="a", delay_s=0.0, identity=None, address=None):
@@ -74,7 +92,7 @@
         self.identity = identity or f"i-{number:08x}"
         self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.requests, self.execution_times, self.mode = [], [], "normal"
-        self.arrival_times, self.pause_s = [], "1.5"
+        self.arrival_times, self.pause_s, self.cut_count = [], "1.5", 0
         handler = type("Handler", (TargetHandler,), {"target": self})
         self.server = TargetServer(address or ("127.0.0.1", 0), handler)
         self.server.daemon_threads = True
@@ -147,6 +165,9 @@
             self.close_connection = True
             self.connection.close()
             return
+        if self.target.mode in ENDLESS:
+            self.write_endlessly(attempt, *ENDLESS[self.target.mode])
+            return
         time.sleep(self.target.delay_s)
         unsigned = self.target.mode in ("unsigned", "spoiled leaving")
         signature = [] if unsigned else [("Server-Signature", "s." + self.target.identity)]
@@ -160,6 +181,16 @@
         self.answer(status, [("Attempt-Id", attempt), ("Server-Load", "1,0,4")] + signature,
                     ("answer to %s" % attempt).encode())
 
+    def write_endlessly(self, attempt, head, block):
+        """Writes until the entry closes the connection."""
+        self.close_connection = True
+        try:
+            self.wfile.write(head.replace(b"ID", attempt.encode()))
+            while True:
+                self.wfile.write(block)
+        except OSError:
+            self.target.cut_count += 1
+
     do_GET = do_POST = handle_request
 
     def log_message(self, *_):
