Routes: a prefix that ends in a slash must begin the path

Cause: the adapter dropped the last slash of the platform's prefixes, and the route table matched what was left at any boundary of the path.

Change: a prefix of the product's configuration may end in a slash and then has to begin the path as written; without one it means what it did.

--- a/src/config_doc.h
+++ b/src/config_doc.h
@@ -106,8 +106,8 @@
 typedef struct
 {
   const char *id;
-  const char *host;            /* lower case; NULL: the hosts of the service */
-  const char *prefix;          /* normalized as in route_table, except for letter case */
+  const char *host;   /* lower case; NULL: the hosts of the service */
+  const char *prefix; /* normalized as in route_table, except for letter case; may end in '/' */
   const config_split_t *split; /* NULL: all requests go to SERVICE */
   uint32_t split_count;
   uint32_t service; /* index for config_doc_service(); with a split, that of its first part */
--- a/src/config_field.c
+++ b/src/config_field.c
@@ -189,8 +189,10 @@
         p++;
       if (*p != '\0' && *p != '/')
         return "has a character other than letters, digits, '/' and -._~!$&'()*+,=:@";
+      if (*p == '\0' && p == segment)
+        break;
       if (p == segment)
-        return "must not end in '/' or have an empty segment";
+        return "must not have an empty segment";
       if (p[-1] == '.')
         return "has a segment that ends in a dot";
     }
--- a/src/route_path.c
+++ b/src/route_path.c
@@ -159,8 +159,11 @@
     {
       if (i < size && !is_separator (text[i]))
         continue;
+      size_t count_before = path->segment_count;
       if (!add_segment (path, &used, text + start, i - start))
         return false;
+      if (path->segment_count > count_before)
+        path->continues = i < size;
       start = i + 1;
     }
   if (used == 0)
@@ -175,6 +178,7 @@
   char text[ROUTE_MAX_PATH_SIZE];
   size_t size = strcspn (target, "?");
   path->segment_count = 0;
+  path->continues = false;
   if (target[0] != '/' || memchr (target, '#', size) != NULL)
     return ROUTE_BAD_PATH;
   if (size > sizeof (text))
@@ -193,9 +197,9 @@
 route_path_has_literal_prefix (const char *target, const char *prefix)
 {
   size_t size = strlen (prefix);
-  if (size == 1)
-    return target[0] == '/';
   if (strncmp (target, prefix, size) != 0)
     return false;
+  if (prefix[size - 1] == '/')
+    return true;
   return target[size] == '\0' || target[size] == '/' || target[size] == '?';
 }
--- a/src/route_path.h
+++ b/src/route_path.h
@@ -16,12 +16,13 @@
   /* Offset in text after each segment. */
   size_t segment_ends[CONFIG_MAX_PREFIX_SEGMENTS];
   size_t segment_count;
+  bool continues; /* a separator follows the last of these segments */
 } route_path_t;
 
 /* Stores the normalized path of the request target TARGET, up to its '?'. Returns ROUTE_FOUND for
  * success, ROUTE_BAD_PATH or ROUTE_PATH_TOO_LONG. */
 route_result_t route_path_normalize (route_path_t *path, const char *target);
 
-/* Returns whether the path of TARGET, as sent, starts with PREFIX and PREFIX ends at a segment
- * boundary of it. */
+/* Returns whether the path of TARGET, as sent, starts with PREFIX and, if PREFIX does not end in
+ * '/', goes on with '/' or ends there. */
 bool route_path_has_literal_prefix (const char *target, const char *prefix);
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -16,11 +16,11 @@
    * only routes have get the next ids. */
   GHashTable *hosts;
   uint32_t *host_ids; /* by route: id of its host */
-  /* Hash table by host and prefix, with open addressing. A bucket holds the index of the first
-   * route with this host and prefix, or NO_ROUTE. */
+  /* Hash table by host and segments of the prefix, with open addressing. A bucket holds the index
+   * of the first route with them, or NO_ROUTE. */
   uint32_t *buckets;
   uint32_t mask;  /* number of buckets - 1; the number is a power of two */
-  uint32_t *next; /* by route: next route with the same host and prefix, or NO_ROUTE */
+  uint32_t *next; /* by route: next route with the same host and segments, or NO_ROUTE */
 };
 
 /* Continues the FNV-1a hash HASH with the bytes of DATA in lower case. */
@@ -45,23 +45,37 @@
 }
 
 static bool
-has_host_and_prefix (const route_table_t *table, uint32_t index, uint32_t host_id,
-                     const char *prefix, size_t size)
+ends_in_separator (const config_route_t *route)
+{
+  return route->prefix[strlen (route->prefix) - 1] == '/';
+}
+
+/* Returns the size of the segments of the prefix: without a '/' at its end, unless it is "/". */
+static size_t
+segments_size (const config_route_t *route)
+{
+  size_t size = strlen (route->prefix);
+  return size > 1 && ends_in_separator (route) ? size - 1 : size;
+}
+
+static bool
+has_host_and_segments (const route_table_t *table, uint32_t index, uint32_t host_id,
+                       const char *segments, size_t size)
 {
   const config_route_t *route = config_doc_route (table->doc, index);
-  return table->host_ids[index] == host_id && strlen (route->prefix) == size
-         && g_ascii_strncasecmp (route->prefix, prefix, size) == 0;
+  return table->host_ids[index] == host_id && segments_size (route) == size
+         && g_ascii_strncasecmp (route->prefix, segments, size) == 0;
 }
 
-/* Returns the bucket of the host and prefix, or the empty bucket where they belong. */
+/* Returns the bucket of the host and segments, or the empty bucket where they belong. */
 static uint32_t *
-find_bucket (const route_table_t *table, uint64_t hash, uint32_t host_id, const char *prefix,
+find_bucket (const route_table_t *table, uint64_t hash, uint32_t host_id, const char *segments,
              size_t size)
 {
   for (uint32_t i = bucket_index (table, hash);; i = (i + 1) & table->mask)
     {
       uint32_t *bucket = &table->buckets[i];
-      if (*bucket == NO_ROUTE || has_host_and_prefix (table, *bucket, host_id, prefix, size))
+      if (*bucket == NO_ROUTE || has_host_and_segments (table, *bucket, host_id, segments, size))
         return bucket;
     }
 }
@@ -84,7 +98,7 @@
 add_route (route_table_t *table, uint32_t index, uint32_t *next_host_id)
 {
   const config_route_t *route = config_doc_route (table->doc, index);
-  size_t size = strlen (route->prefix);
+  size_t size = segments_size (route);
   uint32_t host_id = assign_host_id (table, route, next_host_id);
   uint64_t hash = hash_bytes (hash_host (host_id), route->prefix, size);
   table->host_ids[index] = host_id;
@@ -162,21 +176,25 @@
   return found != 0;
 }
 
-/* Returns the route of the host with exactly PREFIX that has METHOD, or NULL. Sets HAS_PREFIX if
- * any route of the host has the prefix. */
+/* Returns the route of the host with METHOD whose prefix has exactly SEGMENTS, or NULL. If the path
+ * CONTINUES with a separator, a prefix that ends in one comes first, otherwise it does not match.
+ * Sets HAS_PREFIX if the prefix of any route of the host matches. */
 static const config_route_t *
-find_route (const route_table_t *table, uint64_t hash, uint32_t host_id, const char *prefix,
-            size_t size, config_method_t method, bool *has_prefix)
+find_route (const route_table_t *table, uint64_t hash, uint32_t host_id, const char *segments,
+            size_t size, bool continues, config_method_t method, bool *has_prefix)
 {
-  uint32_t index = *find_bucket (table, hash, host_id, prefix, size);
-  *has_prefix = *has_prefix || index != NO_ROUTE;
+  const config_route_t *found = NULL;
+  uint32_t index = *find_bucket (table, hash, host_id, segments, size);
   for (; index != NO_ROUTE; index = table->next[index])
     {
       const config_route_t *route = config_doc_route (table->doc, index);
-      if ((route->methods & method) != 0)
-        return route;
+      if (ends_in_separator (route) && !continues)
+        continue;
+      *has_prefix = true;
+      if ((route->methods & method) != 0 && (found == NULL || ends_in_separator (route)))
+        found = route;
     }
-  return NULL;
+  return found;
 }
 
 /* Among the routes of the host with METHOD, returns the one with the longest prefix of PATH, or
@@ -196,13 +214,15 @@
     }
   for (size_t i = path->segment_count; i > 0; i--)
     {
-      const config_route_t *route = find_route (table, hashes[i - 1], host_id, path->text,
-                                                path->segment_ends[i - 1], method, has_prefix);
+      bool continues = i < path->segment_count || path->continues;
+      const config_route_t *route
+          = find_route (table, hashes[i - 1], host_id, path->text, path->segment_ends[i - 1],
+                        continues, method, has_prefix);
       if (route != NULL)
         return route;
     }
   uint64_t root_hash = hash_bytes (hash_host (host_id), "/", 1);
-  return find_route (table, root_hash, host_id, "/", 1, method, has_prefix);
+  return find_route (table, root_hash, host_id, "/", 1, true, method, has_prefix);
 }
 
 route_result_t
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -6,15 +6,17 @@
  *
  * The host of a request selects a service, or the routes that have it as their own host; letter
  * case and port are ignored. Among the routes of that service or host that have the method, the one
- * with the longest prefix that ends at a '/' boundary of the path is selected. The cost depends on
- * the number of segments of the path, not on the number of routes.
+ * with the longest prefix of the path is selected. A prefix that ends in '/' must begin the path:
+ * "/a/" is a prefix of "/a/" and "/a/b", not of "/a". Any other prefix must also end at a '/'
+ * boundary of the path: "/a" is a prefix of "/a" and "/a/b", not of "/ab". The cost depends on the
+ * number of segments of the path, not on the number of routes.
  *
  * The request target is forwarded unchanged, and backend servers differ in how they interpret a
  * path. Two forms of the path are therefore matched: the literal one and a normalized one.
  * Normalization repeatedly decodes percent-encoding, treats '\' as '/', replaces Unicode
  * compatibility characters by their plain form, and ignores letter case. It drops empty and "."
  * segments, everything from ';' or a decoded '?' or '#' on in a segment, and dots and spaces at the
- * end of a segment.
+ * end of a segment. A separator after the last segment stays.
  *
  * A backend server may apply any subset of these steps. A prefix that matches after one of the
  * subsets also matches the normalized form, and a prefix that matches the literal form matches
--- a/tests/decision/test_route_table.cc
+++ b/tests/decision/test_route_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <vector>
 
 extern "C"
 {
@@ -236,3 +237,166 @@
     }
   EXPECT_GT (accepted_count, 2000u);
 }
+
+namespace
+{
+struct prefix_case_t
+{
+  std::vector<std::string> prefixes;
+  const char *target;
+  const char *expected; /* prefix of the route that is selected; "" if none is */
+};
+
+/* Holds the table of a configuration with one route, and so one service, for each prefix. */
+class PrefixTable
+{
+public:
+  explicit PrefixTable (const std::vector<std::string> &prefixes)
+  {
+    anv_error_t err = {};
+    std::string text = "{'services':{'s':{'hosts':['s']}},'routes':[";
+    for (size_t i = 0; i < prefixes.size (); i++)
+      text += std::string (i > 0 ? "," : "") + "{'id':'r" + std::to_string (i)
+              + "','host':'h','service':'s','methods':['GET'],'class':'urgent','idempotent':true,"
+                "'prefix':'"
+              + prefixes[i] + "'}";
+    text = with_double_quotes (text + "]}");
+    config_doc_t *doc = config_doc_parse (text.data (), text.size (), CONFIG_SCHEMA, &err);
+    EXPECT_NE (doc, nullptr) << err.text;
+    table = route_table_new (doc);
+    config_doc_unref (doc);
+  }
+  ~PrefixTable ()
+  {
+    route_table_free (table);
+  }
+  /* Returns the prefix of the selected route, or "". */
+  std::string
+  find (const std::string &target) const
+  {
+    route_match_t match;
+    route_result_t result = route_table_lookup (table, "GET", "h", target.c_str (), &match);
+    return result == ROUTE_FOUND ? match.route->prefix : "";
+  }
+
+private:
+  route_table_t *table;
+};
+
+/* Returns the longest of PREFIXES that matches the path of TARGET as it is written, or "". */
+std::string
+find_naively (const std::vector<std::string> &prefixes, const std::string &target)
+{
+  std::string path = target.substr (0, target.find ('?'));
+  std::string longest;
+  for (const std::string &prefix : prefixes)
+    {
+      bool begins = path.compare (0, prefix.size (), prefix) == 0;
+      bool at_boundary
+          = prefix.back () == '/' || path.size () == prefix.size () || path[prefix.size ()] == '/';
+      if (begins && at_boundary && prefix.size () > longest.size ())
+        longest = prefix;
+    }
+  return longest;
+}
+}
+
+// Guards against access that no route gives: a path that lacks the last slash of a prefix, or a
+// spelling of one, selects the route of that prefix.
+TEST (RoutePrefix, FinalSlashMustBeInThePath)
+{
+  const std::vector<std::string> nested = { "/quotes/", "/quotes/book/", "/capture/" };
+  const std::vector<std::string> both = { "/a", "/a/" };
+  const std::vector<std::string> root = { "/", "/a/" };
+  const prefix_case_t cases[] = {
+    { nested, "/quotes/book", "/quotes/" },
+    { nested, "/quotes/book?x=/", "/quotes/" },
+    { nested, "/quotes/book/", "/quotes/book/" },
+    { nested, "/quotes/book/x", "/quotes/book/" },
+    { nested, "/quotes/bookx/", "/quotes/" },
+    { nested, "/quotes/book//x", "/quotes/book/" },
+    { nested, "/quotes/book/.", "/quotes/book/" },
+    { nested, "/capture", "" },
+    { nested, "/capture?amount=1", "" },
+    { nested, "/capture?/", "" },
+    { nested, "/capture/?amount=1", "/capture/" },
+    { nested, "/capture%2f", "" },
+    { nested, "/capture%2Fx", "" },
+    { nested, "/capture;/x", "" },
+    { nested, "/capture;x", "" },
+    { nested, "/capture\\x", "" },
+    { nested, "//capture/", "" },
+    { nested, "/./capture/", "" },
+    { nested, "/quotes/../capture/", "" },
+    { nested, "/quotes/%2e%2e/capture/", "" },
+    { nested, "/", "" },
+    { nested, "", "" },
+    { both, "/a", "/a" },
+    { both, "/a?x", "/a" },
+    { both, "/a/", "/a/" },
+    { both, "/a/b", "/a/" },
+    { both, "/ab", "" },
+    { root, "/a", "/" },
+    { root, "/a/", "/a/" },
+    { root, "/", "/" },
+    { root, "/?x", "/" },
+    { root, "", "" },
+  };
+  for (const prefix_case_t &c : cases)
+    {
+      PrefixTable table (c.prefixes);
+      EXPECT_EQ (table.find (c.target), c.expected) << c.target;
+    }
+}
+
+// Guards against a selection that differs from the longest prefix as it is written. Paths without
+// unusual segments must be found like that; others may be refused, but must not select another
+// route.
+TEST (RoutePrefix, SelectsWhatANaiveMatcherSelects)
+{
+  const char *segments[] = { "a", "b", "ab", "B" };
+  const char *unusual[] = { "", ".", "..", "%61", "a;x", "a.", "%2f" };
+  rng_t rng;
+  rng_init (&rng, 7);
+  size_t found_count = 0;
+  for (int round = 0; round < 2000; round++)
+    {
+      std::vector<std::string> prefixes;
+      for (uint64_t i = rng_next (&rng) % 6; i > 0; i--)
+        {
+          std::string prefix;
+          for (uint64_t depth = rng_next (&rng) % 4; depth > 0; depth--)
+            prefix += std::string ("/") + segments[rng_next (&rng) % 3];
+          if (prefix.empty () || rng_next (&rng) % 2 == 0)
+            prefix += "/";
+          if (std::find (prefixes.begin (), prefixes.end (), prefix) == prefixes.end ())
+            prefixes.push_back (prefix);
+        }
+      PrefixTable table (prefixes);
+      for (int path = 0; path < 20; path++)
+        {
+          std::string target;
+          bool usual = true;
+          for (uint64_t depth = rng_next (&rng) % 5; depth > 0; depth--)
+            {
+              bool is_unusual = rng_next (&rng) % 8 == 0;
+              usual = usual && !is_unusual;
+              target
+                  += std::string ("/")
+                     + (is_unusual ? unusual[rng_next (&rng) % 7] : segments[rng_next (&rng) % 3]);
+            }
+          if (target.empty () || rng_next (&rng) % 2 == 0)
+            target += "/";
+          if (rng_next (&rng) % 4 == 0)
+            target += "?x=/a/";
+          std::string expected = find_naively (prefixes, target);
+          std::string found = table.find (target);
+          if (usual || !found.empty ())
+            {
+              EXPECT_EQ (found, expected) << target;
+            }
+          found_count += !found.empty ();
+        }
+    }
+  EXPECT_GT (found_count, 10000u);
+}
--- a/tests/platform/requests.py
+++ b/tests/platform/requests.py
@@ -15,6 +15,7 @@
     say(f"method and target unchanged: {seen[1:3] == ('GET', '/safe/x?q=1')}, deadline handed on in range: {0 < seen[4] <= 3000}")
     attempt, status, _, _ = fleet.request("/unsafe/y", method="POST", body=b"content")
     say(f"body unchanged: {any(entry[3] == b'content' for target in fleet.targets for entry in target.requests)}")
+    say(f"prefix without its last slash: {[fleet.request(path)[1] for path in ('/safe', '/safe?x=/', '/safe%2F', '/safe%2Fx')]}")
     say(f"no route: {fleet.request('/other/')[1]}, other host: {fleet.request('/safe/x', host='x.example')[1]}")
 
     def send_many(path, method="GET", count=20):
