Soak: late copies, single targets, long waits, planned stops, odd paths

New draws: targets that write late copies of answers and rejections, with and without the id, or bytes without end; services of one target with one slot and one or two connections; routes that let requests wait for seconds; answers that take longer than the first part of a planned stop; SIGHUP; paths next to a prefix. Every third seed has planned work only, so that the checks of planned stops are not excused by faults.

New checks: a request runs at the service of the longest prefix only; a planned stop cuts off nothing that arrived well before; a connection from before the stop is closed after the drain; no process ends by itself or grows beyond its machine.

--- a/tests/platform/endless_answers.py
+++ b/tests/platform/endless_answers.py
@@ -1,7 +1,6 @@
 """Guards against an entry that keeps the bytes of a target that writes without end, in a head or a body, and runs out of
 memory with the requests of all its callers. Half of the callers don't read what they get."""
 
-import pathlib
 import socket
 import threading
 import time
@@ -22,16 +21,17 @@
     healthy, faulty = fleet.targets
     entry = fleet.entries[0]
     send_many(fleet)
-    limit_kb = peak_kb(entry) + CALLER_COUNT * QUEUED_KB + SLACK_KB
+    limit_kb = entry.peak_kb() + CALLER_COUNT * QUEUED_KB + SLACK_KB
     for mode in ENDLESS:
-        faulty.mode, before, runs_before = mode, faulty.cut_count, len(faulty.requests)
+        faulty.mode, before, arrivals_before = mode, faulty.cut_count, len(faulty.arrival_times)
         served = send_many(fleet)
-        while len(faulty.requests) == runs_before:
+        while len(faulty.arrival_times) == arrivals_before:
             served += send_many(fleet)
-        wait_until(lambda: faulty.cut_count - before >= len(faulty.requests) - runs_before, "the entry closes the connections")
+        wait_until(lambda: faulty.cut_count - before >= len(faulty.arrival_times) - arrivals_before,
+                   "the entry closes the connections")
         say(f"{mode}: others served: {served > 0}")
         faulty.mode = "normal"
-    say(f"memory bounded: {peak_kb(entry) <= limit_kb}")
+    say(f"memory bounded: {entry.peak_kb() <= limit_kb}")
     say(f"ended processes: {sum(program.popen.poll() is not None for program in fleet.processes())}")
     say(f"answer afterwards: {fleet.request('/safe/x')[1]}")
 
@@ -71,8 +71,3 @@
                 continue
             except OSError:
                 break
-
-
-def peak_kb(program):
-    status = pathlib.Path(f"/proc/{program.popen.pid}/status").read_text()
-    return int(next(line for line in status.splitlines() if line.startswith("VmHWM:")).split()[1])
--- a/tests/platform/odd_entries.py
+++ b/tests/platform/odd_entries.py
@@ -40,7 +40,7 @@
     logs = [line for program in fleet.controls for line in program.log().splitlines() if "call refused" in line]
     say(f"refusals are logged with their reason: {all('reason=' in line for line in logs)}, "
         f"in lines of their own: {not any(line.startswith('injected') for p in fleet.processes() for line in p.log().splitlines())}")
-    say(f"memory of a control instance: {'bounded' if max(peak_mb(program) for program in fleet.controls) < 200 else 'large'}")
+    say(f"memory of a control instance: {'bounded' if max(program.peak_kb() for program in fleet.controls) < 200 << 10 else 'large'}")
 
 
 def odd_calls(known, valid):
@@ -86,8 +86,3 @@
             return status // 100
         time.sleep(0.1)
     return None
-
-
-def peak_mb(program):
-    status = open(f"/proc/{program.popen.pid}/status").read()
-    return int(status.split("VmHWM:")[1].split()[0]) // 1024
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -21,6 +22,7 @@
 
 HOST = "host.example"
 WAIT_LIMIT_S = 30
+GRACE_S = 4
 
 _FIELD = b"X: " + b"x" * 8000 + b"\r\n"
 _OWN = b"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Signature: s\r\n"
@@ -70,6 +72,10 @@
         self.popen.send_signal(signal.SIGTERM)
         return self.popen.wait(limit_s)
 
+    def peak_kb(self):
+        status = pathlib.Path(f"/proc/{self.popen.pid}/status").read_text()
+        return int(next(line for line in status.splitlines() if line.startswith("VmHWM:")).split()[1])
+
     def log(self):
         path = self.fleet.directory / f"{self.name}.log"
         return path.read_text(errors="replace") if path.exists() else ""
@@ -84,14 +90,17 @@
     sends the answer of another request first, "errors" answers with 500, "normal" has no fault. "busy" refuses every
     request and asks for a pause of pause_s. "leaving" says in each answer that the target leaves; "spoiled leaving" says
     it in a success without a signature, "late leaving" in an additional answer to another request. The modes of ENDLESS
-    write bytes without end; cut_count counts the connections that were closed meanwhile.
+    write bytes without end; cut_count counts the connections that were closed meanwhile. "copies" refuses some requests,
+    and writes its last answer once more, as it was or damaged, where the next answer on the connection is expected.
     """
 
-    def __init__(self, fleet, number, service, zone="a", delay_s=0.0, identity=None, address=None):
-        self.fleet, self.service, self.zone, self.delay_s = fleet, service, zone, delay_s
+    def __init__(self, fleet, number, service, zone="a", delay_s=0.0, identity=None, address=None, slots=4):
+        self.fleet, self.service, self.zone, self.delay_s, self.slots = fleet, service, zone, delay_s, slots
+        self.random = random.Random(number)
         self.identity = identity or f"i-{number:08x}"
         self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.requests, self.execution_times, self.mode = [], [], "normal"
+        self.completed = set()  # requests whose answer was written
         self.arrival_times, self.pause_s, self.cut_count = [], "1.5", 0
         handler = type("Handler", (TargetHandler,), {"target": self})
         self.server = TargetServer(address or ("127.0.0.1", 0), handler)
@@ -106,7 +115,7 @@
     def heartbeat_body(self):
         self.sequence += 1
         return {"address": self.address, "born": self.born,
-                "info": {"service": self.service, "version": "v1", "zone": self.zone, "slots": 4},
+                "info": {"service": self.service, "version": "v1", "zone": self.zone, "slots": self.slots},
                 "status": {"state": self.state, "sequence": self.sequence, "warmup_left_ms": 0}}
 
     def send_heartbeat(self, control=None):
@@ -125,13 +134,29 @@
     protocol_version = "HTTP/1.1"
     target = None
 
-    def answer(self, status, headers=(), body=b""):
-        self.send_response(status)
-        for name, value in headers:
-            self.send_header(name, value)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
+    last_answer = None  # on this connection
+
+    def answer(self, status, headers=(), body=b"", pause_s=0):
+        """Answers at once, or writes the body in parts with pauses between them."""
+        lines = [f"HTTP/1.1 {status} Status"] + [f"{name}: {value}" for name, value in headers]
+        lines.append(f"Content-Length: {len(body)}")
+        self.last_answer = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        first_size = len(self.last_answer) - (len(body) if pause_s > 0 else 0)
+        self.wfile.write(self.last_answer[:first_size])
+        for start in range(first_size, len(self.last_answer), 6):
+            time.sleep(pause_s)
+            self.wfile.write(self.last_answer[start:start + 6])
+
+    def write_copy(self):
+        """Writes the last answer of this connection once more, or a part of it, or a refusal without an id."""
+        if self.last_answer is None:
+            return
+        draw = self.target.random
+        time.sleep(draw.choice((0, draw.uniform(0.001, 0.3))))
+        refusal = (b"HTTP/1.1 503 Unavailable\r\n" + draw.choice((b"", b"Not-Executed: 1\r\n"))
+                   + draw.choice((b"", b"Server-Leaving: 1\r\n", b"Retry-After: 1\r\n")) + b"Content-Length: 0\r\n\r\n")
+        without_id = re.sub(rb"Attempt-Id: [^\r]*\r\n", b"", self.last_answer)
+        self.wfile.write(draw.choice((self.last_answer, self.last_answer, without_id, refusal)))
 
     def handle_request(self):
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
@@ -143,9 +168,17 @@
         refuse_first = self.target.mode == "full once" and attempt not in self.target.fleet.seen_attempts
         self.target.fleet.seen_attempts.add(attempt)
         self.target.arrival_times.append(time.monotonic())
+        if self.target.mode == "copies":
+            self.write_copy()
+            if self.target.random.random() < 0.3:
+                self.answer(503, [("Attempt-Id", attempt), ("Not-Executed", "1")])
+                return
         if self.target.mode == "busy":
             self.answer(503, [("Attempt-Id", attempt), ("Not-Executed", "1"), ("Retry-After", self.target.pause_s)])
             return
+        if self.target.mode == "endless rejection":
+            self.write_endlessly(attempt, *ENDLESS[self.target.mode])
+            return
         if self.target.mode == "full" or refuse_first:
             self.answer(503, [("Attempt-Id", attempt), ("Not-Executed", "1")])
             return
@@ -179,7 +212,8 @@
             signature.append(("Server-Leaving", "1"))
         status = 500 if self.target.mode == "errors" else 200
         self.answer(status, [("Attempt-Id", attempt), ("Server-Load", "1,0,4")] + signature,
-                    ("answer to %s" % attempt).encode())
+                    ("answer to %s" % attempt).encode(), pause_s=0.5 if self.path.endswith("/long") else 0)
+        self.target.completed.add(attempt)
 
     def write_endlessly(self, attempt, head, block):
         """Writes until the entry closes the connection."""
@@ -241,7 +275,7 @@
             self.entries.append(Program(self, f"entry-{i}", self.build / "anvillb-fleet-entry", {
                 "INSTANCE": f"entry-{i}", "DOMAIN": "abc"[i % 3], "LISTEN": f"{ip}:{self.ports[0]}",
                 "READY_LISTEN": f"{ip}:{self.ports[1]}", "PEER_LISTEN": f"{ip}:{self.ports[2]}",
-                "METRICS_LISTEN": f"{ip}:{self.ports[3]}", "SEED": seeds, "GRACE_S": 4, "RETRY_SHARE": 1, "RETRY_RATE": 100,
+                "METRICS_LISTEN": f"{ip}:{self.ports[3]}", "SEED": seeds, "GRACE_S": GRACE_S, "RETRY_SHARE": 1, "RETRY_RATE": 100,
                 "DEFAULT_LATENCY_MS": 1000}).start())
 
     def add_target(self, service, **arguments):
@@ -352,5 +386,5 @@
             "latency_goal_ms": 2000, "priority": 1, "service": service_name, "max_attempts": 3, **members}
 
 
-def service(name):
-    return {"name": name, "health_path": "/health", "max_connections": 390, "protocol": "h1", "tls": False}
+def service(name, max_connections=390):
+    return {"name": name, "health_path": "/health", "max_connections": max_connections, "protocol": "h1", "tls": False}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,14 +4,18 @@
 
 Each seed runs a fleet of three control instances and three entries with six targets behind loopback proxies. Callers
 reuse a connection until it ends. Faults follow each other and overlap: connections that are delayed, reset, or dropped
-in one direction or both; processes that are paused, killed and restarted; planned stops; targets that drain; changes
-of the configuration, and the same change sent again.
+in one direction or both; targets that refuse, fail, write late copies of answers or bytes without end; processes that
+are paused, killed and restarted; planned stops; SIGHUP; targets that drain; changes of the configuration, and the same
+change sent again. Every third seed has planned work and late copies only. Two services have one target with one slot, a
+limit of one or two connections, and routes that let requests wait for seconds. Some answers take seconds to pass, and
+some paths lack a part of a prefix.
 
 Checks what callers and targets see: an answer belongs to its request and is whole; a request that is not idempotent runs
 at most once; a request that was refused as not run did not run; a drained target gets no work 2 s after the
 acknowledgement; an acknowledged configuration is read back, and never an older one; a change that was acknowledged is
-acknowledged again; a planned stop cuts no request off; after the last fault the fleet serves again. REGRESSIONS lists
-the seeds that failed once.
+acknowledged again; a planned stop cuts off no request that was passed on, or that arrived well before its connection
+ended; a request runs only at the service of the longest prefix that begins its path; no process ends by itself or grows
+beyond its machine; after the last fault the fleet serves again. REGRESSIONS lists the seeds that failed once.
 """
 
 import argparse
@@ -30,7 +34,7 @@
 
 from fleet import wait_until  # noqa: E402
 from loopback import MODES, LoopbackProxy  # noqa: E402
-from stand_in import HOST, PlatformFleet, route, service  # noqa: E402
+from stand_in import ENDLESS, GRACE_S, HOST, PlatformFleet, route, service  # noqa: E402
 
 # Seeds that failed once, each with its cause.
 REGRESSIONS = {}
@@ -41,6 +45,39 @@
 READ_LAG_S = 2.0
 CALLER_COUNT = 6
 TARGET_COUNT = 6
+# Callers that keep the services with one target busy.
+PATIENT_CALLER_COUNT = 8
+# A request whose connection ends sooner after it was sent may have crossed the end.
+CROSSING_S = 0.2
+# Time in which an entry that drains closes a connection after an answer.
+CLOSING_S = 0.3
+# Memory of the smallest machines of the users' deployments.
+MAX_ENTRY_KB, MAX_CONTROL_KB = 160 << 10, 256 << 10
+# Routes by their prefix: the service, and whether a request may be repeated.
+ROUTES = {"/safe/": ("s1", True), "/unsafe/": ("s1", False), "/one/": ("one", True), "/one/book/": ("two", False)}
+PATHS = {True: ("/safe/x",), False: ("/unsafe/x",)}
+PATIENT_PATHS = {True: ("/one/x",), False: ("/one/book/x",)}
+ODD_PATHS = ("/safe", "/unsafe", "/one/book", "/one/book?x=/", "/safex/", "/one/bookx/", "/unsafe%2Fx", "//unsafe/x",
+             "/one//book/x")
+
+
+def find_service(path):
+    """Returns the service of the longest prefix that begins the path as it is written, or None."""
+    prefixes = [prefix for prefix in ROUTES if path.split("?")[0].startswith(prefix)]
+    return ROUTES[max(prefixes, key=len)][0] if prefixes else None
+
+
+def configured_routes():
+    routes = [route("safe" if safe else "unsafe", name, name=prefix.strip("/")) for prefix, (name, safe) in ROUTES.items()]
+    for item in routes:
+        item["name"] = item["name"].replace("/", "-")
+        if item["service"] != "s1":
+            item.update(timeout_ms=14000, latency_goal_ms=9000)
+    return routes
+
+
+def configured_services():
+    return [service("s1"), service("one", max_connections=1), service("two", max_connections=2)]
 
 
 class Violations(list):
@@ -52,37 +89,50 @@
 class Caller(threading.Thread):
     """Sends requests on a connection that it keeps until the connection ends."""
 
-    def __init__(self, soak, number):
+    def __init__(self, soak, number, patient):
         super().__init__(daemon=True)
         self.soak, self.random, self.number, self.sent = soak, random.Random(f"{soak.seed}/{number}"), number, 0
+        self.paths, self.deadline_ms = (PATIENT_PATHS, 15000) if patient else (PATHS, 3000)
 
     def run(self):
         connection, entry = None, 0
         while not self.soak.finished.is_set():
             if connection is None:
                 entry = self.random.randrange(len(self.soak.fleet.entries))
-                connection = http.client.HTTPConnection(self.soak.fleet.ip(2, entry), self.soak.fleet.ports[0], timeout=6)
+                self.opened = time.monotonic()
+                connection = http.client.HTTPConnection(self.soak.fleet.ip(2, entry), self.soak.fleet.ports[0],
+                                                        timeout=2 * self.deadline_ms / 1000)
             self.sent += 1
             if not self.exchange(connection, entry, f"{self.number:04x}{self.sent:012x}"):
                 connection.close()
                 connection = None
-            time.sleep(self.random.uniform(0.0, 0.05))
+            time.sleep(self.random.uniform(0.0, 2.0 if self.random.random() < 0.1 else 0.05))
 
     def exchange(self, connection, entry, attempt):
         """Sends one request and returns whether the connection can be used again."""
         at_most_once = self.random.random() < 0.5
-        headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Remaining-Ms": "3000"}
+        draw = self.random.random()
+        if draw < (0.06 if self.paths is PATHS else 0.2):
+            at_most_once, path = False, "/safe/long"
+        else:
+            path = self.random.choice(ODD_PATHS if draw < 0.1 else self.paths[not at_most_once])
+        self.soak.expected_services[attempt] = find_service(path)
+        headers = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Remaining-Ms": str(self.deadline_ms)}
         started = time.monotonic()
         try:
-            connection.request("POST" if at_most_once else "GET", "/unsafe/x" if at_most_once else "/safe/x",
-                               b"content" if at_most_once else None, headers)
+            connection.request("POST" if at_most_once else "GET", path, b"content" if at_most_once else None, headers)
             answer = connection.getresponse()
             body = answer.read()
         except (OSError, http.client.HTTPException) as error:
             self.soak.record_cut(entry, started, attempt, error)
             return False
+        # A path of another route decides whether the request may be repeated, not its method.
+        at_most_once = at_most_once and path in self.paths[False]
         self.soak.record_answer(attempt, at_most_once, answer, body)
-        return answer.getheader("Connection", "").lower() != "close" and not answer.will_close
+        if answer.getheader("Connection", "").lower() == "close" or answer.will_close:
+            return False
+        self.soak.check_drained(entry, connection.sock, self.opened)
+        return True
 
 
 class Soak:
@@ -92,6 +142,7 @@
         self.violations, self.answers, self.lock = Violations(), [], threading.Lock()
         self.proxies, self.fault_end_times, self.drained = [], {}, []
         self.acknowledged, self.version, self.planned_stops, self.reserved = [], 1, [], {}
+        self.expected_services, self.planned_only = {}, seed % 3 == 0
 
     # Reports of the callers.
 
@@ -102,11 +153,36 @@
             self.violations.add(f"{attempt} got a wrong answer: {body!r}")
 
     def record_cut(self, entry, started, attempt, error):
-        """Adds a violation if a planned stop cut off a request that had run, and no other fault was active."""
+        """Adds a violation if a planned stop cut off a request that had run, or long after it was sent, and no other
+        fault was active."""
         now = time.monotonic()
         planned = any(at <= now <= at + 6 and entry == stopped for at, stopped in self.planned_stops)
-        if planned and self.had_fault_since(started - 3) is False and self.fleet.executions(attempt) > 0:
-            self.violations.add(f"{attempt} was cut off by a planned stop of entry-{entry}: {error!r}")
+        if not planned or self.had_fault_since(started - 3):
+            return
+        executions = self.fleet.executions(attempt)
+        stop = max(at for at, stopped in self.planned_stops if stopped == entry)
+        at_work = executions > 0 and not any(attempt in target.completed for target in self.fleet.targets)
+        if at_work and now - stop >= GRACE_S * 5 / 6 and started - stop <= GRACE_S / 2:
+            return  # sent before the drain, and its target needed more than the rest of the grace period
+        if executions > 0 or now - started > CROSSING_S:
+            self.violations.add(f"{attempt}, sent {started - stop:.2f} s after SIGTERM at entry-{entry}, was cut off after "
+                                f"{now - started:.2f} s, run {executions}: {error!r}")
+
+    def check_drained(self, entry, connection, opened):
+        """Adds a violation if a connection from before a planned stop stays open after an answer that was complete after
+        the drain."""
+        now = time.monotonic()
+        stops = [at for at, stopped in self.planned_stops if stopped == entry and opened < at < now - GRACE_S / 2]
+        if not stops or self.had_fault_since(stops[0] - 3):
+            return
+        connection.settimeout(CLOSING_S)
+        try:
+            connection.recv(1)
+        except TimeoutError:
+            self.violations.add(f"entry-{entry} kept a connection {time.monotonic() - stops[0]:.2f} s after SIGTERM")
+        except OSError:
+            pass
+        connection.settimeout(None)
 
     def had_fault_since(self, since):
         return any(end is None or end >= since for end in self.fault_end_times.values())
@@ -133,11 +209,34 @@
         return self.run_fault(f"link {mode}", self.random.uniform(0.3, 3), lambda: proxy.set(mode),
                               lambda: proxy.set("normal"))
 
+    def choose_target(self):
+        """Returns a target; each second one is the only one of its service."""
+        return self.random.choice(self.fleet.targets[1:] + 2 * self.fleet.targets[TARGET_COUNT:])
+
     def break_target(self):
-        target, mode = self.random.choice(self.fleet.targets[1:]), self.random.choice(("full", "reset", "errors", "late"))
+        target = self.choose_target()
+        mode = self.random.choice(("full", "reset", "errors", "late", "copies", "copies", self.random.choice(list(ENDLESS))))
         return self.run_fault(f"target {mode}", self.random.uniform(0.3, 3), lambda: setattr(target, "mode", mode),
                               lambda: setattr(target, "mode", "normal"))
 
+    def send_copies(self):
+        """Lets a target write late copies of its answers. This is no fault that excuses a planned stop."""
+        target = self.choose_target()
+
+        def run():
+            target.mode = "copies"
+            self.finished.wait(self.random.uniform(0.5, 3))
+            target.mode = "normal"
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        return thread
+
+    def send_hup(self):
+        program = self.random.choice(self.fleet.processes())
+        if program.popen.poll() is None:
+            program.popen.send_signal(signal.SIGHUP)
+
     def reserve(self, programs):
         """Reserves and returns a running program that no other fault has reserved, or returns None."""
         free = [p for p in programs if p.popen.poll() is None and not self.reserved.get(p.name)]
@@ -206,7 +305,7 @@
         return thread
 
     def drain_target(self):
-        ready = [t for t in self.fleet.targets if t.state == "ready"]
+        ready = [t for t in self.fleet.targets if t.state == "ready" and t.service == "s1"]
         if len(ready) <= TARGET_COUNT // 2:
             return None
         target = self.random.choice(ready)
@@ -218,7 +317,7 @@
     def change_configuration(self):
         number, base = self.version + 1, self.version
         extra = [route("safe", "s1", name=f"extra{i}") for i in range(number % 7)]
-        change = (f"{number:08x}", f"{base:08x}", [route("safe", "s1"), route("unsafe", "s1")] + extra, [service("s1")])
+        change = (f"{number:08x}", f"{base:08x}", configured_routes() + extra, configured_services())
         status = self.try_call(lambda: self.fleet.put(*change))
         for _ in range(20):
             if status == 200 or self.finished.is_set():
@@ -257,6 +356,23 @@
                 self.violations.add(f"read version {seen} after {required} was acknowledged")
             time.sleep(0.1)
 
+    def check_processes(self):
+        """Adds a violation for each process that ends without having been stopped or killed."""
+        reported = set()
+        while not self.finished.is_set():
+            for program in self.fleet.processes():
+                ended = program.popen.poll() is not None and not self.reserved.get(program.name)
+                if ended and program.name not in reported:
+                    reported.add(program.name)
+                    self.violations.add(f"{program.name} ended by itself with {program.popen.returncode}")
+            time.sleep(0.1)
+
+    def check_memory(self):
+        for programs, limit_kb in ((self.fleet.entries, MAX_ENTRY_KB), (self.fleet.controls, MAX_CONTROL_KB)):
+            for program in programs:
+                if program.popen.poll() is None and program.peak_kb() > limit_kb:
+                    self.violations.add(f"{program.name} took {program.peak_kb()} KiB")
+
     def send_heartbeats(self):
         while not self.finished.is_set():
             for target in list(self.fleet.targets):
@@ -269,15 +385,19 @@
     def run(self):
         with self.fleet:
             self.fleet.start(entries=3)
-            wait_until(lambda: self.fleet.put("00000001", "0", [route("safe", "s1"), route("unsafe", "s1")],
-                                              [service("s1")]) == 200, "the first configuration")
-            for number in range(TARGET_COUNT):
-                target = self.fleet.add_target("s1", zone="abc"[number % 3], delay_s=0.02)
+            wait_until(lambda: self.fleet.put("00000001", "0", configured_routes(), configured_services()) == 200,
+                       "the first configuration")
+            for number in range(TARGET_COUNT + 2):
+                # The last two are the only targets of their services.
+                name, slots = ("s1", 4) if number < TARGET_COUNT else (("one", "two")[number - TARGET_COUNT], 1)
+                target = self.fleet.add_target(name, zone="abc"[number % 3], delay_s=0.02 if slots > 1 else 0.8, slots=slots)
                 proxy = LoopbackProxy(target.server.server_address[:2], self.random.random())
                 target.address = proxy.address
                 self.proxies.append(proxy)
-            threads = [threading.Thread(target=loop, daemon=True) for loop in (self.send_heartbeats, self.check_reads)]
-            threads += [Caller(self, number) for number in range(CALLER_COUNT)]
+            threads = [threading.Thread(target=loop, daemon=True) for loop in (self.send_heartbeats, self.check_reads,
+                                                                        self.check_processes)]
+            threads += [Caller(self, number, patient=number >= CALLER_COUNT)
+                        for number in range(CALLER_COUNT + PATIENT_CALLER_COUNT)]
             for thread in threads:
                 thread.start()
             wait_until(lambda: sum(status == 200 for _, _, status in self.answers) > 20, "the fleet serves")
@@ -289,6 +409,7 @@
             for thread in faults:
                 thread.join(30)
             self.check_recovery()
+            self.check_memory()
             self.finished.set()
             for thread in threads:
                 thread.join(10)
@@ -300,9 +421,10 @@
         return []
 
     def inject_faults(self):
-        actions = [self.break_link] * 4 + [self.break_target] * 2 + [
-            self.pause_process, self.kill, self.kill_all_controls, self.planned_stop, self.drain_target] + [
-            self.change_configuration] * 2
+        planned = [self.planned_stop, self.planned_stop, self.drain_target, self.send_hup, self.send_copies,
+                   self.change_configuration, self.change_configuration]
+        actions = planned if self.planned_only else planned[1:] + [self.break_link] * 4 + [self.break_target] * 3 + [
+            self.pause_process, self.kill, self.kill_all_controls]
         threads, end = [], time.monotonic() + self.seconds
         while time.monotonic() < end:
             thread = self.random.choice(actions)()
@@ -330,6 +452,8 @@
         for target in self.fleet.targets:
             for attempt, *_ in target.requests:
                 execution_counts[attempt] = execution_counts.get(attempt, 0) + 1
+                if self.expected_services[attempt] != target.service:
+                    self.violations.add(f"{attempt} ran at {target.service} and not at {self.expected_services[attempt]}")
         for attempt, at_most_once, status in self.answers:
             executions_seen = execution_counts.get(attempt, 0)
             if at_most_once and executions_seen > 1:
