--- a/src/config_field.c
+++ b/src/config_field.c
@@ -189,6 +189,7 @@
         p++;
       if (*p != '\0' && *p != '/')
         return "has a character other than letters, digits, '/' and -._~!$&'()*+,=:@";
+      /* The '/' before the end of the prefix begins no segment. */
       if (*p == '\0' && p == segment)
         break;
       if (p == segment)
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -8,12 +8,6 @@
 /* Digits of the remaining time in milliseconds; 9 digits allow 11 days. */
 #define MAX_DEADLINE_DIGITS 9
 #define NS_PER_US 1000
-/* Retry-After, in seconds, of requests that this process refuses because it stops. Another one may
- * take them at once. */
-#define STOPPING_RETRY_AFTER "0"
-#define STOPPING_TEXT "instance is stopping"
-/* Size of the buffer for a quoted request id in a log line. */
-#define LOGGED_ID_SIZE 96
 
 int64_t
 proxy_now_us (const proxy_request_t *request)
@@ -218,12 +212,9 @@
   policy->ops->cancelled (policy, request, reason);
 }
 
-/* Ends a request that cannot be completed: with an error response, or by aborting the caller
- * connection if the response has started. An attempt in progress ends with END; without one, the
- * policy is told REASON. */
-static void
-end_with_error (proxy_request_t *request, cancel_reason_t reason, attempt_end_t end, int status,
-                const char *text)
+void
+proxy_request_end_with_error (proxy_request_t *request, cancel_reason_t reason, attempt_end_t end,
+                              int status, const char *text)
 {
   if (request->state == REQUEST_ATTEMPT)
     proxy_attempt_cancel (request, end, text);
@@ -243,7 +234,7 @@
   bool not_run = !request->possibly_run && !request->attempt.wrote_bytes;
   /* Without outcome fields, only status 503 tells the caller that the request was not run. */
   int status = not_run && !request->proxy->options.dialect->sends_outcome_headers ? 503 : 504;
-  end_with_error (request, CANCEL_DEADLINE, end, status, "deadline exceeded");
+  proxy_request_end_with_error (request, CANCEL_DEADLINE, end, status, "deadline exceeded");
 }
 
 const char *
@@ -258,52 +249,6 @@
   return names[reason];
 }
 
-static void
-set_retry_after_stop (proxy_request_t *request)
-{
-  g_free (request->retry_after);
-  request->retry_after = g_strdup (STOPPING_RETRY_AFTER);
-}
-
-static void
-refuse_for_stop (proxy_request_t *request)
-{
-  char buffer[LOGGED_ID_SIZE];
-  const char *field = request->proxy->options.dialect->request_id_header;
-  const char *id = field != NULL ? http_headers_get (&request->headers, field) : NULL;
-  LOG_INFO ("refused id=%s reason=stopping",
-            log_quote (id != NULL ? id : "", buffer, sizeof (buffer)));
-  set_retry_after_stop (request);
-  proxy_request_send_error (request, 503, STOPPING_TEXT);
-}
-
-/* Returns a request whose response has not started, or NULL. */
-static proxy_request_t *
-find_unanswered (const proxy_t *proxy)
-{
-  LIST_FOREACH (&proxy->requests, node)
-  {
-    proxy_request_t *request = CONTAINER_OF (node, proxy_request_t, node);
-    if (!request->response_started)
-      return request;
-  }
-  return NULL;
-}
-
-void
-proxy_end_requests (proxy_t *proxy)
-{
-  proxy_request_t *request = NULL;
-  /* The policy may answer others when one ends, so each search begins anew. */
-  while ((request = find_unanswered (proxy)) != NULL)
-    {
-      bool not_run = !request->possibly_run && !request->attempt.wrote_bytes;
-      set_retry_after_stop (request);
-      end_with_error (request, CANCEL_STOPPING, ATTEMPT_STOPPING, not_run ? 503 : 504,
-                      STOPPING_TEXT);
-    }
-}
-
 void
 proxy_request_arm_deadline (proxy_request_t *request)
 {
@@ -385,7 +330,7 @@
     request->deadline_us = MIN (request->deadline_us, request->head.deadline_us);
 
   if (request->proxy->refusing)
-    refuse_for_stop (request);
+    proxy_request_refuse_for_stop (request);
   else if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") != 0)
     proxy_request_send_error (request, 417, "unknown expectation");
   else if (!deadline_valid)
@@ -449,8 +394,8 @@
 static void
 refuse_large_body (proxy_request_t *request)
 {
-  end_with_error (request, CANCEL_CALLER_ERROR, ATTEMPT_CALLER_ERROR, 413,
-                  "request body too large");
+  proxy_request_end_with_error (request, CANCEL_CALLER_ERROR, ATTEMPT_CALLER_ERROR, 413,
+                                "request body too large");
 }
 
 /* Frees the buffered body and stops buffering. No further attempt is possible. */
@@ -516,7 +461,7 @@
   if (request->state == REQUEST_DONE)
     return;
   request->keep_alive = false;
-  end_with_error (request, CANCEL_CALLER_ERROR, ATTEMPT_CALLER_ERROR, 400, detail);
+  proxy_request_end_with_error (request, CANCEL_CALLER_ERROR, ATTEMPT_CALLER_ERROR, 400, detail);
 }
 
 void
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -16,7 +16,8 @@
  * pool provides the connections to backend servers.
  *
  * proxy.c handles the lifecycle of a request and the decisions of the policy, proxy_attempt.c one
- * attempt, and proxy_message.c the message heads and chunks. */
+ * attempt, proxy_stop.c the requests that the end of the process leaves, and proxy_message.c the
+ * message heads and chunks. */
 
 /* One request and its response on a caller connection; caller_conn implements it. */
 typedef struct caller_exchange caller_exchange_t;
--- a/src/proxy_request.h
+++ b/src/proxy_request.h
@@ -94,6 +94,11 @@
 void proxy_request_abort (proxy_request_t *request);
 /* Sets deadline_timer to deadline_us. */
 void proxy_request_arm_deadline (proxy_request_t *request);
+/* Ends a request that cannot be completed: with an error response, or by aborting the caller
+ * connection if the response has started. An attempt in progress ends with END; without one, the
+ * policy is told REASON. */
+void proxy_request_end_with_error (proxy_request_t *request, cancel_reason_t reason,
+                                   attempt_end_t end, int status, const char *text);
 /* Sends an error response. If the dialect has outcome fields, it carries Anvillb-Not-Run, or
  * Anvillb-Outcome: unknown if an attempt may have run the request. */
 void proxy_request_send_error (proxy_request_t *request, int status, const char *text);
@@ -120,6 +125,11 @@
 /* Frees what ATTEMPT owns and resets it. */
 void proxy_attempt_clear (proxy_attempt_t *attempt);
 
+/* In proxy_stop.c: */
+
+/* Answers a request that arrives while proxy_t.refusing is set. */
+void proxy_request_refuse_for_stop (proxy_request_t *request);
+
 /* In proxy_message.c; the returned strings are freed with g_string_free(): */
 
 /* Returns the request head for the current attempt. */
