Stored prefixes without the last slash mean the same as with it

A change acknowledged before the exchange was refused with 412 when it was sent again after it.

Cause: both versions use schema 1, but one stores prefixes without the last slash, takes them for any boundary and refuses the other form.

Change: entries of a fleet read a prefix without the slash as one with it (route_table_options_t, set by the adapter). A change is stored in the form of the document that it changes, so the programs of the data's version can read it. A control instance that has no configuration yet waits up to a second for one before it chooses: without the wait, an instance that had just restarted chose the other form, and platform_exchange failed (change 3 not in force). A stale change is submitted once more in the other form, whose id differs. Ruled out: rewriting stored documents, whose digests are part of the chain.

--- a/bench/bench_config.cc
+++ b/bench/bench_config.cc
@@ -173,7 +173,7 @@
       exit (1);
     }
   size_t view_bytes = heap_bytes () - before;
-  route_table_t *table = route_table_new (doc);
+  route_table_t *table = route_table_new (doc, nullptr);
   double built_ms = cpu_ms ();
   printf ("check: %.1f ms, view %zu bytes (heap), route table %.1f ms, %zu bytes (heap)\n",
           checked_ms - start_ms, view_bytes, built_ms - checked_ms,
--- a/src/call_adapter.h
+++ b/src/call_adapter.h
@@ -3,6 +3,7 @@
 #include "call_server.h"
 #include "fleet_control.h"
 #include "http_dialect.h"
+#include "route_table.h"
 
 /* call_adapter - interface of a platform to the programs of a fleet.
  *
@@ -13,6 +14,7 @@
 {
   const char *name; /* as it is logged at the start */
   const http_dialect_t *dialect;
+  route_table_options_t routes; /* how entries read the prefixes of stored configurations */
   /* Handles a call of an operator or a target to a control instance. */
   void (*handle_control_call) (fleet_control_t *control, call_t *call,
                                const call_request_t *request);
--- a/src/entry_core.c
+++ b/src/entry_core.c
@@ -145,7 +145,7 @@
   core->doc = config_doc_ref (doc);
   if (core->routes != NULL)
     route_table_free (core->routes);
-  core->routes = route_table_new (core->doc);
+  core->routes = route_table_new (core->doc, NULL);
   if (old != NULL)
     config_doc_unref (old);
   else
--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -19,6 +19,8 @@
 #define ENTRY_RETENTION_US INT64_C (60000000)
 /* A configuration is sent again if the entry has not reported its version after this time. */
 #define CONFIG_RESEND_US INT64_C (400000)
+/* An instance that starts applies the log that it has within this time. */
+#define CONFIG_WAIT_US INT64_C (1000000)
 #define JOIN_FIELD_COUNT 2
 
 /* Entry that takes its feed from this instance. */
@@ -32,6 +34,15 @@
   int64_t last_config_sent_us;
 } subscriber_t;
 
+/* A call of fleet_control_await_config(). */
+typedef struct
+{
+  list_node_t node;
+  int64_t expiry_us;
+  fleet_done_t done;
+  void *data;
+} config_waiter_t;
+
 static int64_t
 now_us (const fleet_control_t *control)
 {
@@ -92,12 +103,34 @@
   send_targets_to_subscribers (data, targets);
 }
 
+static bool
+has_config (const fleet_control_t *control)
+{
+  return version_store_current_version (control->machine.store) > 0;
+}
+
+/* Ends the waits that expire up to UNTIL_US. */
+static void
+end_config_waits (fleet_control_t *control, int64_t until_us)
+{
+  LIST_FOREACH_SAFE (&control->config_waiters, node)
+  {
+    config_waiter_t *waiter = CONTAINER_OF (node, config_waiter_t, node);
+    if (waiter->expiry_us > until_us)
+      break;
+    list_remove (node);
+    waiter->done (waiter->data, has_config (control));
+    g_free (waiter);
+  }
+}
+
 static void
 on_version (void *data)
 {
   fleet_control_t *control = data;
   GHashTableIter iter;
   gpointer value = NULL;
+  end_config_waits (control, INT64_MAX);
   g_hash_table_iter_init (&iter, control->subscribers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     send_config (control, value);
@@ -297,6 +330,28 @@
   g_free (call);
 }
 
+const config_doc_t *
+fleet_control_get_config (const fleet_control_t *control)
+{
+  return version_store_doc (control->machine.store);
+}
+
+void
+fleet_control_await_config (fleet_control_t *control, fleet_done_t done, void *data)
+{
+  if (has_config (control))
+    {
+      done (data, true);
+      return;
+    }
+  config_waiter_t *waiter = g_new0 (config_waiter_t, 1);
+  list_node_init (&waiter->node);
+  waiter->expiry_us = now_us (control) + CONFIG_WAIT_US;
+  waiter->done = done;
+  waiter->data = data;
+  list_push_back (&control->config_waiters, &waiter->node);
+}
+
 bool
 fleet_control_read_config (fleet_control_t *control, fleet_read_done_t done, void *data,
                            char leader[LINK_ADDRESS_SIZE])
@@ -620,6 +675,7 @@
   fleet_control_t *control = CONTAINER_OF (timer, fleet_control_t, timer);
   int64_t now = now_us (control);
   int64_t ticks = now / TICK_US;
+  end_config_waits (control, now);
 
   g_hash_table_remove_all (control->layouts);
   if (control->group.started)
@@ -719,6 +775,7 @@
   control->subscribers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   control->layouts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_layout);
   control->renewed_targets = g_array_new (FALSE, FALSE, sizeof (registry_target_t));
+  list_init (&control->config_waiters);
   target_registry_init (&control->registry);
   entry_directory_init (&control->directory, &directory_options);
   init_network (control);
@@ -731,6 +788,7 @@
 fleet_control_destroy (fleet_control_t *control)
 {
   io_timer_cancel (&control->timer);
+  end_config_waits (control, INT64_MAX);
   proposal_relay_destroy (&control->relay);
   replica_group_destroy (&control->group);
   fleet_machine_destroy (&control->machine);
--- a/src/fleet_control.h
+++ b/src/fleet_control.h
@@ -47,6 +47,7 @@
   GHashTable *layouts; /* failure domain -> directory_layout_t; cleared each tick and on changes */
   unsigned next_resolve_start; /* argument START of the next entry_directory_resolve() */
   GArray *renewed_targets;     /* registry_target_t, to be sent to the other instances */
+  list_t config_waiters;       /* config_waiter_t, in the order of their expiry */
   char *member_name;           /* "PEER_ADDRESS/CALL_ADDRESS" */
   group_repair_t repair;
   io_timer_t timer;
@@ -91,6 +92,14 @@
 void fleet_control_submit_config (fleet_control_t *control, const version_command_t *command,
                                   fleet_version_done_t done, void *data);
 
+/* Returns the configuration that this instance has applied, which need not be the newest. It is
+ * valid until control returns to the main loop. */
+const config_doc_t *fleet_control_get_config (const fleet_control_t *control);
+
+/* Calls DONE when this instance has applied a configuration, or after a second without one. OK
+ * tells whether it has. DONE is called exactly once, before the return or from the main loop. */
+void fleet_control_await_config (fleet_control_t *control, fleet_done_t done, void *data);
+
 /* DOC is NULL if this instance cannot confirm that its configuration is the newest. */
 typedef void (*fleet_read_done_t) (void *data, const config_doc_t *doc);
 
--- a/src/gateway_core.c
+++ b/src/gateway_core.c
@@ -384,7 +384,7 @@
   route_table_free (core->routes);
   config_doc_unref (core->doc);
   core->doc = doc;
-  core->routes = route_table_new (doc);
+  core->routes = route_table_new (doc, &core->options.routes);
   LOG_NOTICE ("configuration in force version=%" G_GUINT64_FORMAT " label=%" G_GUINT64_FORMAT
               " before=%" G_GUINT64_FORMAT,
               seal->version, config_doc_label (doc), core->version);
--- a/src/history_explain.c
+++ b/src/history_explain.c
@@ -49,7 +49,7 @@
 explain_request (text_page_t *page, config_doc_t *doc, const history_query_t *query)
 {
   route_match_t match;
-  route_table_t *table = route_table_new (doc);
+  route_table_t *table = route_table_new (doc, NULL);
   route_result_t result
       = route_table_lookup (table, query->method, query->host, query->request_target, &match);
   if (match.service != NULL)
--- a/src/route_path.c
+++ b/src/route_path.c
@@ -194,12 +194,12 @@
 }
 
 bool
-route_path_has_literal_prefix (const char *target, const char *prefix)
+route_path_has_literal_prefix (const char *target, const char *prefix, bool must_continue)
 {
   size_t size = strlen (prefix);
   if (strncmp (target, prefix, size) != 0)
     return false;
   if (prefix[size - 1] == '/')
     return true;
-  return target[size] == '\0' || target[size] == '/' || target[size] == '?';
+  return target[size] == '/' || (!must_continue && (target[size] == '\0' || target[size] == '?'));
 }
--- a/src/route_path.h
+++ b/src/route_path.h
@@ -24,5 +24,5 @@
 route_result_t route_path_normalize (route_path_t *path, const char *target);
 
 /* Returns whether the path of TARGET, as sent, starts with PREFIX and, if PREFIX does not end in
- * '/', goes on with '/' or ends there. */
-bool route_path_has_literal_prefix (const char *target, const char *prefix);
+ * '/', goes on with '/' or ends there. With MUST_CONTINUE, it must not end there. */
+bool route_path_has_literal_prefix (const char *target, const char *prefix, bool must_continue);
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -11,6 +11,7 @@
 
 struct route_table
 {
+  route_table_options_t options;
   config_doc_t *doc;
   /* Host name -> host id + 1. The id of a host of a service is the index of the service. Hosts that
    * only routes have get the next ids. */
@@ -44,10 +45,11 @@
   return (uint32_t)((hash ^ (hash >> 32)) & table->mask);
 }
 
+/* Returns whether the path must go on with a '/' after the segments of the prefix. */
 static bool
-ends_in_separator (const config_route_t *route)
+ends_in_separator (const route_table_t *table, const config_route_t *route)
 {
-  return route->prefix[strlen (route->prefix) - 1] == '/';
+  return table->options.adds_final_slash || route->prefix[strlen (route->prefix) - 1] == '/';
 }
 
 /* Returns the size of the segments of the prefix: without a '/' at its end, unless it is "/". */
@@ -55,7 +57,7 @@
 segments_size (const config_route_t *route)
 {
   size_t size = strlen (route->prefix);
-  return size > 1 && ends_in_separator (route) ? size - 1 : size;
+  return size > 1 && route->prefix[size - 1] == '/' ? size - 1 : size;
 }
 
 static bool
@@ -116,7 +118,7 @@
 }
 
 route_table_t *
-route_table_new (config_doc_t *doc)
+route_table_new (config_doc_t *doc, const route_table_options_t *options)
 {
   route_table_t *table = g_new0 (route_table_t, 1);
   size_t count = config_doc_route_count (doc);
@@ -125,6 +127,8 @@
   while (bucket_count < 2 * count)
     bucket_count *= 2;
 
+  if (options != NULL)
+    table->options = *options;
   table->doc = config_doc_ref (doc);
   table->hosts = g_hash_table_new (g_str_hash, g_str_equal);
   table->mask = bucket_count - 1;
@@ -188,10 +192,10 @@
   for (; index != NO_ROUTE; index = table->next[index])
     {
       const config_route_t *route = config_doc_route (table->doc, index);
-      if (ends_in_separator (route) && !continues)
+      if (ends_in_separator (table, route) && !continues)
         continue;
       *has_prefix = true;
-      if ((route->methods & method) != 0 && (found == NULL || ends_in_separator (route)))
+      if ((route->methods & method) != 0 && (found == NULL || ends_in_separator (table, route)))
         found = route;
     }
   return found;
@@ -246,7 +250,7 @@
       table, host_id, &path, config_method_parse (method, strlen (method)), &has_prefix);
   if (route == NULL)
     return has_prefix ? ROUTE_NO_METHOD : ROUTE_NO_ROUTE;
-  if (!route_path_has_literal_prefix (target, route->prefix))
+  if (!route_path_has_literal_prefix (target, route->prefix, ends_in_separator (table, route)))
     return ROUTE_AMBIGUOUS_PATH;
   match->route = route;
   match->service = config_doc_service (table->doc, route->service);
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -49,8 +49,15 @@
   const config_route_t *route; /* NULL unless the result is ROUTE_FOUND */
 } route_match_t;
 
-/* Builds the table of DOC and keeps a reference to DOC. */
-route_table_t *route_table_new (config_doc_t *doc);
+typedef struct
+{
+  /* A prefix without a '/' at its end means the same as with one. */
+  bool adds_final_slash;
+} route_table_options_t;
+
+/* Builds the table of DOC and keeps a reference to DOC. OPTIONS may be NULL, for a table in which
+ * each prefix means what it says. */
+route_table_t *route_table_new (config_doc_t *doc, const route_table_options_t *options);
 void route_table_free (route_table_t *table);
 
 /* Selects the route of a request with the Host header HOST and the request target TARGET in origin
--- a/tests/control/test_config_cache.cc
+++ b/tests/control/test_config_cache.cc
@@ -283,7 +283,7 @@
       EXPECT_TRUE (receive (peer_cache, message));
       EXPECT_TRUE (version == 1 || message.size () < 288000u) << message.size ();
     }
-  route_table_t *table = route_table_new (config_cache_doc (peer_cache));
+  route_table_t *table = route_table_new (config_cache_doc (peer_cache), nullptr);
   size_t peak = 2 * config_cache_memory_bytes (peer_cache) + route_table_memory_bytes (table);
   EXPECT_LT (peak, 128000000u);
   route_table_free (table);
--- a/tests/decision/test_route_table.cc
+++ b/tests/decision/test_route_table.cc
@@ -48,7 +48,7 @@
     std::string text = with_double_quotes (DOCUMENT);
     doc = config_doc_parse (text.data (), text.size (), CONFIG_SCHEMA, &err);
     ASSERT_NE (doc, nullptr) << err.text;
-    table = route_table_new (doc);
+    table = route_table_new (doc, nullptr);
   }
 
   void
@@ -251,7 +251,8 @@
 class PrefixTable
 {
 public:
-  explicit PrefixTable (const std::vector<std::string> &prefixes)
+  explicit PrefixTable (const std::vector<std::string> &prefixes,
+                        const route_table_options_t *options = nullptr)
   {
     anv_error_t err = {};
     std::string text = "{'services':{'s':{'hosts':['s']}},'routes':[";
@@ -263,7 +264,7 @@
     text = with_double_quotes (text + "]}");
     config_doc_t *doc = config_doc_parse (text.data (), text.size (), CONFIG_SCHEMA, &err);
     EXPECT_NE (doc, nullptr) << err.text;
-    table = route_table_new (doc);
+    table = route_table_new (doc, options);
     config_doc_unref (doc);
   }
   ~PrefixTable ()
@@ -400,3 +401,34 @@
     }
   EXPECT_GT (found_count, 10000u);
 }
+
+/* Guards against requests on routes of stored configurations whose prefixes lack the last slash. */
+TEST (RoutePrefix, AddedFinalSlashMustBeInThePath)
+{
+  const route_table_options_t options = { .adds_final_slash = true };
+  const std::vector<std::string> short_prefixes
+      = { "/quotes", "/quotes/book", "/capture", "/capture/status", "/" };
+  const std::vector<std::string> full_prefixes
+      = { "/quotes/", "/quotes/book/", "/capture/", "/capture/status/", "/" };
+  const char *const paths[]
+      = { "/quotes",      "/quotes/",          "/quotes?/",       "/quotesx/",
+          "/quotes/book", "/quotes/book/x",    "/quotes/book;/x", "/capture",
+          "/capture?x=1", "/capture%2f",       "/capture//x",     "/",
+          "/other",       "/capture/status?x", "/Capture/x",      "/capture/." };
+  for (size_t count = 3; count <= short_prefixes.size (); count++)
+    {
+      const std::vector<std::string> shorts (short_prefixes.begin (),
+                                             short_prefixes.begin () + count);
+      const std::vector<std::string> fulls (full_prefixes.begin (), full_prefixes.begin () + count);
+      PrefixTable short_table (shorts, &options);
+      PrefixTable full_table (fulls, &options);
+      PrefixTable expected (fulls);
+      for (const char *path : paths)
+        {
+          std::string found = short_table.find (path);
+          std::string full = found == "" || found == "/" ? found : found + "/";
+          EXPECT_EQ (full, expected.find (path)) << path;
+          EXPECT_EQ (full_table.find (path), expected.find (path)) << path;
+        }
+    }
+}
--- a/tests/platform/test_platform_config.cc
+++ b/tests/platform/test_platform_config.cc
@@ -44,7 +44,8 @@
   // Applies a change to the store as the adapter does. Returns the name of the outcome, followed by
   // the error of an invalid change.
   std::string
-  send_change (const std::string &body, const char *base, bool replace, const char *change_id)
+  send_change (const std::string &body, const char *base, bool replace, const char *change_id,
+               bool short_prefixes = false)
   {
     platform_change_t change;
     anv_error_t err = {};
@@ -53,6 +54,7 @@
                          : platform_read_patch (text.data (), text.size (), base, &change, &err);
     if (!valid)
       return std::string ("unreadable: ") + err.text;
+    platform_set_prefix_form (&change, short_prefixes);
     version_command_t command = {};
     command.base = VERSION_BASE_BY_LABEL;
     command.patch_id = change_id;
@@ -68,6 +70,11 @@
     return std::string (version_outcome_name (result.outcome))
            + (result.outcome == VERSION_INVALID ? std::string (": ") + result.text : "");
   }
+  platform_prefix_form_t
+  prefix_form () const
+  {
+    return platform_get_prefix_form (version_store_doc (store));
+  }
   // Returns the current document in the format of the platform.
   cJSON *
   read_config ()
@@ -387,3 +394,45 @@
         platform_change_clear (&change);
     }
 }
+
+// Guards against documents that programs of earlier versions refuse, and against a prefix that has
+// another meaning in the short form.
+TEST_F (PlatformConfig, PrefixesHaveAShortAndAFullForm)
+{
+  const char *added = "{'version':'0000000d','upsert':{'routes':[{'name':'r','host':'h.example',"
+                      "'path_prefix':'%s','route_type':'safe','timeout_ms':1,'service':'s'}]}}";
+  EXPECT_EQ (prefix_form (), PLATFORM_PREFIXES_ROOT);
+  ASSERT_EQ (send_change (CONFIG, "0", true, "a", true), "accepted");
+  EXPECT_EQ (prefix_form (), PLATFORM_PREFIXES_SHORT);
+  cJSON *got = read_config ();
+  EXPECT_STREQ (json_get_string (find_by_name (cJSON_GetObjectItem (got, "routes"), "r-b"),
+                                 "path_prefix", ""),
+                "/b/c/");
+  cJSON_Delete (got);
+  for (const char *prefix : { "//", "/b//" })
+    {
+      g_autofree char *body = g_strdup_printf (added, prefix);
+      EXPECT_EQ (send_change (body, "0000000c", false, "x", true),
+                 "invalid: $.routes.r.prefix: must not have an empty segment");
+    }
+  g_autofree char *body = g_strdup_printf (added, "/d/");
+  ASSERT_EQ (send_change (body, "0000000c", false, "b"), "accepted");
+  EXPECT_EQ (prefix_form (), PLATFORM_PREFIXES_FULL);
+}
+
+// Guards against an id of a change that differs after its form was changed and changed back, which
+// would make the same change another one.
+TEST_F (PlatformConfig, PrefixFormCanBeChangedBack)
+{
+  platform_change_t change;
+  anv_error_t err = {};
+  std::string text = to_json (CONFIG);
+  ASSERT_TRUE (platform_read_config (text.data (), text.size (), "0", &change, &err)) << err.text;
+  std::string full = change.document;
+  EXPECT_FALSE (platform_set_prefix_form (&change, false));
+  EXPECT_TRUE (platform_set_prefix_form (&change, true));
+  EXPECT_NE (full, change.document);
+  EXPECT_TRUE (platform_set_prefix_form (&change, false));
+  EXPECT_EQ (full, change.document);
+  platform_change_clear (&change);
+}
