Control group: a member waits for its disk, and the process goes on

Operators would see: a control instance that ends by itself some 10 s after its log was closed by a failed sync or a refused truncation on a full disk, or at once if it is started while its disk is full; anvillb-control after five restarts of the group.

Cause: the supervisor restarts the group, opening its files writes the meta file, a full disk refuses that, and the restarts are spent. Ruled out with the injected faults: a member with a full disk that blocks the others, a log that stays closed, a voter that cannot rejoin.

Change: replica_group closes a member whose disk fails and opens it again every 500 ms, also at the start of the process; damaged files fail the task as before. The group is created when its member runs. New gauges anvillb_group_disk_usable and anvillb_group_following_voters, and a log line.

--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -669,6 +669,52 @@
     LOG_DEBUG ("unexpected message peer=%s type=%d", link->peer.id, (int)type);
 }
 
+/* Creates the group, unless this instance has data of a group or is not one of the seeds. Each seed
+ * creates it from the same list of members, so they may start in any order. The list gives all
+ * seeds the call port of this instance, so that port must be the same on all of them. */
+static void
+found_group (fleet_control_t *control)
+{
+  raft_member_t members[RAFT_MAX_MEMBERS] = { 0 };
+  raft_status_t status;
+  anv_error_t err = { 0 };
+  size_t count = 0;
+  bool included = false;
+
+  raft_get_status (&control->group.raft, &status);
+  if (status.last_index > 0 || status.term > 1)
+    return;
+  for (guint i = 0; i < control->options.seeds->len && count < RAFT_MAX_MEMBERS; i++)
+    {
+      const char *seed = g_ptr_array_index (control->options.seeds, i);
+      if (seed == NULL)
+        continue;
+      const char *port = strrchr (control->options.call_address, ':');
+      const char *end = strrchr (seed, ':');
+      raft_member_t *member = &members[count++];
+      member->id = group_repair_compute_initial_id (seed);
+      g_snprintf (member->name, sizeof (member->name), "%s/%.*s%s", seed, (int)(end - seed), seed,
+                  port);
+      included = included || strcmp (seed, control->options.peer_listen) == 0;
+    }
+  if (!included)
+    return;
+  bool founded = replica_group_bootstrap (&control->group, members, count, &err);
+  LOG_NOTICE ("creation of the group members=%zu result=\"%s\"", count,
+              founded ? "done" : err.text);
+}
+
+/* Creates the group on the first start of the fleet, as soon as the member of this instance runs.
+ */
+static void
+found_group_if_due (fleet_control_t *control)
+{
+  if (!control->options.found_group || control->found_group_done || !control->group.started)
+    return;
+  control->found_group_done = true;
+  found_group (control);
+}
+
 static void
 on_timer (io_timer_t *timer)
 {
@@ -678,6 +724,7 @@
   end_config_waits (control, now);
 
   g_hash_table_remove_all (control->layouts);
+  found_group_if_due (control);
   if (control->group.started)
     {
       request_membership (control);
@@ -801,47 +848,11 @@
   g_clear_pointer (&control->member_name, g_free);
 }
 
-/* Creates the group, unless this instance has data of a group or is not one of the seeds. Each seed
- * creates it from the same list of members, so they may start in any order. The list gives all
- * seeds the call port of this instance, so that port must be the same on all of them. */
-static void
-found_group (fleet_control_t *control)
-{
-  raft_member_t members[RAFT_MAX_MEMBERS] = { 0 };
-  raft_status_t status;
-  anv_error_t err = { 0 };
-  size_t count = 0;
-  bool included = false;
-
-  raft_get_status (&control->group.raft, &status);
-  if (status.last_index > 0 || status.term > 1)
-    return;
-  for (guint i = 0; i < control->options.seeds->len && count < RAFT_MAX_MEMBERS; i++)
-    {
-      const char *seed = g_ptr_array_index (control->options.seeds, i);
-      if (seed == NULL)
-        continue;
-      const char *port = strrchr (control->options.call_address, ':');
-      const char *end = strrchr (seed, ':');
-      raft_member_t *member = &members[count++];
-      member->id = group_repair_compute_initial_id (seed);
-      g_snprintf (member->name, sizeof (member->name), "%s/%.*s%s", seed, (int)(end - seed), seed,
-                  port);
-      included = included || strcmp (seed, control->options.peer_listen) == 0;
-    }
-  if (!included)
-    return;
-  bool founded = replica_group_bootstrap (&control->group, members, count, &err);
-  LOG_NOTICE ("creation of the group members=%zu result=\"%s\"", count,
-              founded ? "done" : err.text);
-}
-
 void
 fleet_control_start (fleet_control_t *control)
 {
   group_repair_init (&control->repair, control->options.voter_count, now_us (control));
-  if (control->options.found_group)
-    found_group (control);
+  found_group_if_due (control);
   io_timer_set (control->options.loop, &control->timer, now_us (control) + TICK_US);
 }
 
--- a/src/fleet_control.h
+++ b/src/fleet_control.h
@@ -52,6 +52,7 @@
   group_repair_t repair;
   io_timer_t timer;
   bool stopping;
+  bool found_group_done;
   metric_t announcements;
   metric_t departures;
   metric_t targets_known;
--- a/src/raft.c
+++ b/src/raft.c
@@ -178,8 +178,8 @@
   r->incoming_snapshot = g_byte_array_new ();
   if (!load_files (r, err))
     {
-      anv_error_wrap (err, ANV_ERROR_RAFT, RAFT_ERROR_STATE, "group %s cannot start",
-                      options->name);
+      if (err != NULL)
+        anv_error_wrap (err, err->domain, err->code, "group %s cannot start", options->name);
       raft_destroy (r);
       return false;
     }
--- a/src/raft.h
+++ b/src/raft.h
@@ -45,8 +45,8 @@
   RAFT_ERROR_QUORUM, /* the change would remove the leader or leave the group without a majority */
   RAFT_ERROR_STORAGE,   /* disk full or failed */
   RAFT_ERROR_TOO_LARGE, /* entry above RAFT_MAX_ENTRY_BYTES */
-  RAFT_ERROR_STATE,     /* the group already exists or is restarting, its files cannot be loaded, or
-                           stored data is inconsistent */
+  RAFT_ERROR_STATE,     /* the group already exists or is restarting, or stored data is
+                           inconsistent */
 } raft_error_t;
 
 typedef enum
@@ -229,7 +229,7 @@
 } raft_status_t;
 
 /* Loads the member's files. A member with an empty directory waits for a leader, or for
- * raft_bootstrap(). Returns false with ANV_ERROR_RAFT if the files cannot be read or written. */
+ * raft_bootstrap(). Returns false with ANV_ERROR_STORAGE if the files cannot be read or written. */
 bool raft_init (raft_t *r, const raft_options_t *options, raft_io_t *io, int64_t now_us,
                 anv_error_t *err);
 void raft_destroy (raft_t *r);
--- a/src/replica_group.c
+++ b/src/replica_group.c
@@ -7,6 +7,8 @@
 #include "raft_wire.h"
 
 #define TICK_INTERVAL_US INT64_C (20000)
+/* Time between two attempts to open the files of a member whose disk fails. */
+#define REOPEN_INTERVAL_US INT64_C (500000)
 
 /* A proposal or read that has not been completed. */
 typedef struct
@@ -114,18 +116,111 @@
   .read_done = on_read_done,
 };
 
-/* Returns whether the member still works. If not, fails the task, and the supervisor restarts the
- * member from its files. */
+static uint64_t
+random_id (void)
+{
+  uint64_t id = 0;
+  while (id == 0)
+    id = (uint64_t)g_random_int () << 32 | g_random_int ();
+  return id;
+}
+
+/* Returns whether the disk may work later without a change to the files. */
+static bool
+is_disk_failure (const anv_error_t *err)
+{
+  return err->domain == ANV_ERROR_STORAGE
+         && (err->code == STORAGE_ERROR_FULL || err->code == STORAGE_ERROR_IO
+             || err->code == STORAGE_ERROR_FAILED);
+}
+
+/* Loads the files of the member and starts it. The state machine keeps its state if the disk cannot
+ * be used. */
+static bool
+open_member (replica_group_t *group, anv_error_t *err)
+{
+  raft_options_t options = RAFT_OPTIONS_DEFAULT;
+  raft_meta_t meta;
+  raft_status_t status;
+
+  options.name = group->options.name;
+  options.group = group->options.group_number;
+  options.new_id = group->options.initial_id != 0 ? group->options.initial_id : random_id ();
+  options.seed = random_id ();
+  /* Also writes the file, which shows whether the disk can be used. */
+  if (!raft_meta_load (group->options.store, options.name, options.new_id, &meta, err))
+    return false;
+  group->options.reset_machine (group->options.data);
+  if (!raft_init (&group->raft, &options, &group->io, now_us (group), err))
+    return false;
+  group->started = true;
+  group->waiting_for_disk = false;
+  raft_get_status (&group->raft, &status);
+  LOG_NOTICE ("member group=%s id=%016" G_GINT64_MODIFIER "x applied=%" G_GUINT64_FORMAT
+              " last=%" G_GUINT64_FORMAT,
+              group->options.name, status.id, status.applied, status.last_index);
+  io_timer_set (group->options.loop, &group->timer, now_us (group));
+  return true;
+}
+
+static void
+close_member (replica_group_t *group)
+{
+  io_timer_cancel (&group->timer);
+  io_deferred_cancel (&group->flush);
+  if (!group->started)
+    return;
+  group->started = false;
+  group->leading = false;
+  metric_set (&group->is_leader, 0);
+  metric_set (&group->following_voters, 0);
+  metric_set (&group->disk_usable, 0);
+  fail_all (&group->proposals);
+  fail_all (&group->reads);
+  raft_destroy (&group->raft);
+}
+
+static void
+wait_for_disk (replica_group_t *group, const anv_error_t *err)
+{
+  if (!group->waiting_for_disk)
+    LOG_ERROR ("disk cannot be used, the member waits group=%s error=\"%s\"", group->options.name,
+               err->text);
+  group->waiting_for_disk = true;
+  io_timer_set (group->options.loop, &group->timer, now_us (group) + REOPEN_INTERVAL_US);
+}
+
+/* Returns whether the member still works. If not, closes it, and opens it again when the disk can
+ * be used. Fails the task for damaged or inconsistent files. */
 static bool
 check_failure (replica_group_t *group)
 {
   const anv_error_t *failure = raft_failure (&group->raft);
   if (failure == NULL)
     return true;
-  task_fail (&group->task, failure);
+  if (!is_disk_failure (failure))
+    {
+      task_fail (&group->task, failure);
+      return false;
+    }
+  anv_error_t err = *failure;
+  close_member (group);
+  wait_for_disk (group, &err);
   return false;
 }
 
+static void
+reopen_member (replica_group_t *group)
+{
+  anv_error_t err = { 0 };
+  if (open_member (group, &err))
+    return;
+  if (is_disk_failure (&err))
+    wait_for_disk (group, &err);
+  else
+    task_fail (&group->task, &err);
+}
+
 static void
 on_flush (io_deferred_t *deferred)
 {
@@ -136,45 +231,61 @@
   check_failure (group);
 }
 
+/* Returns the number of voters that have synced all that is committed, including this member. */
+static size_t
+count_following_voters (const raft_status_t *status)
+{
+  size_t count = 0;
+  for (size_t i = 0; i < status->peer_count; i++)
+    {
+      const raft_peer_t *peer = &status->peers[i];
+      uint64_t synced = peer->member.id == status->id ? status->synced_index : peer->match_index;
+      count += peer->member.voter && synced >= status->commit_index;
+    }
+  return count;
+}
+
 static void
-on_timer (io_timer_t *timer)
+update_metrics (replica_group_t *group)
 {
-  replica_group_t *group = CONTAINER_OF (timer, replica_group_t, timer);
-  raft_tick (&group->raft, now_us (group));
-  if (check_failure (group))
-    io_timer_set (group->options.loop, timer, now_us (group) + TICK_INTERVAL_US);
+  raft_status_t status;
+  raft_get_status (&group->raft, &status);
+  metric_set (&group->disk_usable, !status.disk_full);
+  metric_set (&group->following_voters,
+              status.role == RAFT_LEADER ? (int64_t)count_following_voters (&status) : 0);
 }
 
-static uint64_t
-random_id (void)
+static void
+on_timer (io_timer_t *timer)
 {
-  uint64_t id = 0;
-  while (id == 0)
-    id = (uint64_t)g_random_int () << 32 | g_random_int ();
-  return id;
+  replica_group_t *group = CONTAINER_OF (timer, replica_group_t, timer);
+  if (!group->started)
+    {
+      reopen_member (group);
+      return;
+    }
+  raft_tick (&group->raft, now_us (group));
+  if (!check_failure (group))
+    return;
+  update_metrics (group);
+  io_timer_set (group->options.loop, timer, now_us (group) + TICK_INTERVAL_US);
 }
 
 static bool
 start (task_t *task, anv_error_t *err)
 {
   replica_group_t *group = (replica_group_t *)task;
-  raft_options_t options = RAFT_OPTIONS_DEFAULT;
-
-  group->options.reset_machine (group->options.data);
-  options.name = group->options.name;
-  options.group = group->options.group_number;
-  options.new_id = group->options.initial_id != 0 ? group->options.initial_id : random_id ();
-  options.seed = random_id ();
-  if (!raft_init (&group->raft, &options, &group->io, now_us (group), err))
-    return false;
-  group->started = true;
-  raft_status_t status;
-  raft_get_status (&group->raft, &status);
-  LOG_NOTICE ("member group=%s id=%016" G_GINT64_MODIFIER "x applied=%" G_GUINT64_FORMAT
-              " last=%" G_GUINT64_FORMAT,
-              group->options.name, status.id, status.applied, status.last_index);
-  io_timer_set (group->options.loop, &group->timer, now_us (group));
-  return true;
+  anv_error_t local = { 0 };
+  if (open_member (group, &local))
+    return true;
+  if (is_disk_failure (&local))
+    {
+      wait_for_disk (group, &local);
+      return true;
+    }
+  if (err != NULL)
+    *err = local;
+  return false;
 }
 
 static void
@@ -185,17 +296,7 @@
 static void
 stop (task_t *task)
 {
-  replica_group_t *group = (replica_group_t *)task;
-  if (!group->started)
-    return;
-  group->started = false;
-  group->leading = false;
-  metric_set (&group->is_leader, 0);
-  io_timer_cancel (&group->timer);
-  io_deferred_cancel (&group->flush);
-  fail_all (&group->proposals);
-  fail_all (&group->reads);
-  raft_destroy (&group->raft);
+  close_member ((replica_group_t *)task);
 }
 
 static const task_ops_t group_ops = {
@@ -223,6 +324,12 @@
   metric_register (options->counters, &group->leader_changes, METRIC_KIND_COUNTER,
                    "anvillb_group_leader_changes_total", group->labels,
                    "Times this member became or ceased to be leader.");
+  metric_register (options->counters, &group->following_voters, METRIC_KIND_GAUGE,
+                   "anvillb_group_following_voters", group->labels,
+                   "Voters that have synced all that is committed, at the leader; 0 at others.");
+  metric_register (options->counters, &group->disk_usable, METRIC_KIND_GAUGE,
+                   "anvillb_group_disk_usable", group->labels,
+                   "Whether this member runs and its last write to the disk succeeded.");
   metric_register (options->counters, &group->proposal_counter, METRIC_KIND_COUNTER,
                    "anvillb_group_proposals_total", group->labels, "Entries proposed here.");
   metric_register (options->counters, &group->applied_counter, METRIC_KIND_COUNTER,
--- a/src/replica_group.h
+++ b/src/replica_group.h
@@ -42,8 +42,9 @@
   raft_io_t io;
   replica_group_options_t options;
   raft_t raft;
-  bool started;
+  bool started; /* the member runs */
   bool leading;
+  bool waiting_for_disk;
   uint64_t term; /* at the last change of the role or the leader */
   io_timer_t timer;
   io_deferred_t flush;
@@ -54,6 +55,8 @@
   char labels[64];
   metric_t is_leader;
   metric_t leader_changes;
+  metric_t following_voters;
+  metric_t disk_usable;
   metric_t proposal_counter;
   metric_t applied_counter;
 };
--- a/tests/http/test_proxy.cc
+++ b/tests/http/test_proxy.cc
@@ -122,6 +122,33 @@
     }
 }
 
+// Guards against a response whose head broke off and that reaches the caller as a whole one.
+TEST_F (Proxy, HeadThatBreaksOffBecomes502)
+{
+  const std::string heads[] = {
+    "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 25\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.0 200 OK\n\n",
+    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+  };
+  size_t index = 0;
+  for (const std::string &head : heads)
+    {
+      for (size_t size = 1; size < head.size (); size++)
+        {
+          if (size % 7 != 0 && size + 6 < head.size ())
+            continue;
+          peer_ptr caller = connect_caller ("POST /a HTTP/1.1\r\nHost: crew\r\n"
+                                            "Content-Length: 1\r\n\r\nx");
+          peer_ptr peer = wait_for_request (index++, "\r\n\r\nx");
+          peer->send_all (head.substr (0, size));
+          peer->close_socket ();
+          ASSERT_TRUE (wait_until_received (caller, "\r\n\r\n")) << head.substr (0, size);
+          EXPECT_TRUE (caller->received ("HTTP/1.1 502 ")) << head.substr (0, size);
+        }
+    }
+}
+
 // Guards against a response without a length that ends cleanly although a reset truncated it.
 TEST_F (Proxy, ResetTruncatesCloseDelimitedResponse)
 {
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -49,6 +49,7 @@
         self.fleet, self.name, self.program, self.popen = fleet, name, program, None
         self.settings = settings
         self.settings_file = fleet.directory / f"{name}.settings"
+        self.disk_faults = fleet.directory / f"{name}.disk"
         self.write_settings()
 
     def write_settings(self):
@@ -57,10 +58,20 @@
     def start(self):
         with open(self.fleet.directory / f"{self.name}.log", "ab") as log:
             environment = dict(os.environ, ANVILLB_SETTINGS_FILE=str(self.settings_file))
+            if self.fleet.preloads_disk_faults and "DATA_DIR" in self.settings:
+                environment |= {"LD_PRELOAD": str(self.fleet.build.resolve().parent / "tests/soak/disk-faults.so"),
+                                "ASAN_OPTIONS": environment.get("ASAN_OPTIONS", "") + ":verify_asan_link_order=0",
+                                "DISK_FAULTS": str(self.disk_faults), "DISK_FAULTS_IN": str(self.settings["DATA_DIR"])}
             self.popen = subprocess.Popen([str(self.program)], stdout=log, stderr=log, stdin=subprocess.DEVNULL,
                                           env=environment)
         return self
 
+    def set_disk_faults(self, faults):
+        """Makes calls to the disk fail from now on; see soak/disk_faults.c. Needs fleet.preloads_disk_faults."""
+        temporary = self.disk_faults.with_suffix(".new")
+        temporary.write_text(faults)
+        temporary.rename(self.disk_faults)
+
     def kill(self):
         if self.popen and self.popen.poll() is None:
             self.popen.kill()
@@ -242,6 +253,7 @@
         self.ports = free_ports(4)
         self.port_block = self.ports[0] // 200
         self.attempts, self.seen_attempts = 0, set()
+        self.preloads_disk_faults = False  # set it before start()
         self.lock = threading.Lock()
 
     def __enter__(self):
@@ -268,6 +280,7 @@
             self.controls.append(Program(self, f"control-{i}", self.build / "anvillb-fleet-control", {
                 "INSTANCE": f"control-{i}", "DOMAIN": "abc"[i % 3], "CALL_LISTEN": f"{ip}:{self.ports[0]}",
                 "DIRECTORY_LISTEN": f"{ip}:{self.ports[1]}", "PEER_LISTEN": f"{ip}:{self.ports[2]}", "SEED": seeds,
+                "METRICS_LISTEN": f"{ip}:{self.ports[3]}",
                 "DATA_DIR": self.directory / f"data-{i}", "FOUND_GROUP": "true", "CALL_TIMEOUT_MS": 5000,
                 "TOLERATED_FAILURES": (controls - 1) // 2}).start())
         for i in range(entries):
@@ -313,6 +326,15 @@
         is_json = answer.get("Content-Type", "").startswith("application/json")
         return status, json.loads(raw) if raw and is_json else None
 
+    def read_control_metric(self, control, name):
+        """Returns the value of a metric of a control instance, or None if it does not answer."""
+        try:
+            _, _, raw = self.call(self.ip(1, control), self.ports[3], "GET", "/metrics")
+        except OSError:
+            return None
+        values = re.findall(rf"^{name}(?:{{[^}}]*}})? (\S+)$", raw.decode(), re.MULTILINE)
+        return float(values[0]) if values else None
+
     def lose_disk(self, control):
         """Kills a control instance and removes its data; start() brings it back as a new one."""
         program = self.controls[control]
