Soak: disks of control instances fail, one at a time

The soak left disks alone (docs/invariants.md). It now lets the disk of one control instance be full, fail or hang for 0.2 to 6 s, in a third of the cases with a restart meanwhile, and checks at the end that all control instances are voters that follow.

--- a/tests/platform/full_disks.py
+++ b/tests/platform/full_disks.py
@@ -114,9 +114,10 @@
 
 
 def is_complete(fleet):
-    end = time.monotonic() + VOTER_LIMIT_S
+    """Returns whether all control instances are voters that follow, within the limit."""
+    end, controls = time.monotonic() + VOTER_LIMIT_S, len(fleet.controls)
     while time.monotonic() < end:
-        if count_voters(fleet) == CONTROLS:
+        if count_voters(fleet, controls) == controls:
             return True
         time.sleep(0.1)
     return False
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,7 +5,7 @@
 Each seed runs a fleet of three control instances and three entries with six targets behind loopback proxies. Callers
 reuse a connection until it ends. Faults follow each other and overlap: connections that are delayed, reset, or dropped
 in one direction or both; targets that refuse, fail, write late copies of answers or bytes without end; processes that
-are paused, killed and restarted; planned stops; SIGHUP; targets that drain; changes of the configuration, and the same
+are paused, killed and restarted; disks of control instances that are full, fail or hang, one at a time; planned stops; SIGHUP; targets that drain; changes of the configuration, and the same
 change sent again. Every third seed has planned work and late copies only. Two services have one target with one slot, a
 limit of one or two connections, and routes that let requests wait for seconds. Some answers take seconds to pass, and
 some paths lack a part of a prefix.
@@ -15,7 +15,7 @@
 acknowledgement; an acknowledged configuration is read back, and never an older one; a change that was acknowledged is
 acknowledged again; a planned stop cuts off no request that was passed on, or that arrived well before its connection
 ended; a request runs only at the service of the longest prefix that begins its path; no process ends by itself or grows
-beyond its machine; after the last fault the fleet serves again. REGRESSIONS lists the seeds that failed once.
+beyond its machine; after the last fault the fleet serves again, and all control instances are voters that follow. REGRESSIONS lists the seeds that failed once.
 """
 
 import argparse
@@ -33,6 +33,7 @@
 import http.client  # noqa: E402
 
 from fleet import wait_until  # noqa: E402
+from full_disks import FAULTS, is_complete  # noqa: E402
 from loopback import MODES, LoopbackProxy  # noqa: E402
 from stand_in import ENDLESS, GRACE_S, HOST, PlatformFleet, route, service  # noqa: E402
 
@@ -275,6 +276,27 @@
 
         return self.run_fault("kill " + program.name, self.random.uniform(0.05, 1.5), program.kill, restart)
 
+    def break_disk(self):
+        """Lets calls of one control instance to its disk fail, and restarts it meanwhile in one of three cases."""
+        if any(self.reserved.get(p.name) for p in self.fleet.controls):
+            return None
+        program = self.reserve(self.fleet.controls)
+        if program is None:
+            return None
+        faults, restarts = self.random.choice(list(FAULTS.values()) + ["sync=hang"]), self.random.random() < 0.3
+
+        def begin():
+            program.set_disk_faults(faults)
+            if restarts:
+                program.kill()
+                program.start()
+
+        def finish():
+            program.set_disk_faults("")
+            self.release(program)
+
+        return self.run_fault("disk " + program.name, self.random.uniform(0.2, 6), begin, finish)
+
     def kill_all_controls(self):
         programs = [p for p in self.fleet.controls if not self.reserved.get(p.name)]
         if len(programs) < len(self.fleet.controls):
@@ -386,6 +408,7 @@
 
     def run(self):
         with self.fleet:
+            self.fleet.preloads_disk_faults = True
             self.fleet.start(entries=3)
             wait_until(lambda: self.fleet.put("00000001", "0", configured_routes(), configured_services()) == 200,
                        "the first configuration")
@@ -426,7 +449,7 @@
         planned = [self.planned_stop, self.planned_stop, self.drain_target, self.send_hup, self.send_copies,
                    self.change_configuration, self.change_configuration]
         actions = planned if self.planned_only else planned[1:] + [self.break_link] * 4 + [self.break_target] * 3 + [
-            self.pause_process, self.kill, self.kill_all_controls]
+            self.pause_process, self.kill, self.kill_all_controls, self.break_disk, self.break_disk]
         threads, end = [], time.monotonic() + self.seconds
         while time.monotonic() < end:
             thread = self.random.choice(actions)()
@@ -448,6 +471,8 @@
             wait_until(lambda: (self.read_version() or 0) >= required, "a read", limit_s=RECOVERY_LIMIT_S)
         except AssertionError:
             self.violations.add(f"version {required} was acknowledged and is not read back")
+        if not is_complete(self.fleet):
+            self.violations.add("not all control instances are voters that follow")
 
     def check_executions(self):
         execution_counts = {}
