--- a/tests/platform/full_disks.py
+++ b/tests/platform/full_disks.py
@@ -8,7 +8,7 @@
 
 CONTROLS = 5
 FAULT_S = 1.5
-# Longer than a supervisor restarts a failed task.
+# Twenty restarts of a failed task take 10 s.
 LONG_FAULT_S = 13.0
 ACKNOWLEDGEMENT_LIMIT_S = 4.0
 VOTER_LIMIT_S = 10.0
--- a/tests/platform/stored_prefixes.py
+++ b/tests/platform/stored_prefixes.py
@@ -1,5 +1,5 @@
-"""Guards against requests that run without a route because the configuration was stored by an earlier version, which left
-out the last slash of each prefix. A control instance starts with its data; see write_fixture.py."""
+"""Guards against requests that run without a route because an earlier version, which left out the last slash of each
+prefix, stored the configuration. A control instance starts with the data of that version; see write_fixture.py."""
 
 import pathlib
 import shutil
