--- a/src/entry_directory.c
+++ b/src/entry_directory.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* Least share of the ready entries that report, as a divisor, if the silent ones are to be left
+ * out. With fewer, those that report would get more than four times their load. */
+#define MIN_REPORTING_DIVISOR 4
+
 typedef struct
 {
   uint32_t weight;
@@ -39,6 +43,40 @@
   return changed;
 }
 
+/* Returns whether so few of the ready entries have reported since SINCE_US that the silent ones are
+ * more likely cut off from this instance than down. */
+static bool
+are_most_silent_since (const entry_directory_t *directory, int64_t since_us)
+{
+  unsigned ready = 0;
+  unsigned reporting = 0;
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, directory->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const directory_entry_t *entry = value;
+      ready += entry->state == ENTRY_READY;
+      reporting += entry->state == ENTRY_READY && entry->last_report_us >= since_us;
+    }
+  return reporting * MIN_REPORTING_DIVISOR < ready;
+}
+
+bool
+entry_directory_most_are_silent (const entry_directory_t *directory, int64_t now_us)
+{
+  return are_most_silent_since (directory, now_us - directory->options.report_timeout_us);
+}
+
+/* Returns the time since which an entry must have reported to be used at NOW_US. */
+static int64_t
+compute_since_us (const entry_directory_t *directory, int64_t now_us)
+{
+  return entry_directory_most_are_silent (directory, now_us)
+             ? INT64_MIN
+             : now_us - directory->options.report_timeout_us;
+}
+
 /* Returns the rendezvous weight of ENTRY. It depends on the id alone, so it is the same in every
  * control instance. */
 static uint32_t
@@ -170,8 +208,7 @@
 entry_directory_compute_layout (const entry_directory_t *directory, int64_t now_us,
                                 const char *domain, unsigned slots, directory_layout_t *layout)
 {
-  int64_t since_us = now_us - directory->options.report_timeout_us;
-  GArray *ranked = rank_entries (directory, since_us, domain);
+  GArray *ranked = rank_entries (directory, compute_since_us (directory, now_us), domain);
   unsigned needed = count_needed (directory, ranked, slots);
   unsigned cells = MIN (slots / DIRECTORY_CELL_SLOTS,
                         MIN (needed, count_known (directory, domain)) / DIRECTORY_CELL_ENTRIES);
@@ -208,25 +245,24 @@
                          const directory_layout_t *layout, unsigned start,
                          const directory_entry_t **out, size_t max)
 {
-  int64_t since_us = now_us - directory->options.report_timeout_us;
   guint active = layout->active->len;
   size_t count = MIN (active, max);
   for (size_t i = 0; i < count; i++)
     out[i] = g_ptr_array_index (layout->active, active > max ? (start + i) % active : i);
   if (count == 0)
-    count = store_ranked (rank_entries (directory, since_us, NULL), out, max);
-  if (count == 0)
-    count = store_ranked (rank_entries (directory, INT64_MIN, domain), out, max);
-  if (count == 0)
-    count = store_ranked (rank_entries (directory, INT64_MIN, NULL), out, max);
+    count = store_ranked (rank_entries (directory, compute_since_us (directory, now_us), NULL), out,
+                          max);
   return count;
 }
 
 void
-entry_directory_prune (entry_directory_t *directory, int64_t before_us)
+entry_directory_prune (entry_directory_t *directory, int64_t now_us, int64_t retention_us)
 {
+  int64_t before_us = now_us - retention_us;
   GHashTableIter iter;
   gpointer value = NULL;
+  if (are_most_silent_since (directory, before_us))
+    before_us = now_us - DIRECTORY_SILENT_RETENTIONS * retention_us;
   g_hash_table_iter_init (&iter, directory->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/entry_directory.h
+++ b/src/entry_directory.h
@@ -19,7 +19,15 @@
  * do not grow with the fleet. The number of cells follows from the numbers of slots, of known
  * entries and of entries needed for the slots, which change slowly. It can also fall when fewer
  * entries are ready than are needed. A member that joins or leaves moves few others to another
- * cell. */
+ * cell.
+ *
+ * An entry that ceases to report is not used. But if fewer than a quarter of all ready entries
+ * report, the network between them and this instance has likely failed, not the entries: callers
+ * still reach them, and the few that report could not carry the load of all. Then silent entries
+ * count as if they reported, so that active entries and cells stay as they were. */
+
+/* Factor of the time for which a silent entry is kept while most entries are silent. */
+#define DIRECTORY_SILENT_RETENTIONS 10
 
 /* Maximum number of entries in one answer to a caller. */
 #define DIRECTORY_MAX_ENTRIES 64
@@ -70,6 +78,10 @@
  * its incarnation or its state is new. */
 bool entry_directory_update (entry_directory_t *directory, const directory_entry_t *entry);
 
+/* Returns whether fewer than a quarter of the ready entries report, so that the silent ones are
+ * used as well. */
+bool entry_directory_most_are_silent (const entry_directory_t *directory, int64_t now_us);
+
 /* Active entries and cells of a failure domain. */
 typedef struct
 {
@@ -90,13 +102,12 @@
 unsigned directory_choose_cell (uint64_t member, unsigned cells, unsigned round);
 
 /* Stores up to MAX entries for callers in DOMAIN and returns their number: the active ones of
- * LAYOUT, or the ready ones of all domains if there are none. If no ready entry has reported in
- * time, stores those of DOMAIN, or else of all domains, that were ready in their last report, which
- * is better than an empty answer. Of more than MAX active entries, stores those from index START
- * on, with wrap-around. */
+ * LAYOUT, or the ready ones of all domains if there are none. Of more than MAX active entries,
+ * stores those from index START on, with wrap-around. */
 size_t entry_directory_resolve (const entry_directory_t *directory, int64_t now_us,
                                 const char *domain, const directory_layout_t *layout,
                                 unsigned start, const directory_entry_t **out, size_t max);
 
-/* Removes entries whose last report is older than BEFORE_US. */
-void entry_directory_prune (entry_directory_t *directory, int64_t before_us);
+/* Removes entries that have not reported for RETENTION_US; while most entries are silent, for
+ * DIRECTORY_SILENT_RETENTIONS times as long. */
+void entry_directory_prune (entry_directory_t *directory, int64_t now_us, int64_t retention_us);
--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -715,6 +715,20 @@
   found_group (control);
 }
 
+/* Reports when callers begin or cease to be sent to entries that are silent. */
+static void
+report_silence (fleet_control_t *control, int64_t now)
+{
+  bool silent = entry_directory_most_are_silent (&control->directory, now);
+  if (silent == (control->most_entries_silent.value != 0))
+    return;
+  metric_set (&control->most_entries_silent, silent);
+  if (silent)
+    LOG_WARNING ("most entries are silent, callers are still sent to them");
+  else
+    LOG_NOTICE ("enough entries report again, callers are sent to these alone");
+}
+
 static void
 on_timer (io_timer_t *timer)
 {
@@ -724,6 +738,7 @@
   end_config_waits (control, now);
 
   g_hash_table_remove_all (control->layouts);
+  report_silence (control, now);
   found_group_if_due (control);
   if (control->group.started)
     {
@@ -737,7 +752,7 @@
       g_array_set_size (control->renewed_targets, 0);
       target_registry_expire (&control->registry, now - TARGET_TIMEOUT_US,
                               send_target_to_subscribers, control);
-      entry_directory_prune (&control->directory, now - ENTRY_RETENTION_US);
+      entry_directory_prune (&control->directory, now, ENTRY_RETENTION_US);
       metric_set (&control->targets_known, g_hash_table_size (control->registry.targets));
     }
   io_timer_set (control->options.loop, timer, now + TICK_US);
@@ -807,6 +822,9 @@
                    NULL, "Recorded departures of targets.");
   metric_register (registry, &control->targets_known, METRIC_KIND_GAUGE, "anvillb_targets", NULL,
                    "Targets in the registry.");
+  metric_register (registry, &control->most_entries_silent, METRIC_KIND_GAUGE,
+                   "anvillb_directory_most_silent", NULL,
+                   "Whether callers are sent to silent entries too, as most are silent.");
 }
 
 void
--- a/src/fleet_control.h
+++ b/src/fleet_control.h
@@ -56,7 +56,7 @@
   metric_t announcements;
   metric_t departures;
   metric_t targets_known;
-  metric_t entries_ready;
+  metric_t most_entries_silent; /* 0 or 1 */
 } fleet_control_t;
 
 void fleet_control_init (fleet_control_t *control, const fleet_control_options_t *options);
--- a/tests/fleet/test_entry_directory.cc
+++ b/tests/fleet/test_entry_directory.cc
@@ -122,6 +122,59 @@
   EXPECT_EQ (resolve_entries ("c", 100, 20 * SECOND_US), (std::set<std::string>{ "a1", "b1" }));
 }
 
+// Guards against a cut between the entries and the control instances that sends all callers to the
+// few entries whose reports still arrive, or arrive again first (hunt-3ddc-3: 12 of 123).
+TEST_F (EntryDirectory, FewReportingEntriesDoNotReplaceTheSilentOnes)
+{
+  for (int i = 0; i < 40; i++)
+    report_entry ("e" + std::to_string (i), i % 2 == 0 ? "a" : "b", SECOND_US);
+  std::set<std::string> before = resolve_entries ("a", 64);
+  compute_layout ("a", 64);
+  std::map<std::string, guint> cells_before = cells ();
+  for (int i = 0; i < 6; i += 2)
+    report_entry ("e" + std::to_string (i), "a", 11 * SECOND_US);
+
+  EXPECT_TRUE (entry_directory_most_are_silent (&directory, 11 * SECOND_US));
+  EXPECT_EQ (resolve_entries ("a", 64, 11 * SECOND_US), before);
+  EXPECT_EQ (cells (), cells_before);
+  EXPECT_EQ (resolve_entries ("b", 64, 11 * SECOND_US).size (), 16u);
+  EXPECT_EQ (resolve_entries ("c", 0, 11 * SECOND_US).size (), 40u);
+}
+
+// Guards against callers that are sent to silent entries when a part of the fleet has failed and
+// those that report can carry its load.
+TEST_F (EntryDirectory, SilentEntriesAreLeftOutWhileAQuarterReports)
+{
+  for (int i = 0; i < 40; i++)
+    report_entry ("e" + std::to_string (i), "a", SECOND_US);
+  for (int i = 0; i < 10; i++)
+    report_entry ("e" + std::to_string (i), "a", 11 * SECOND_US);
+  EXPECT_FALSE (entry_directory_most_are_silent (&directory, 11 * SECOND_US));
+  EXPECT_EQ (resolve_entries ("a", 64, 11 * SECOND_US).size (), 10u);
+  report_entry ("e0", "a", 11 * SECOND_US, ENTRY_LEAVING);
+  for (int i = 10; i < 40; i++)
+    report_entry ("e" + std::to_string (i), "a", SECOND_US, ENTRY_LEAVING);
+  EXPECT_EQ (resolve_entries ("a", 64, 11 * SECOND_US).size (), 9u);
+}
+
+// Guards against an empty directory when a cut lasts longer than the time for which an entry is
+// kept, and against entries that ended long ago and are kept forever.
+TEST_F (EntryDirectory, SilentEntriesAreKeptLongerWhileMostAreSilent)
+{
+  for (int i = 0; i < 40; i++)
+    report_entry ("e" + std::to_string (i), "a", SECOND_US);
+  report_entry ("e0", "a", 90 * SECOND_US);
+  entry_directory_prune (&directory, 91 * SECOND_US, 60 * SECOND_US);
+  EXPECT_EQ (resolve_entries ("a", 1000, 91 * SECOND_US).size (), 40u);
+  entry_directory_prune (&directory, 700 * SECOND_US, 60 * SECOND_US);
+  EXPECT_EQ (g_hash_table_size (directory.entries), 0u);
+
+  for (int i = 0; i < 4; i++)
+    report_entry ("e" + std::to_string (i), "a", i == 0 ? SECOND_US : 90 * SECOND_US);
+  entry_directory_prune (&directory, 91 * SECOND_US, 60 * SECOND_US);
+  EXPECT_EQ (g_hash_table_size (directory.entries), 3u);
+}
+
 // Guards against a delayed report of an earlier process that makes an entry ready again.
 TEST_F (EntryDirectory, ReportOfAnEarlierIncarnationIsIgnored)
 {
@@ -173,7 +226,7 @@
     report_entry ("e" + std::to_string (i), "a", SECOND_US);
   compute_layout ("a", 200);
   std::map<std::string, guint> first_cells = cells ();
-  entry_directory_prune (&directory, INT64_MAX);
+  entry_directory_prune (&directory, INT64_MAX, 0);
   for (int i = 29; i >= 0; i--)
     report_entry ("e" + std::to_string (i), "a", SECOND_US);
   compute_layout ("a", 200);
