anvillb-entry: work longer than the stall time isn't given up

Cause: an attempt whose connection was silent for stall_ms while the target answered a probe was ended, for all routes and up to the last attempt. Work that takes longer than stall_ms therefore never was answered: it was run again until the time limit, and a request that isn't idempotent got 504 with an unknown outcome while it ran. Seen when the failure of drain_limit was traced: none of its requests got a 200.

Change: an attempt ends on a stall only on an idempotent route, with another attempt left, and if the answers of the route usually come within stall_ms (new module stall_history).

--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -104,6 +104,22 @@
   http_headers_destroy (&extra);
 }
 
+static int64_t
+stall_timeout_us (const entry_request_t *r)
+{
+  return (int64_t)r->match.service->stall_ms * US_PER_MS;
+}
+
+/* Returns whether the next attempt is ended when it stalls: only if the request may be run again,
+ * another attempt is left, and the requests of its route usually do not take so long. */
+static bool
+ends_on_stall (const entry_request_t *r)
+{
+  const config_route_t *route = r->match.route;
+  return route->idempotent && r->attempts + 1 < ENTRY_MAX_ATTEMPTS
+         && stall_history_is_quick (&r->service->stall_history, route->id);
+}
+
 static void
 on_dispatch (service_waiter_t *waiter, uint64_t target_id, const char *address, int max_connections)
 {
@@ -113,9 +129,9 @@
     .address = address,
     .max_connections = max_connections,
     .deadline_us = r->deadline_us,
-    .stall_timeout_us = (int64_t)r->match.service->stall_ms * US_PER_MS,
+    .stall_timeout_us = stall_timeout_us (r),
     .keep_body = true,
-    .end_on_stall = true,
+    .end_on_stall = ends_on_stall (r),
     .max_body_bytes = r->match.route->max_body_bytes,
     .max_capture_bytes = claimed ? MAX_CLAIM_RESPONSE_BYTES : 0,
   };
@@ -447,9 +463,21 @@
   return granted;
 }
 
+static void
+record_stall_history (entry_request_t *r, const attempt_result_t *result)
+{
+  stall_history_t *history = &r->service->stall_history;
+  if (result->end == ATTEMPT_STALLED)
+    stall_history_record_stall (history, r->match.route->id);
+  else if (result->end == ATTEMPT_COMPLETE)
+    stall_history_record_answer (history, r->match.route->id,
+                                 result->time_to_head_us < stall_timeout_us (r));
+}
+
 static void
 end_dispatched (entry_request_t *r, const attempt_result_t *result)
 {
+  record_stall_history (r, result);
   if (!result->wrote_bytes || result->end == ATTEMPT_SHED)
     r->possibly_run = false;
   entry_service_done (r->service, r->waiter.id, health_result (r, result));
--- a/src/entry_service.c
+++ b/src/entry_service.c
@@ -157,6 +157,7 @@
     .epoch = core->process_epoch,
   };
   limiter_init (&service->limiter, &limiter_options);
+  stall_history_init (&service->stall_history);
   register_counters (service);
   return service;
 }
@@ -168,6 +169,7 @@
   entry_probe_cancel_all (service);
   assigned_service_destroy (&service->assigned_service);
   limiter_destroy (&service->limiter);
+  stall_history_destroy (&service->stall_history);
   g_hash_table_unref (service->targets);
   g_hash_table_unref (service->waiters);
   g_hash_table_unref (service->peers);
--- a/src/entry_service.h
+++ b/src/entry_service.h
@@ -4,6 +4,7 @@
 #include "entry_core.h"
 #include "limiter.h"
 #include "retry_budget.h"
+#include "stall_history.h"
 
 /* entry_service - one service at one entry, as a rule an assigned one: scheduling, target health,
  * team limits, retry budget, and the requests that wait for dispatch. */
@@ -31,6 +32,7 @@
   assigned_service_t assigned_service;
   limiter_t limiter;
   retry_budget_t budget;
+  stall_history_t stall_history;
   GHashTable *targets;     /* target id -> dispatch_target_t */
   GHashTable *waiters;     /* request id -> service_waiter_t */
   GHashTable *peers;       /* hash of an instance id -> instance id; the other assigned entries */
