--- a/src/http_codec.c
+++ b/src/http_codec.c
@@ -494,9 +494,13 @@
   const char *reason = NULL;
   http_error_t code = HTTP_ERROR_SYNTAX;
   size_t used = scan_section (codec, *bytes, *size, &done, &reason, &code);
+  /* The parser sees the bytes before a fault as well, and what it finds there counts: otherwise the
+   * error would depend on how the input is divided. No bytes would mean the end of the input. */
+  if (used > 0 && !run_parser (codec, bytes, size, used))
+    return fail (codec, err, HTTP_ERROR_SYNTAX, "malformed trailer");
   if (reason != NULL)
     return fail (codec, err, code, reason);
-  if (!run_parser (codec, bytes, size, used) || (done && !codec->parser_complete))
+  if (done && !codec->parser_complete)
     return fail (codec, err, HTTP_ERROR_SYNTAX, "malformed trailer");
   if (done)
     codec->mode = HTTP_MODE_COMPLETE;
--- a/tests/http/test_http_codec.cc
+++ b/tests/http/test_http_codec.cc
@@ -220,6 +220,19 @@
   EXPECT_GT (accepted, 0);
 }
 
+// Guards against a status that depends on how the network divides a message: of two faults in a
+// trailer, the first one counts.
+TEST (HttpCodec, FirstFaultOfATrailerCountsInAnyDivision)
+{
+  std::string input = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+                      ": no name\r\n";
+  for (int i = 0; i <= HTTP_MAX_FIELDS + 1; i++)
+    input += "A: b\r\n";
+  for (size_t piece_bytes : { (size_t)1, (size_t)7, input.size () })
+    EXPECT_EQ (parse_pieces (HTTP_CODEC_REQUEST, input, piece_bytes).code, HTTP_ERROR_SYNTAX)
+        << piece_bytes;
+}
+
 // Guards against a parser that stops at a request with Upgrade: upgrades are not supported, so it
 // is an ordinary request.
 TEST (HttpCodec, UpgradeIsReadAsAnOrdinaryRequest)
