--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -15,7 +15,8 @@
   # The compiler warnings of the project are those of GCC.
   CC=clang CXX=clang++ meson setup "$root/build-fuzz" "$root" -Dfuzz=true -Dwerror=false \
     -Db_sanitize=address,undefined -Db_lundef=false \
-    -Dc_args=-fsanitize=fuzzer-no-link -Dcpp_args=-fsanitize=fuzzer-no-link
+    -Dc_args="-fsanitize=fuzzer-no-link -fno-sanitize-recover=all" \
+    -Dcpp_args="-fsanitize=fuzzer-no-link -fno-sanitize-recover=all"
 fi
 meson compile -C "$root/build-fuzz" "fuzz_$target" "fuzz_seeds_$target"
 mkdir -p "$inputs"
