entry_directory: the bound is a factor of load; stall_history: what is recorded

Read once more: MIN_REPORTING_DIVISOR was explained as a least share 'as a divisor'; it is the factor by which the load of the reporting entries may grow, and is called MAX_LOAD_FACTOR now. The loop asks once whether an entry is ready. stall_history_record_stall() also gets attempts that stalled until their deadline. No behaviour changes.

--- a/src/entry_directory.c
+++ b/src/entry_directory.c
@@ -2,9 +2,9 @@
 
 #include <string.h>
 
-/* Least share of the ready entries that report, as a divisor, if the silent ones are to be left
- * out. With fewer, those that report would get more than four times their load. */
-#define MIN_REPORTING_DIVISOR 4
+/* The silent entries are left out unless the load of those that report would grow by more than this
+ * factor. */
+#define MAX_LOAD_FACTOR 4
 
 typedef struct
 {
@@ -56,10 +56,12 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const directory_entry_t *entry = value;
-      ready += entry->state == ENTRY_READY;
-      reporting += entry->state == ENTRY_READY && entry->last_report_us >= since_us;
+      if (entry->state != ENTRY_READY)
+        continue;
+      ready++;
+      reporting += entry->last_report_us >= since_us;
     }
-  return reporting * MIN_REPORTING_DIVISOR < ready;
+  return reporting * MAX_LOAD_FACTOR < ready;
 }
 
 bool
--- a/src/stall_history.h
+++ b/src/stall_history.h
@@ -30,7 +30,7 @@
 /* Records a complete answer to a request of ROUTE, which came within the stall time if QUICK. */
 void stall_history_record_answer (stall_history_t *history, const char *route, bool quick);
 
-/* Records an attempt of ROUTE that was ended because it stalled. */
+/* Records an attempt of ROUTE that stalled and got no answer. */
 void stall_history_record_stall (stall_history_t *history, const char *route);
 
 /* Returns whether ROUTE is quick. */
