Fuzz targets: one sample configuration, one form of repeated steps

Cause: fuzz_platform had a copy of the sample configuration and of the quote replacement of test_platform_config, read a configuration and a patch in two copies of the same steps, and fuzz_wire had the same steps for three arrays. A planted decoder that accepts a capacity that is NaN was not reported by the seeded run.

Change: sample_config.h, read_change() and reencode_array() serve all; a status with NaN is one of the seeds.

--- a/tests/fuzz/fuzz_platform.cc
+++ b/tests/fuzz/fuzz_platform.cc
@@ -10,6 +10,7 @@
 #include "fleet_wire.h"
 #include "platform_adapter.h"
 }
+#include "sample_config.h"
 
 #define NOW_US INT64_C (1000000000)
 #define WALL_MS INT64_C (1700000000000)
@@ -36,17 +37,24 @@
   return doc;
 }
 
+/* Reads a call of READ. Returns false, with a reason, if it is refused. */
+bool
+read_change (decltype (platform_read_config) * read, const char *body, size_t size,
+             platform_change_t *change)
+{
+  anv_error_t err = {};
+  bool accepted = read (body, size, "00000001", change, &err);
+  FUZZ_CHECK (accepted || err.text[0] != '\0');
+  return accepted;
+}
+
 /* Checks that an accepted configuration is read back as what it is accepted as again. */
 void
 check_config (const char *body, size_t size)
 {
-  anv_error_t err = {};
   platform_change_t change;
-  if (!platform_read_config (body, size, "00000001", &change, &err))
-    {
-      FUZZ_CHECK (err.text[0] != '\0');
-      return;
-    }
+  if (!read_change (platform_read_config, body, size, &change))
+    return;
   config_doc_t *doc = parse_document (&change);
   platform_change_clear (&change);
   if (doc == nullptr)
@@ -54,7 +62,7 @@
   char *written = platform_write_config (doc);
   FUZZ_CHECK (written != nullptr);
   platform_change_t again;
-  FUZZ_CHECK (platform_read_config (written, strlen (written), "00000001", &again, &err));
+  FUZZ_CHECK (read_change (platform_read_config, written, strlen (written), &again));
   config_doc_t *doc_again = parse_document (&again);
   FUZZ_CHECK (doc_again != nullptr);
   char *written_again = platform_write_config (doc_again);
@@ -70,13 +78,9 @@
 void
 check_patch (const char *body, size_t size)
 {
-  anv_error_t err = {};
   platform_change_t change;
-  if (!platform_read_patch (body, size, "00000001", &change, &err))
-    {
-      FUZZ_CHECK (err.text[0] != '\0');
-      return;
-    }
+  if (!read_change (platform_read_patch, body, size, &change))
+    return;
   platform_set_prefix_form (&change, true);
   platform_set_prefix_form (&change, false);
   platform_change_clear (&change);
@@ -120,20 +124,9 @@
 {
   std::vector<std::string> seeds;
   const auto add = [&seeds] (char call, const char *text) {
-    std::string seed (1, call);
-    for (const char *p = text; *p != '\0'; p++)
-      seed += *p == '\'' ? '"' : *p;
-    seeds.push_back (seed);
+    seeds.push_back (std::string (1, call) + to_json (text));
   };
-  add (CALL_CONFIG,
-       "{'version':'0000000c','routes':[{'name':'r-b','host':'H.example','path_prefix':'/b/c/',"
-       "'route_type':'unsafe','timeout_ms':1000,'latency_goal_ms':500,'priority':1,'service':'s',"
-       "'max_attempts':2,'colour':{'x':[1,2]}},{'name':'r-a','host':'h.example','path_prefix':'/',"
-       "'route_type':'safe','timeout_ms':800,'priority':2,'traffic_split':[{'service':'s','weight':"
-       "90},{'service':'t','weight':10}],'max_attempts':1}],'services':[{'name':'s','health_path':"
-       "'/health','max_connections':330,'protocol':'h1','tls':false},{'name':'t'}],'limits':"
-       "{'max_header_bytes':16384,'max_body_bytes':67108864,'header_timeout_ms':3000,"
-       "'idle_timeout_ms':15000,'other':7},'extra':'kept'}");
+  add (CALL_CONFIG, SAMPLE_CONFIG);
   add (CALL_CONFIG, "{'version':'00000002','routes':[],'services':[]}");
   add (CALL_PATCH,
        "{'version':'00000002','upsert':{'routes':[{'name':'r','host':'h','path_prefix':'/x/',"
--- a/tests/fuzz/fuzz_wire.cc
+++ b/tests/fuzz/fuzz_wire.cc
@@ -26,6 +26,23 @@
   return text;
 }
 
+/* Decodes an array of elements of ELEMENT_SIZE and encodes it again; "" if it is malformed. */
+template <typename Decode, typename Encode>
+std::string
+reencode_array (size_t element_size, Decode decode, Encode encode)
+{
+  wire_writer_t writer;
+  std::string result;
+  GArray *elements = g_array_new (FALSE, TRUE, (guint)element_size);
+  if (decode (elements))
+    {
+      encode (elements, &writer);
+      result = take (&writer);
+    }
+  g_array_unref (elements);
+  return result;
+}
+
 /* Decodes one message and encodes it again. Returns "" if it is malformed or of no type that has an
  * encoder here. */
 std::string
@@ -79,35 +96,19 @@
         }
     }
   else if (type == WIRE_FLEET_TARGETS)
-    {
-      GArray *targets = g_array_new (FALSE, TRUE, sizeof (registry_target_t));
-      if (fleet_targets_decode (targets, NOW_US, &reader))
-        {
-          fleet_targets_encode (targets, NOW_US, &writer);
-          result = take (&writer);
-        }
-      g_array_unref (targets);
-    }
+    result = reencode_array (
+        sizeof (registry_target_t),
+        [&] (GArray *targets) { return fleet_targets_decode (targets, NOW_US, &reader); },
+        [] (GArray *targets, wire_writer_t *out) { fleet_targets_encode (targets, NOW_US, out); });
   else if (type == WIRE_FLEET_DEPARTED)
-    {
-      GArray *departures = g_array_new (FALSE, TRUE, sizeof (registry_departure_t));
-      if (fleet_departed_decode (departures, &reader))
-        {
-          fleet_departed_encode (departures, &writer);
-          result = take (&writer);
-        }
-      g_array_unref (departures);
-    }
+    result = reencode_array (
+        sizeof (registry_departure_t),
+        [&] (GArray *departures) { return fleet_departed_decode (departures, &reader); },
+        fleet_departed_encode);
   else if (type == WIRE_FLEET_LOAD)
-    {
-      GArray *loads = g_array_new (FALSE, TRUE, sizeof (fleet_load_report_t));
-      if (fleet_load_decode (loads, &reader))
-        {
-          fleet_load_encode (loads, &writer);
-          result = take (&writer);
-        }
-      g_array_unref (loads);
-    }
+    result = reencode_array (
+        sizeof (fleet_load_report_t),
+        [&] (GArray *loads) { return fleet_load_decode (loads, &reader); }, fleet_load_encode);
   else if (type == WIRE_CLAIM_REQUEST)
     {
       uint64_t id = 0;
@@ -203,6 +204,9 @@
   status.capacity = 1234.5;
   fleet_status_encode (&status, &writer);
   seeds.push_back (take (&writer));
+  status.capacity = NAN; // must be refused
+  fleet_status_encode (&status, &writer);
+  seeds.push_back (take (&writer));
 
   fleet_view_t view = { true, g_ptr_array_new (), g_ptr_array_new (), 3, 1 };
   g_ptr_array_add (view.members, (gpointer) "10.0.0.1:1");
--- a/tests/platform/test_platform_config.cc
+++ b/tests/platform/test_platform_config.cc
@@ -1,6 +1,5 @@
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <string>
 
 extern "C"
@@ -10,27 +9,10 @@
 #include "rng.h"
 #include "version_store.h"
 }
+#include "sample_config.h"
 
 namespace
 {
-// Replaces the single quotes of TEXT by double quotes.
-std::string
-to_json (std::string text)
-{
-  std::replace (text.begin (), text.end (), '\'', '"');
-  return text;
-}
-
-const char *const CONFIG
-    = "{'version':'0000000c','routes':[{'name':'r-b','host':'H.example','path_prefix':'/b/c/',"
-      "'route_type':'unsafe','timeout_ms':1000,'latency_goal_ms':500,'priority':1,'service':'s',"
-      "'max_attempts':2,'colour':{'x':[1,2]}},{'name':'r-a','host':'h.example','path_prefix':'/',"
-      "'route_type':'safe','timeout_ms':800,'priority':2,'traffic_split':[{'service':'s','weight':"
-      "90},{'service':'t','weight':10}],'max_attempts':1}],'services':[{'name':'s','health_path':"
-      "'/health','max_connections':330,'protocol':'h1','tls':false},{'name':'t'}],'limits':"
-      "{'max_header_bytes':16384,'max_body_bytes':67108864,'header_timeout_ms':3000,"
-      "'idle_timeout_ms':15000,'other':7},'extra':'kept'}";
-
 class PlatformConfig : public ::testing::Test
 {
 protected:
@@ -102,8 +84,8 @@
 // splits, the root prefix.
 TEST_F (PlatformConfig, IsReadBackAsItWasSent)
 {
-  ASSERT_EQ (send_change (CONFIG, "0", true, "a"), "accepted");
-  cJSON *sent = cJSON_Parse (to_json (CONFIG).c_str ());
+  ASSERT_EQ (send_change (SAMPLE_CONFIG, "0", true, "a"), "accepted");
+  cJSON *sent = cJSON_Parse (to_json (SAMPLE_CONFIG).c_str ());
   cJSON *got = read_config ();
   for (const char *list : { "routes", "services" })
     {
@@ -131,7 +113,7 @@
 // Guards against fields of a replaced item that stay in force: a patch replaces items as a whole.
 TEST_F (PlatformConfig, PatchReplacesItemsAsAWhole)
 {
-  ASSERT_EQ (send_change (CONFIG, "0", true, "a"), "accepted");
+  ASSERT_EQ (send_change (SAMPLE_CONFIG, "0", true, "a"), "accepted");
   ASSERT_EQ (
       send_change ("{'version':'0000000d','upsert':{'routes':[{'name':'r-a','host':'h.example',"
                    "'path_prefix':'/','route_type':'unsafe','timeout_ms':700,'service':'t'}]},"
@@ -155,21 +137,21 @@
 {
   const char *first_patch = "{'version':'0000000d','upsert':{'services':[{'name':'u'}]}}";
   const char *second_patch = "{'version':'0000000d','upsert':{'services':[{'name':'v'}]}}";
-  ASSERT_EQ (send_change (CONFIG, "0", true, "a"), "accepted");
+  ASSERT_EQ (send_change (SAMPLE_CONFIG, "0", true, "a"), "accepted");
   EXPECT_EQ (send_change (first_patch, "0000000c", false, "one"), "accepted");
   EXPECT_EQ (send_change (second_patch, "0000000c", false, "two"), "stale");
   EXPECT_EQ (send_change (first_patch, "0000000c", false, "one"), "repeated");
-  EXPECT_EQ (send_change (CONFIG, "0", true, "a"), "repeated");
+  EXPECT_EQ (send_change (SAMPLE_CONFIG, "0", true, "a"), "repeated");
   EXPECT_EQ (send_change (second_patch, "0000000d", false, "three"),
              "invalid: $.label: must be above the label of the current version");
-  EXPECT_EQ (send_change (CONFIG, "0000000d", true, "four"),
+  EXPECT_EQ (send_change (SAMPLE_CONFIG, "0000000d", true, "four"),
              "invalid: $.label: must be above the label of the current version");
 }
 
 // Guards against a change that is accepted although it is malformed or breaks a rule.
 TEST_F (PlatformConfig, InvalidChangesAreRefused)
 {
-  ASSERT_EQ (send_change (CONFIG, "0", true, "a"), "accepted");
+  ASSERT_EQ (send_change (SAMPLE_CONFIG, "0", true, "a"), "accepted");
   const std::pair<std::string, std::string> cases[] = {
     { "{'version':'0000000d','upsert':[", "unreadable: not valid JSON" },
     { "{'version':'xyz','upsert':{}}",
@@ -197,7 +179,7 @@
 // recorded as the patch from its base, and the saved store passes the checks of a restore.
 TEST_F (PlatformConfig, ReplacementIsRecordedAsAPatch)
 {
-  ASSERT_EQ (send_change (CONFIG, "0", true, "a"), "accepted");
+  ASSERT_EQ (send_change (SAMPLE_CONFIG, "0", true, "a"), "accepted");
   ASSERT_EQ (send_change ("{'version':'0000000d','routes':[],'services':[{'name':'t'}]}",
                           "0000000c", true, "b"),
              "accepted");
@@ -352,7 +334,7 @@
 // random changes. The sanitizers see what the results don't show.
 TEST (PlatformInput, SurvivesMutations)
 {
-  const std::string bodies[] = { to_json (heartbeat_with ("slots", "4")), to_json (CONFIG),
+  const std::string bodies[] = { to_json (heartbeat_with ("slots", "4")), to_json (SAMPLE_CONFIG),
                                  to_json ("{'version':'0000000d','upsert':{'routes':[{'name':'r-a',"
                                           "'host':'h','path_prefix':'/x/','route_type':'safe',"
                                           "'timeout_ms':5,'service':'s'}]},'drop':{'routes':"
@@ -402,7 +384,7 @@
   const char *added = "{'version':'0000000d','upsert':{'routes':[{'name':'r','host':'h.example',"
                       "'path_prefix':'%s','route_type':'safe','timeout_ms':1,'service':'s'}]}}";
   EXPECT_EQ (prefix_form (), PLATFORM_PREFIXES_ROOT);
-  ASSERT_EQ (send_change (CONFIG, "0", true, "a", true), "accepted");
+  ASSERT_EQ (send_change (SAMPLE_CONFIG, "0", true, "a", true), "accepted");
   EXPECT_EQ (prefix_form (), PLATFORM_PREFIXES_SHORT);
   cJSON *got = read_config ();
   EXPECT_STREQ (json_get_string (find_by_name (cJSON_GetObjectItem (got, "routes"), "r-b"),
@@ -426,7 +408,7 @@
 {
   platform_change_t change;
   anv_error_t err = {};
-  std::string text = to_json (CONFIG);
+  std::string text = to_json (SAMPLE_CONFIG);
   ASSERT_TRUE (platform_read_config (text.data (), text.size (), "0", &change, &err)) << err.text;
   std::string full = change.document;
   EXPECT_FALSE (platform_set_prefix_form (&change, false));
