Balancer: no retry that the stop would refuse

Cause: after SIGTERM an attempt that was late was ended for a retry, although the queue then refused the retry because it could not end before the stop. Change: balancer_can_dispatch() and take_retry() ask whether the request can still end before the stop; an attempt at work goes on otherwise.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -325,8 +325,9 @@
 bool
 balancer_can_dispatch (balancer_t *b, int64_t now_us, const balancer_request_t *request)
 {
-  const tracked_target_t *target
-      = b->queued_count == b->deferred_count ? balancer_choose_target (b, request, now_us) : NULL;
+  if (b->queued_count != b->deferred_count || !balancer_ends_before_stop (b, request, now_us))
+    return false;
+  const tracked_target_t *target = balancer_choose_target (b, request, now_us);
   return target != NULL && !balancer_was_tried (request, target->id);
 }
 
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -169,14 +169,19 @@
  * outside the cell also raises or lowers the share of placements that may go there. */
 void balancer_set_reported_load (balancer_t *b, int64_t now_us, uint64_t id, uint32_t load);
 
-/* Returns whether the best target with a free slot for REQUEST is one that it has not tried, and
- * the queue is empty or holds only deferred requests, see deferred_count. */
+/* Returns whether the best target with a free slot for REQUEST is one that it has not tried, the
+ * queue is empty or holds only deferred requests, see deferred_count, and REQUEST can end before
+ * this entry stops. */
 bool balancer_can_dispatch (balancer_t *b, int64_t now_us, const balancer_request_t *request);
 
 /* Sets the time at which this entry stops. From now on a request is refused as soon as it is not
  * expected to be answered by then. Call balancer_next() afterwards. */
 void balancer_set_stop (balancer_t *b, int64_t stop_us);
 
+/* Returns whether REQUEST is expected to be answered before this entry stops if it is dispatched at
+ * START_US. */
+bool balancer_ends_before_stop (balancer_t *b, const balancer_request_t *request, int64_t start_us);
+
 /* Copies REQUEST into the queue. Call balancer_next() afterwards. */
 void balancer_submit (balancer_t *b, int64_t now_us, const balancer_request_t *request);
 
--- a/src/balancer_queue.c
+++ b/src/balancer_queue.c
@@ -188,12 +188,10 @@
   return true;
 }
 
-/* Returns whether TRACKED is expected to be answered before this entry stops if it is dispatched at
- * START_US. */
-static bool
-ends_before_stop (balancer_t *b, const tracked_request_t *tracked, int64_t start_us)
+bool
+balancer_ends_before_stop (balancer_t *b, const balancer_request_t *request, int64_t start_us)
 {
-  const kind_latency_t *latency = balancer_latency (b, tracked->request.kind);
+  const kind_latency_t *latency = balancer_latency (b, request->kind);
   double latest_us = latency->mean_us + STOP_MARGIN_DEVIATIONS * latency->mean_deviation_us;
   return b->stop_us == 0 || start_us + (int64_t)latest_us <= b->stop_us;
 }
@@ -206,7 +204,7 @@
   LIST_FOREACH (&b->queue, node)
   {
     tracked_request_t *tracked = CONTAINER_OF (node, tracked_request_t, node);
-    if (!ends_before_stop (b, tracked, now_us))
+    if (!balancer_ends_before_stop (b, &tracked->request, now_us))
       return refuse (b, tracked, now_us, BALANCER_REFUSE_STOPPING, 0, out);
   }
   return false;
@@ -238,7 +236,7 @@
     if (capacity.target_count == 0)
       return refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TARGET,
                      balancer_available_after_us (b, now_us), out);
-    if (!ends_before_stop (b, tracked, now_us + wait_us))
+    if (!balancer_ends_before_stop (b, &tracked->request, now_us + wait_us))
       return refuse (b, tracked, now_us, BALANCER_REFUSE_STOPPING, 0, out);
     if (now_us + wait_us + (int64_t)mean_latency_us > latest_end_us)
       return refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TIME, wait_us, out);
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -255,6 +255,9 @@
     return true;
   if (r->attempt_count >= r->route->max_attempts || remaining_us < goal_us / MIN_RETRY_TIME_DIVISOR)
     return false;
+  /* The queue would refuse the retry, and the caller would lose the answer of this attempt. */
+  if (!balancer_ends_before_stop (&r->service->balancer, &r->balancer_request, now_us (r)))
+    return false;
   if (reached_target && !retry_budget_take (&r->service->budget, now_us (r)))
     {
       metric_inc (&r->policy->retries_denied);
--- a/tests/fleet/test_balancer.cc
+++ b/tests/fleet/test_balancer.cc
@@ -523,6 +523,22 @@
   EXPECT_EQ (next_decisions (850 * MS).at (0).verdict, BALANCER_REFUSE_STOPPING);
 }
 
+// Guards against an attempt that is ended while its target is at work, for a retry that is then
+// refused because it could not end before the stop. Latencies are 100 ms, give or take 40 ms.
+TEST_F (Balancer, RetryNeedsTimeBeforeAStop)
+{
+  balancer_request_t request = {};
+  request.kind = 1;
+  request.goal_us = 10 * SECOND;
+  request.deadline_us = 20 * SECOND;
+  request.idempotent = true;
+  add_target (1);
+  EXPECT_TRUE (balancer_can_dispatch (&balancer, 850 * MS, &request));
+  balancer_set_stop (&balancer, SECOND);
+  EXPECT_TRUE (balancer_can_dispatch (&balancer, 700 * MS, &request));
+  EXPECT_FALSE (balancer_can_dispatch (&balancer, 850 * MS, &request));
+}
+
 // Guards against a cancelled request that is dispatched later.
 TEST_F (Balancer, CancelledRequestIsNotDispatched)
 {
