Teams with keys: request path, documents and conversion

Cause: a customer's callers identify their team by a key, and targets must learn the team from the entry alone. Entries passed keys and team fields on as they came, and documents knew limits only.

Change: teams in documents have digests of keys and a priority, limits are optional, routes can be public, and team_keys_required makes entries with control instances answer 401 to unknown keys before a target is chosen. Entries remove the key and all spellings of the team field and set the team. Control instances send entries the document without the annotations that hold keys in plain text; the seal names the digest of what is sent.

--- a/src/config_build.h
+++ b/src/config_build.h
@@ -3,6 +3,7 @@
 #include "config_doc.h"
 #include "config_field.h"
 #include "json_slice.h"
+#include "team_keys.h"
 
 /* config_build - internal header of config_doc: the structure of a view and its construction.
  *
@@ -13,10 +14,17 @@
 /* One listed team. Its name is not copied, to save memory for each team. */
 typedef struct
 {
-  uint32_t name_offset; /* start of the name in the text of the document, in bytes */
-  uint32_t limit_index; /* index in config_doc.limits */
+  uint32_t name_offset;    /* start of the name in the text of the document, in bytes */
+  uint32_t settings_index; /* index in config_doc.team_settings */
 } config_team_t;
 
+/* Settings that teams share. */
+typedef struct
+{
+  config_limit_t limit;
+  uint32_t priority; /* CONFIG_NO_PRIORITY: that of the route applies */
+} config_team_settings_t;
+
 struct config_doc
 {
   gint ref_count;
@@ -28,7 +36,9 @@
   GArray *services;       /* config_service_t, sorted by name */
   GArray *routes;         /* config_route_t, in the order of the document */
   GArray *teams;          /* config_team_t, sorted by name */
-  GArray *limits;         /* config_limit_t; the first is that of unlisted teams */
+  GArray *team_settings;  /* config_team_settings_t; the first is that of unlisted teams */
+  GArray *team_keys;      /* team_key_t with the index of its team, sorted by digest */
+  bool team_keys_required;
   uint64_t label;
   uint64_t label_base;
   config_caller_limits_t caller_limits;
@@ -43,6 +53,7 @@
 bool config_build_routes (config_doc_t *doc, json_slice_t value, anv_error_t *err);
 bool config_build_team_default (config_doc_t *doc, json_slice_t value, anv_error_t *err);
 bool config_build_teams (config_doc_t *doc, json_slice_t value, anv_error_t *err);
+bool config_build_team_keys_required (config_doc_t *doc, json_slice_t value, anv_error_t *err);
 bool config_build_caller_limits (config_doc_t *doc, json_slice_t value, anv_error_t *err);
 bool config_build_label (config_doc_t *doc, json_slice_t value, anv_error_t *err);
 bool config_build_label_base (config_doc_t *doc, json_slice_t value, anv_error_t *err);
--- a/src/config_doc.c
+++ b/src/config_doc.c
@@ -24,6 +24,7 @@
 } sections[] = {
   { "services", config_build_services },
   { "team_default", config_build_team_default },
+  { "team_keys_required", config_build_team_keys_required },
   { "routes", config_build_routes },
   { "teams", config_build_teams },
   { "caller_limits", config_build_caller_limits },
@@ -32,8 +33,9 @@
   { "annotations", config_build_annotations },
 };
 
-/* Limit of unlisted teams if the document has no "team_default". */
-static const config_limit_t default_limit = { .rate = 50, .burst = 100 };
+/* Settings of unlisted teams if the document has no "team_default". */
+static const config_team_settings_t default_settings
+    = { .limit = { .rate = 50, .burst = 100 }, .priority = CONFIG_NO_PRIORITY };
 
 const char *
 config_build_copy_string (config_doc_t *doc, const char *text)
@@ -77,8 +79,9 @@
   doc->services = g_array_new (FALSE, TRUE, sizeof (config_service_t));
   doc->routes = g_array_new (FALSE, TRUE, sizeof (config_route_t));
   doc->teams = g_array_new (FALSE, TRUE, sizeof (config_team_t));
-  doc->limits = g_array_new (FALSE, TRUE, sizeof (config_limit_t));
-  g_array_append_val (doc->limits, default_limit);
+  doc->team_settings = g_array_new (FALSE, TRUE, sizeof (config_team_settings_t));
+  doc->team_keys = g_array_new (FALSE, TRUE, sizeof (team_key_t));
+  g_array_append_val (doc->team_settings, default_settings);
   return doc;
 }
 
@@ -201,7 +204,8 @@
   g_array_free (doc->services, TRUE);
   g_array_free (doc->routes, TRUE);
   g_array_free (doc->teams, TRUE);
-  g_array_free (doc->limits, TRUE);
+  g_array_free (doc->team_settings, TRUE);
+  g_array_free (doc->team_keys, TRUE);
   g_ptr_array_free (doc->arrays, TRUE);
   g_string_chunk_free (doc->strings);
   g_bytes_unref (doc->text);
@@ -287,10 +291,16 @@
   return doc->teams->len;
 }
 
+static const config_team_settings_t *
+team_settings (const config_doc_t *doc, const config_team_t *team)
+{
+  return &g_array_index (doc->team_settings, config_team_settings_t, team->settings_index);
+}
+
 static const config_limit_t *
 team_limit (const config_doc_t *doc, const config_team_t *team)
 {
-  return &g_array_index (doc->limits, config_limit_t, team->limit_index);
+  return &team_settings (doc, team)->limit;
 }
 
 static json_slice_t
@@ -345,7 +355,7 @@
 const config_limit_t *
 config_doc_team_default (const config_doc_t *doc)
 {
-  return &g_array_index (doc->limits, config_limit_t, 0);
+  return &g_array_index (doc->team_settings, config_team_settings_t, 0).limit;
 }
 
 bool
@@ -354,6 +364,31 @@
   return find_team (doc, name) != NULL;
 }
 
+bool
+config_doc_requires_team_key (const config_doc_t *doc)
+{
+  return doc->team_keys_required;
+}
+
+bool
+config_doc_find_team_by_key (const config_doc_t *doc, const char *key, size_t size,
+                             config_team_info_t *info)
+{
+  if (doc->team_keys->len == 0)
+    return false;
+  team_key_digest_t digest = team_key_compute_digest (key, size);
+  const team_key_t *found = team_keys_find (doc->team_keys, &digest);
+  if (found == NULL)
+    return false;
+  const config_team_t *team = &g_array_index (doc->teams, config_team_t, found->team);
+  json_slice_t name = team_name (doc, team);
+  memcpy (info->name, name.data, name.size);
+  info->name[name.size] = '\0';
+  info->limit = *team_limit (doc, team);
+  info->priority = team_settings (doc, team)->priority;
+  return true;
+}
+
 config_method_t
 config_method_parse (const char *name, size_t size)
 {
@@ -391,6 +426,7 @@
   size += doc->services->len * sizeof (config_service_t);
   size += doc->routes->len * sizeof (config_route_t);
   size += doc->teams->len * sizeof (config_team_t);
-  size += doc->limits->len * sizeof (config_limit_t);
+  size += doc->team_settings->len * sizeof (config_team_settings_t);
+  size += doc->team_keys->len * sizeof (team_key_t);
   return size;
 }
--- a/src/config_doc.h
+++ b/src/config_doc.h
@@ -13,18 +13,25 @@
  * "$.routes[3].service: names no service". The view is immutable, so it can be shared by reference
  * and read while a newer one is built.
  *
- * Top-level keys, all optional: "services", "routes", "teams", "team_default", "caller_limits",
- * "label", "label_base", "annotations". "routes" is either an array of objects with "id", or an
- * object keyed by route id, whose members need no "id". A JSON Merge Patch replaces an array as a
- * whole, so only the object form lets a patch change a single route.
+ * Top-level keys, all optional: "services", "routes", "teams", "team_default",
+ * "team_keys_required", "caller_limits", "label", "label_base", "annotations". "routes" is either
+ * an array of objects with "id", or an object keyed by route id, whose members need no "id". A JSON
+ * Merge Patch replaces an array as a whole, so only the object form lets a patch change a single
+ * route.
  *
  * "label" is a version number that the operator chooses, in addition to the one that the history
  * assigns. "label_base" is the label of the version that the document was made from (see
- * version_store). "annotations", in the document, a service or a route, is text that is stored but
- * not interpreted.
+ * version_store). "annotations", in the document, a service, a route or a team, is text that is
+ * stored but not interpreted.
+ *
+ * A team has "rate" and "burst", or neither if it has no limit. It may have "priority", which takes
+ * precedence over that of the route, and "keys", a list of digests (see team_keys). No two teams
+ * have a key in common. If "team_keys_required" is true, a fleet with control instances serves a
+ * route that is not "public" only with the key of a team. Errors name the place of a key, never its
+ * digest.
  *
  * Memory: the view keeps a reference to the canonical text and reads the names of teams from it. In
- * addition to the text, a team takes about 10 bytes and a route about 80
+ * addition to the text, a team takes about 10 bytes, a key of a team 20 and a route about 80
  * (docs/measurements/config.md). Elements are parsed one at a time, so that the parsed form of the
  * whole text is never held. */
 
@@ -73,10 +80,21 @@
 /* Rate limit of a team, a token bucket. */
 typedef struct
 {
-  double rate;  /* requests per second, above 0 */
-  double burst; /* requests, at least 1 */
+  double rate;  /* requests per second; 0: no limit */
+  double burst; /* requests, at least 1; 0 without a limit */
 } config_limit_t;
 
+/* Priority of a team that has none of its own. */
+#define CONFIG_NO_PRIORITY UINT32_MAX
+
+/* What a request is served by once its team is known. */
+typedef struct
+{
+  char name[CONFIG_MAX_NAME_SIZE + 1];
+  config_limit_t limit;
+  uint32_t priority; /* CONFIG_NO_PRIORITY: that of the route applies */
+} config_team_info_t;
+
 typedef struct
 {
   const char *name;
@@ -119,6 +137,7 @@
   uint8_t methods;       /* set of config_method_t */
   uint8_t request_class; /* config_class_t */
   bool idempotent;
+  bool is_public; /* served without the key of a team */
 } config_route_t;
 
 /* Limits on the size of requests, the time that a caller takes to send a request head, and the idle
@@ -187,6 +206,14 @@
 const config_limit_t *config_doc_find_team_limit (const config_doc_t *doc, const char *name);
 const config_limit_t *config_doc_team_default (const config_doc_t *doc);
 
+/* Returns whether a request needs the key of a team, unless its route is public. */
+bool config_doc_requires_team_key (const config_doc_t *doc);
+
+/* Stores the team that has the key of SIZE bytes at KEY in INFO. Returns false if there is none.
+ * Logarithmic in the number of keys. */
+bool config_doc_find_team_by_key (const config_doc_t *doc, const char *key, size_t size,
+                                  config_team_info_t *info);
+
 /* Returns whether team NAME is listed in "teams". */
 bool config_doc_has_team (const config_doc_t *doc, const char *name);
 
--- a/src/config_routes.c
+++ b/src/config_routes.c
@@ -14,6 +14,7 @@
   { "prefix", FIELD_CUSTOM, true },
   { "class", FIELD_CUSTOM, true },
   { "idempotent", FIELD_BOOL, true, offsetof (config_route_t, idempotent) },
+  { "public", FIELD_BOOL, false, offsetof (config_route_t, is_public) },
   { "timeout_ms", FIELD_UINT32, false, offsetof (config_route_t, timeout_ms), 1, 3600000, 10000 },
   { "max_body_bytes", FIELD_UINT32, false, offsetof (config_route_t, max_body_bytes), 1, UINT32_MAX,
     1048576 },
--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -59,8 +59,9 @@
 
   if (seal.version == 0 || subscriber->reported_version >= seal.version || !due)
     return;
-  fleet_config_encode (&seal, config_doc_text (version_store_doc (control->machine.store)),
-                       &writer);
+  GBytes *text = config_doc_text (version_store_doc (control->machine.store));
+  text = config_redact_version (&control->redacted, text, &seal);
+  fleet_config_encode (&seal, text, &writer);
   subscriber->sent_version = seal.version;
   subscriber->last_config_sent_us = now_us (control);
   peer_network_reply_writer (&control->network, subscriber->link_number, &writer);
@@ -860,6 +861,7 @@
   peer_network_destroy (&control->network);
   entry_directory_destroy (&control->directory);
   target_registry_destroy (&control->registry);
+  config_redact_clear (&control->redacted);
   g_clear_pointer (&control->subscribers, g_hash_table_unref);
   g_clear_pointer (&control->layouts, g_hash_table_unref);
   g_clear_pointer (&control->renewed_targets, g_array_unref);
--- a/src/fleet_control.h
+++ b/src/fleet_control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config_redact.h"
 #include "entry_directory.h"
 #include "fleet_machine.h"
 #include "fleet_wire.h"
@@ -47,6 +48,7 @@
   GHashTable *layouts; /* failure domain -> directory_layout_t; cleared each tick and on changes */
   unsigned next_resolve_start; /* argument START of the next entry_directory_resolve() */
   GArray *renewed_targets;     /* registry_target_t, to be sent to the other instances */
+  config_redact_t redacted;    /* configuration in force, as sent to entries */
   list_t config_waiters;       /* config_waiter_t, in the order of their expiry */
   char *member_name;           /* "PEER_ADDRESS/CALL_ADDRESS" */
   group_repair_t repair;
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -15,6 +15,8 @@
 /* A retry is made only if the time left until the deadline is at least the goal of the route
  * divided by this. */
 #define MIN_RETRY_TIME_DIVISOR 4
+/* Fields of callers that are removed: the key and the name of the team. */
+#define MAX_REMOVED_HEADERS 2
 /* Size of the buffer for a quoted request id in a log line. */
 #define LOGGED_ID_SIZE 96
 
@@ -33,6 +35,9 @@
   proxy_request_t *request;
   config_doc_t *doc; /* reference that keeps route valid */
   const config_route_t *route;
+  const config_team_info_t *team; /* team of the key; NULL: none */
+  config_team_info_t team_info;   /* storage of team */
+  const char *removed_headers[MAX_REMOVED_HEADERS + 1];
   gateway_service_t *service;
   balancer_request_t balancer_request;
   gateway_state_t state;
@@ -62,8 +67,10 @@
   return log_quote (id != NULL ? id : "", buffer, LOGGED_ID_SIZE);
 }
 
+/* CHALLENGE is the scheme of a key that is asked for, or NULL. */
 static void
-respond (gateway_request_t *r, int status, const char *text, int64_t retry_after_us)
+respond_with_challenge (gateway_request_t *r, int status, const char *text, int64_t retry_after_us,
+                        const char *challenge)
 {
   char seconds[G_ASCII_DTOSTR_BUF_SIZE];
   char id[LOGGED_ID_SIZE];
@@ -75,6 +82,8 @@
       g_ascii_formatd (seconds, sizeof (seconds), "%.3f", (double)retry_after_us / G_USEC_PER_SEC);
       http_headers_append (&headers, "Retry-After", seconds);
     }
+  if (challenge != NULL)
+    http_headers_append (&headers, "WWW-Authenticate", challenge);
   LOG_INFO ("answered id=%s status=%d reason=\"%s\" route=%s attempts=%u possibly_run=%d "
             "age_ms=%" G_GINT64_FORMAT " version=%" G_GUINT64_FORMAT,
             quote_request_id (r, id), status, text, r->route != NULL ? r->route->id : "",
@@ -93,6 +102,12 @@
   http_headers_destroy (&headers);
 }
 
+static void
+respond (gateway_request_t *r, int status, const char *text, int64_t retry_after_us)
+{
+  respond_with_challenge (r, status, text, retry_after_us, NULL);
+}
+
 static void
 dispatch (gateway_request_t *r, const balancer_decision_t *decision,
           const registry_target_t *target)
@@ -110,6 +125,8 @@
   http_headers_init (&extra);
   if (dialect->expected_target_header != NULL)
     http_headers_append (&extra, dialect->expected_target_header, target->id);
+  if (r->team != NULL && dialect->team_header != NULL)
+    http_headers_append (&extra, dialect->team_header, r->team->name);
   request_dispatch_t options = {
     .address = target->address,
     .max_connections = max_connections,
@@ -121,6 +138,7 @@
     .end_on_stall = may_retry,
     .prefer_new_connection = r->prefer_new_connection,
     .avoid_stale_connection = !r->route->idempotent,
+    .removed_headers = r->removed_headers,
     .extra_headers = &extra,
   };
   r->attempt_count++;
@@ -168,13 +186,14 @@
 init_balancer_request (gateway_request_t *r, const request_head_t *head)
 {
   const config_route_t *route = r->route;
+  bool has_priority = r->team != NULL && r->team->priority != CONFIG_NO_PRIORITY;
   int64_t deadline_us = head->received_us + (int64_t)route->timeout_ms * 1000;
   int64_t goal_ms = route->goal_ms > 0 ? route->goal_ms : route->timeout_ms;
   if (head->deadline_us != 0)
     deadline_us = MIN (deadline_us, head->deadline_us);
   r->balancer_request = (balancer_request_t){
     .kind = g_str_hash (route->id),
-    .rank = route->priority,
+    .rank = has_priority ? r->team->priority : route->priority,
     .goal_us = head->received_us + goal_ms * 1000,
     .deadline_us = deadline_us,
     .idempotent = route->idempotent,
@@ -182,6 +201,59 @@
   proxy_request_set_deadline (r->request, deadline_us);
 }
 
+/* Returns the key in the request and stores its size in SIZE, or returns NULL unless there is
+ * exactly one field with the scheme of the dialect and one word of visible ASCII. */
+static const char *
+get_team_key (const http_dialect_t *dialect, const http_headers_t *headers, size_t *size)
+{
+  const char *field = dialect->team_key_header;
+  if (field == NULL || http_headers_count (headers, field) != 1)
+    return NULL;
+  const char *key = http_headers_get (headers, field);
+  size_t scheme_size = strlen (dialect->team_key_scheme);
+  if (g_ascii_strncasecmp (key, dialect->team_key_scheme, scheme_size) != 0
+      || key[scheme_size] != ' ')
+    return NULL;
+  key += scheme_size;
+  key += strspn (key, " ");
+  *size = 0;
+  while (g_ascii_isgraph (key[*size]))
+    (*size)++;
+  return *size > 0 && key[*size] == '\0' ? key : NULL;
+}
+
+/* Finds the team of the request if the configuration requires keys. Returns false if the request is
+ * refused, as it has no key of a team and its route is not public. */
+static bool
+identify_team (gateway_request_t *r, const request_head_t *head)
+{
+  const http_dialect_t *dialect = r->policy->dialect;
+  size_t size = 0;
+  size_t removed_count = 0;
+  if (!config_doc_requires_team_key (r->doc))
+    return true;
+  if (dialect->team_key_header != NULL)
+    r->removed_headers[removed_count++] = dialect->team_key_header;
+  if (dialect->team_header != NULL)
+    r->removed_headers[removed_count++] = dialect->team_header;
+  const char *key = get_team_key (dialect, head->headers, &size);
+  if (key != NULL && config_doc_find_team_by_key (r->doc, key, size, &r->team_info))
+    r->team = &r->team_info;
+  if (r->team != NULL || r->route->is_public)
+    return true;
+  metric_inc (&r->policy->refused_key);
+  respond_with_challenge (r, 401, "unknown key", 0, dialect->team_key_scheme);
+  return false;
+}
+
+/* Decides whether the request is queued, once its route and team are known and it fits the limits
+ * of callers. Returns false if the request was refused. */
+static bool
+admit_request (gateway_request_t *r)
+{
+  return true;
+}
+
 static void
 begin (request_policy_t *base, proxy_request_t *request, const request_head_t *head)
 {
@@ -209,12 +281,16 @@
     }
   r->doc = config_doc_ref (core->doc);
   r->route = match.route;
+  if (!identify_team (r, head))
+    return;
   const config_caller_limits_t *limits = config_doc_caller_limits (core->doc);
   if (limits != NULL && head->content_length > (int64_t)limits->max_body_bytes)
     {
       respond (r, 413, "request body too large", 0);
       return;
     }
+  if (!admit_request (r))
+    return;
   r->service
       = gateway_core_get_service (core, gateway_core_choose_service (core, match.route)->name);
   init_balancer_request (r, head);
@@ -493,6 +569,8 @@
   for (size_t i = 1; i < G_N_ELEMENTS (reasons); i++)
     metric_register (counters, &policy->refused[i], METRIC_KIND_COUNTER, "anvillb_refused_total",
                      reasons[i], "Requests refused without an attempt.");
+  metric_register (counters, &policy->refused_key, METRIC_KIND_COUNTER, "anvillb_refused_total",
+                   "reason=\"key\"", "Requests refused without an attempt.");
   metric_register (counters, &policy->retries, METRIC_KIND_COUNTER, "anvillb_retries_total", NULL,
                    "Attempts after a failed one.");
   metric_register (counters, &policy->retries_denied, METRIC_KIND_COUNTER,
--- a/src/gateway_policy.h
+++ b/src/gateway_policy.h
@@ -7,7 +7,11 @@
  *
  * A request on an idempotent route may be retried after any failure, within max_attempts of the
  * route, the retry budget and the deadline. On other routes a request is run at most once: it goes
- * to a second target only if it is certain that the first did not run it. */
+ * to a second target only if it is certain that the first did not run it.
+ *
+ * If the configuration requires keys of teams, each request is checked against the configuration in
+ * force when it arrives, also on a kept connection. An unknown key gives 401 before any target sees
+ * the request, unless the route is public. Targets get the name of the team and never the key. */
 
 typedef struct
 {
@@ -16,6 +20,7 @@
   const http_dialect_t *dialect;
   metric_t refused[BALANCER_VERDICT_COUNT]; /* by balancer_verdict_t; [BALANCER_DISPATCH] is not
                                                exported */
+  metric_t refused_key;                     /* by an unknown key */
   metric_t retries;
   metric_t retries_denied;
   metric_t queue_wait;
--- a/src/history_setting.c
+++ b/src/history_setting.c
@@ -52,6 +52,8 @@
     text_page_add_paragraph (page, indent, "idempotent: yes, may be retried");
   else
     text_page_add_paragraph (page, indent, "idempotent: no, runs at most once");
+  if (route->is_public)
+    text_page_add_paragraph (page, indent, "public: yes, needs no key of a team");
   text_page_add_paragraph (page, indent, "time limit: %u ms", route->timeout_ms);
   text_page_add_paragraph (page, indent, "body: at most %u bytes", route->max_body_bytes);
 }
@@ -59,6 +61,11 @@
 void
 history_add_limit (text_page_t *page, size_t indent, const config_limit_t *limit)
 {
+  if (limit->rate == 0)
+    {
+      text_page_add_paragraph (page, indent, "none");
+      return;
+    }
   text_page_add_paragraph (page, indent,
                            "%.10g requests per second, bursts of up to %.10g requests", limit->rate,
                            limit->burst);
--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -39,6 +39,13 @@
   /* Response with status 503: header field with the time in seconds for which the target wants no
    * requests from this process. */
   const char *pause_header;
+  /* Request: field with the key of the caller's team, and the scheme in front of the key. Only read
+   * if the configuration requires keys; targets do not get the field then. */
+  const char *team_key_header;
+  const char *team_key_scheme;
+  /* Request to targets: name of the team that holds the key. Fields of that name from callers are
+   * removed if the configuration requires keys. */
+  const char *team_header;
   /* Statuses that tell callers that the request was not run and will not be, ending with 0; NULL if
    * no status alone does. */
   const int *not_run_statuses;
--- a/src/http_headers.c
+++ b/src/http_headers.c
@@ -120,6 +120,29 @@
     }
 }
 
+static bool
+is_similar_name (const char *a, const char *b)
+{
+  for (; *a != '\0' && *b != '\0'; a++, b++)
+    {
+      char left = *a == '_' ? '-' : g_ascii_tolower (*a);
+      char right = *b == '_' ? '-' : g_ascii_tolower (*b);
+      if (left != right)
+        return false;
+    }
+  return *a == *b;
+}
+
+void
+http_headers_remove_similar (http_headers_t *headers, const char *name)
+{
+  for (size_t i = http_headers_length (headers); i > 0; i--)
+    {
+      if (is_similar_name (http_headers_name (headers, i - 1), name))
+        g_array_remove_index (headers->fields, (guint)(i - 1));
+    }
+}
+
 void
 http_headers_set (http_headers_t *headers, const char *name, const char *value)
 {
--- a/src/http_headers.h
+++ b/src/http_headers.h
@@ -34,6 +34,9 @@
 /* Removes all fields named NAME. */
 void http_headers_remove (http_headers_t *headers, const char *name);
 
+/* Removes all fields whose name is NAME to a reader that takes '_' for '-', as CGI does. */
+void http_headers_remove_similar (http_headers_t *headers, const char *name);
+
 /* Appends copies of all fields of SOURCE, which may be NULL. */
 void http_headers_append_all (http_headers_t *headers, const http_headers_t *source);
 
--- a/src/limiter.c
+++ b/src/limiter.c
@@ -128,6 +128,12 @@
   return limit;
 }
 
+static bool
+is_unlimited (const limiter_limit_t *limit)
+{
+  return limit->rate <= 0;
+}
+
 static void
 refill (limiter_team_t *team, int64_t now_us, const limiter_limit_t *limit)
 {
@@ -185,6 +191,9 @@
 limiter_admit (limiter_t *limiter, int64_t now_us, uint64_t team_id, int64_t *retry_after_us)
 {
   limiter_limit_t limit = current_limit (limiter, team_id);
+  *retry_after_us = 0;
+  if (is_unlimited (&limit))
+    return true;
   limiter_team_t *team = find_or_add_team (limiter, now_us, team_id, &limit);
   mark_used (limiter, team, now_us);
   refill (team, now_us, &limit);
@@ -195,7 +204,6 @@
     }
 
   team->tokens -= 1;
-  *retry_after_us = 0;
   if (limiter->peers->len == 0)
     return true;
   team->unreported++;
@@ -217,7 +225,8 @@
         return;
       limiter_limit_t limit = current_limit (limiter, team->id);
       refill (team, now_us, &limit);
-      if (team->tokens >= limit.burst && (team->unreported == 0 || limiter->peers->len == 0))
+      bool is_full = is_unlimited (&limit) || team->tokens >= limit.burst;
+      if (is_full && (team->unreported == 0 || limiter->peers->len == 0))
         {
           evict_team (limiter, team);
           continue;
@@ -306,6 +315,8 @@
 apply_usage (limiter_t *limiter, int64_t now_us, const limiter_usage_t *usage)
 {
   limiter_limit_t limit = current_limit (limiter, usage->team);
+  if (is_unlimited (&limit))
+    return;
   limiter_team_t *team = find_or_add_team (limiter, now_us, usage->team, &limit);
   mark_used (limiter, team, now_us);
   refill (team, now_us, &limit);
--- a/src/limiter.h
+++ b/src/limiter.h
@@ -52,8 +52,8 @@
 
 typedef struct
 {
-  double rate;  /* requests per second, more than 0 */
-  double burst; /* requests, at least 1 */
+  double rate;  /* requests per second; 0: no limit, every request is admitted */
+  double burst; /* requests, at least 1; not used without a limit */
 } limiter_limit_t;
 
 typedef struct
--- a/src/proxy_message.c
+++ b/src/proxy_message.c
@@ -88,6 +88,9 @@
   http_headers_remove_hop_by_hop (&out);
   for (size_t i = 0; i < G_N_ELEMENTS (removed_request_fields); i++)
     http_headers_remove (&out, removed_request_fields[i]);
+  const char *const *removed = request->attempt.options.removed_headers;
+  for (; removed != NULL && *removed != NULL; removed++)
+    http_headers_remove_similar (&out, *removed);
   if (http_headers_get (&out, "Host") == NULL)
     http_headers_append (&out, "Host", request->attempt.address);
   if (request->proxy->options.dialect->sends_forwarding_headers)
--- a/src/request_policy.h
+++ b/src/request_policy.h
@@ -53,6 +53,9 @@
   size_t max_body_bytes; /* a longer request body is refused with 413; 0 for no limit */
   /* Longest response body that is captured for ended(); 0 captures none. */
   size_t max_capture_bytes;
+  /* Names of fields of the caller that the target must not get, also with '_' for '-', ending with
+   * NULL; NULL for none. Valid until finished(). */
+  const char *const *removed_headers;
   const http_headers_t *extra_headers; /* replace fields of the same name; may be NULL */
 } request_dispatch_t;
 
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -112,6 +112,7 @@
         self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.requests, self.execution_times, self.mode = [], [], "normal"
         self.completed = set()  # requests whose answer was written
+        self.fields = {}  # by request id: fields of the head, and lines of the trailer
         self.arrival_times, self.pause_s, self.cut_count = [], "1.5", 0
         handler = type("Handler", (TargetHandler,), {"target": self})
         self.server = TargetServer(address or ("127.0.0.1", 0), handler)
@@ -169,8 +170,20 @@
         without_id = re.sub(rb"Attempt-Id: [^\r]*\r\n", b"", self.last_answer)
         self.wfile.write(draw.choice((self.last_answer, self.last_answer, without_id, refusal)))
 
+    def read_chunks(self):
+        """Reads a chunked body and returns it and the lines of its trailer."""
+        body, trailer = b"", []
+        while size := int(self.rfile.readline(), 16):
+            body += self.rfile.read(size)
+            self.rfile.readline()
+        while line := self.rfile.readline().strip():
+            trailer.append(line.decode("latin-1"))
+        return body, trailer
+
     def handle_request(self):
-        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        chunked = self.headers.get("Transfer-Encoding") == "chunked"
+        body, trailer = self.read_chunks() if chunked else (self.rfile.read(int(self.headers.get("Content-Length", 0))), [])
+        self.target.fields[self.headers.get("Attempt-Id", "")] = self.headers.items(), trailer
         expected = self.headers.get("Expected-Instance")
         attempt = self.headers.get("Attempt-Id", "")
         if expected and expected != self.target.identity:
--- a/tests/platform/test_platform_config.cc
+++ b/tests/platform/test_platform_config.cc
@@ -161,7 +161,7 @@
       "invalid: $.routes.r.prefix: must start with '/'" },
     { "{'version':'0000000d','upsert':{'routes':[{'name':'r','host':'h','path_prefix':'/a/',"
       "'route_type':'never','timeout_ms':1,'service':'s'}]}}",
-      "unreadable: route_type: must be \"safe\" or \"unsafe\"" },
+      "unreadable: routes[0]: route_type: must be \"safe\" or \"unsafe\"" },
     { "{'version':'0000000d','upsert':{'routes':[{'name':'r','host':'h','path_prefix':'/a/',"
       "'route_type':'safe','timeout_ms':0,'service':'s'}]}}",
       "invalid: $.routes.r.timeout_ms: must be from 1 to 3600000" },
