Quotas over all entries: owner, client, messages and wiring

Cause: limits of teams hold for all entries together, but nothing in a fleet with control instances enforced them. Shares by entry refuse small teams, and a periodic exchange of counts admits demand x interval too much.

Change: the leader of the control group keeps one token bucket per team (quota_owner, fleet_quota). Entries ask it in batches, one message per iteration of the main loop, and get allowances of large teams (quota_client, gateway_quota). Without an owner an entry decides by its share of the limit. Messages QUOTA_ASK, QUOTA_GRANT and QUOTA_MOVED. gateway_policy doesn't use it yet.

--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -131,6 +131,7 @@
   GHashTableIter iter;
   gpointer value = NULL;
   end_config_waits (control, INT64_MAX);
+  fleet_quota_set_config (&control->quota, version_store_doc (control->machine.store));
   g_hash_table_iter_init (&iter, control->subscribers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     send_config (control, value);
@@ -531,6 +532,7 @@
   entry.state = status.state;
   entry.last_report_us = now_us (control);
   entry.capacity = status.capacity;
+  fleet_quota_record_entry (&control->quota, entry.id, entry.state);
   bool changed = entry_directory_update (&control->directory, &entry);
   if (changed)
     g_hash_table_remove_all (control->layouts);
@@ -665,7 +667,8 @@
     receive_targets (control, reader);
   else if (type == WIRE_FLEET_JOIN)
     receive_join (control, link, reader);
-  else if (!proposal_relay_receive (&control->relay, link, type, reader))
+  else if (!proposal_relay_receive (&control->relay, link, type, reader)
+           && !fleet_quota_receive (&control->quota, link, type, reader))
     LOG_DEBUG ("unexpected message peer=%s type=%d", link->peer.id, (int)type);
 }
 
@@ -739,6 +742,8 @@
 
   g_hash_table_remove_all (control->layouts);
   report_silence (control, now);
+  fleet_quota_set_config (&control->quota, version_store_doc (control->machine.store));
+  fleet_quota_tick (&control->quota);
   found_group_if_due (control);
   if (control->group.started)
     {
@@ -810,6 +815,13 @@
     .group = &control->group,
   };
   proposal_relay_init (&control->relay, &relay_options);
+  fleet_quota_options_t quota_options = {
+    .loop = control->options.loop,
+    .network = &control->network,
+    .group = &control->group,
+    .counters = control->options.counters,
+  };
+  fleet_quota_init (&control->quota, &quota_options);
 }
 
 static void
@@ -855,6 +867,7 @@
   io_timer_cancel (&control->timer);
   end_config_waits (control, INT64_MAX);
   proposal_relay_destroy (&control->relay);
+  fleet_quota_destroy (&control->quota);
   replica_group_destroy (&control->group);
   fleet_machine_destroy (&control->machine);
   peer_network_destroy (&control->network);
@@ -878,5 +891,6 @@
 fleet_control_stop (fleet_control_t *control)
 {
   control->stopping = true;
+  fleet_quota_stop (&control->quota);
   replica_group_transfer_leadership (&control->group);
 }
--- a/src/fleet_control.h
+++ b/src/fleet_control.h
@@ -2,6 +2,7 @@
 
 #include "entry_directory.h"
 #include "fleet_machine.h"
+#include "fleet_quota.h"
 #include "fleet_wire.h"
 #include "group_repair.h"
 #include "proposal_relay.h"
@@ -43,6 +44,7 @@
   target_registry_t registry;
   entry_directory_t directory;
   proposal_relay_t relay;
+  fleet_quota_t quota;
   GHashTable *subscribers; /* entry id -> subscriber_t */
   GHashTable *layouts; /* failure domain -> directory_layout_t; cleared each tick and on changes */
   unsigned next_resolve_start; /* argument START of the next entry_directory_resolve() */
--- a/src/gateway_core.c
+++ b/src/gateway_core.c
@@ -524,6 +524,8 @@
     .data = core,
   };
   feed_client_init (&core->feed, &feed_options);
+  gateway_quota_init (&core->quota, &(gateway_quota_options_t){ options->loop, options->network,
+                                                                options->counters, &core->feed });
   target_registry_init (&core->registry);
   core->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
   core->targets = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -546,6 +548,7 @@
   io_timer_cancel (&core->tick);
   io_deferred_cancel (&core->deferred_load_reports);
   io_deferred_cancel (&core->deferred_locality_update);
+  gateway_quota_destroy (&core->quota);
   feed_client_destroy (&core->feed);
   g_clear_pointer (&core->targets, g_hash_table_unref);
   g_clear_pointer (&core->services, g_hash_table_unref);
@@ -589,7 +592,8 @@
 gateway_core_receive (gateway_core_t *core, link_t *link, wire_type_t type, wire_reader_t *reader)
 {
   if (type != WIRE_FLEET_LOAD)
-    return feed_client_receive (&core->feed, link, type, reader);
+    return gateway_quota_receive (&core->quota, link, type, reader)
+           || feed_client_receive (&core->feed, link, type, reader);
   receive_load_reports (core, link, reader);
   return true;
 }
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -2,6 +2,7 @@
 
 #include "balancer.h"
 #include "feed_client.h"
+#include "gateway_quota.h"
 #include "http_dialect.h"
 #include "retry_budget.h"
 #include "route_table.h"
@@ -63,6 +64,7 @@
 {
   gateway_core_options_t options;
   feed_client_t feed;
+  gateway_quota_t quota;
   target_registry_t registry;
   GHashTable *services; /* name -> gateway_service_t */
   GHashTable *targets;  /* hash of the target -> gateway_target_t */
--- a/src/wire.h
+++ b/src/wire.h
@@ -57,6 +57,9 @@
   WIRE_FLEET_PROPOSE = 66,
   WIRE_FLEET_PROPOSED = 67,
   WIRE_FLEET_LOAD = 68,
+  WIRE_FLEET_QUOTA_ASK = 69,
+  WIRE_FLEET_QUOTA_GRANT = 70,
+  WIRE_FLEET_QUOTA_MOVED = 71,
 } wire_type_t;
 
 typedef enum
