--- a/src/quota_client.c
+++ b/src/quota_client.c
@@ -26,7 +26,7 @@
   uint32_t allowance;
   int64_t allowance_end_us;
   quota_limit_t limit;
-  quota_bucket_t local;
+  quota_local_t local;
 } quota_team_t;
 
 typedef struct
@@ -89,7 +89,8 @@
     {
       team = g_new0 (quota_team_t, 1);
       team->team_id = team_id;
-      team->local = (quota_bucket_t){ compute_share (client, limit).burst, now_us };
+      quota_limit_t share = compute_share (client, limit);
+      quota_local_init (&team->local, now_us, &share);
       list_node_init (&team->dirty_node);
       list_init (&team->waiting);
       g_hash_table_insert (client->teams, &team->team_id, team);
@@ -146,7 +147,7 @@
                 quota_request_t *request)
 {
   quota_limit_t share = compute_share (client, &team->limit);
-  if (quota_bucket_take (&team->local, now_us, &share))
+  if (quota_local_admit (&team->local, now_us, client->lost_us, &share))
     {
       client->stats.fallback_admitted_count++;
       if (now_us - client->lost_us < QUOTA_SILENCE_US)
@@ -159,7 +160,7 @@
     }
   client->stats.fallback_refused_count++;
   decide (client, request, false,
-          MIN (quota_bucket_wait_us (&team->local, &share), MAX_FALLBACK_RETRY_US));
+          MIN (quota_bucket_wait_us (&team->local.bucket, &share), MAX_FALLBACK_RETRY_US));
 }
 
 static void
@@ -235,33 +236,28 @@
   return now_us - client->last_admit_us >= SEARCH_IDLE_US;
 }
 
-/* Forgets what is meant for another owner (CREDITS), or was used while the owner reserved the share
- * of this entry (REPORTS). */
+/* Forgets credits and reports. They are not for a new owner, whose buckets start after them, nor
+ * for one that has reserved the share of this entry. */
 static void
-forget (quota_client_t *client, bool credits, bool reports)
+forget_reports (quota_client_t *client)
 {
   GHashTableIter iter;
   gpointer value = NULL;
   g_hash_table_iter_init (&iter, client->teams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      quota_team_t *team = value;
-      if (credits)
-        team->returned_count = 0;
-      if (reports)
-        team->used_count = 0;
+      ((quota_team_t *)value)->returned_count = 0;
+      ((quota_team_t *)value)->used_count = 0;
     }
 }
 
-/* Ends the search. Local admissions are not reported if the owner reserved the share of this entry
- * in the meantime. */
 static void
 end_search (quota_client_t *client, int64_t now_us)
 {
   if (client->lost_us == 0)
     return;
   if (now_us - client->lost_us >= QUOTA_SILENCE_US)
-    forget (client, false, true);
+    forget_reports (client);
   if (!list_is_empty (&client->dirty))
     client->report_due_us = now_us;
   client->lost_us = 0;
@@ -293,6 +289,7 @@
       team->allowance--;
       team->used_count++;
       client->stats.allowance_count++;
+      quota_local_record_admission (&team->local, now_us);
       require_report (client, team, team->allowance > 0 ? now_us + QUOTA_REPORT_DELAY_US : now_us);
       decide (client, request, true, 0);
     }
@@ -450,7 +447,7 @@
   bool changed = strcmp (client->owner, address) != 0;
   if (changed)
     {
-      forget (client, true, false);
+      forget_reports (client);
       g_strlcpy (client->owner, address, sizeof (client->owner));
       client->owner_number++;
       client->stats.owner_change_count++;
@@ -478,6 +475,7 @@
     if (admitted > 0)
       {
         admitted--;
+        quota_local_record_admission (&team->local, now_us);
         decide (client, request, true, 0);
         continue;
       }
@@ -490,7 +488,7 @@
   if (admitted > 0)
     give_credit (client, now_us, team, admitted);
   if (grant->refused_count > 0)
-    team->local = (quota_bucket_t){ 0, now_us };
+    quota_local_record_refusal (&team->local, now_us);
   team->allowance = grant->allowance > team->used_count ? grant->allowance - team->used_count : 0;
   team->allowance_end_us = now_us + QUOTA_ALLOWANCE_US;
 }
@@ -556,8 +554,8 @@
     {
       quota_team_t *team = value;
       quota_limit_t share = compute_share (client, &team->limit);
-      quota_bucket_refill (&team->local, now_us, &share);
-      bool is_idle_team = list_is_empty (&team->waiting) && team->local.tokens >= share.burst
+      quota_bucket_refill (&team->local.bucket, now_us, &share);
+      bool is_idle_team = list_is_empty (&team->waiting) && team->local.bucket.tokens >= share.burst
                           && now_us >= team->allowance_end_us;
       if (is_idle_team && team->used_count == 0 && team->returned_count == 0)
         g_hash_table_iter_remove (&iter);
--- a/src/quota_client.h
+++ b/src/quota_client.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "list.h"
+#include "quota_local.h"
 #include "quota_message.h"
-#include "quota_owner.h"
 
 /* quota_client - admission of requests to the quotas of their teams, at an entry. It does no I/O.
  *
@@ -12,11 +12,10 @@
  * QUOTA_REPORT_DELAY_US.
  *
  * If a question is not answered for QUOTA_TIMEOUT_US, or an instance does not know the owner, the
- * owner is lost: requests are decided at once by a local bucket per team with rate / entries and
- * max (1, burst / entries), while the client asks one control instance after another. A refusal by
- * the owner empties the local bucket, because the team has no tokens left then. What the local
- * buckets admit in the first QUOTA_SILENCE_US is reported to the owner that is found; after that,
- * the owner has reserved the share of this entry. */
+ * owner is lost: requests are decided at once by this entry's share of the limit (quota_local),
+ * rate / entries and max (1, burst / entries), while the client asks one control instance after
+ * another. What it admits in the first QUOTA_SILENCE_US is reported to the owner that is found;
+ * after that, the owner has reserved the share of this entry. */
 
 #define QUOTA_TIMEOUT_US INT64_C (80000)
 #define QUOTA_REPORT_DELAY_US INT64_C (100000)
--- a/src/quota_owner.c
+++ b/src/quota_owner.c
@@ -8,6 +8,9 @@
 /* All allowances together are the burst divided by this. */
 #define ALLOWANCE_DIVISOR 4
 #define US_PER_S 1e6
+/* A tenth above the limit is within the rule that the quotas keep. Most of it is used so that the
+ * loss of a few entries costs the teams nothing. */
+#define TOLERANCE 0.08
 
 typedef struct
 {
@@ -46,11 +49,12 @@
   owner->silent_count = MIN (silent_count, owner->entry_count - 1);
 }
 
-/* Reduces LIMIT by the shares of the silent entries. */
+/* Reduces LIMIT by the shares of the silent entries, beyond what the tolerance covers. */
 static quota_limit_t
 reserve_silent (const quota_owner_t *owner, quota_limit_t limit)
 {
-  double share = 1 - (double)owner->silent_count / MAX (owner->entry_count, 1);
+  double reserved = (double)owner->silent_count / MAX (owner->entry_count, 1);
+  double share = MIN (1, 1 + TOLERANCE - reserved);
   return (quota_limit_t){ limit.rate * share, MAX (1, limit.burst * share) };
 }
 
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -16,7 +16,7 @@
  * so that what they have not reported yet is at most a quarter of the bucket.
  *
  * Entries that don't reach the owner admit up to rate / entries each. The owner therefore reserves
- * that share of the rate and the burst for each silent entry.
+ * that share of the rate and the burst for the silent entries, beyond a small tolerance.
  *
  * Memory is bounded by the teams that were active within the time that a bucket takes to fill: a
  * full bucket is evicted, as a new one starts full. Only after quota_owner_reset(), when the
