--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define LOG_MODULE "gateway_policy"
+#include "limiter.h"
 #include "log.h"
 
 /* Connections to a target beyond one per slot, for connections that are being replaced. */
@@ -23,6 +24,7 @@
 typedef enum
 {
   GATEWAY_NEW,
+  GATEWAY_ADMITTING, /* waits for the verdict about the quota of its team */
   GATEWAY_QUEUED,
   GATEWAY_DISPATCHED,
   GATEWAY_ENDED,
@@ -37,6 +39,7 @@
   const config_route_t *route;
   const config_team_info_t *team; /* team of the key; NULL: none */
   config_team_info_t team_info;   /* storage of team */
+  quota_request_t quota;
   const char *removed_headers[MAX_REMOVED_HEADERS + 1];
   gateway_service_t *service;
   balancer_request_t balancer_request;
@@ -98,6 +101,8 @@
     .reports_outcome = !r->possibly_run,
   };
   r->state = GATEWAY_ENDED;
+  if (status == 503 && !r->possibly_run)
+    gateway_quota_give_back (&r->policy->core->quota, &r->quota);
   proxy_request_respond (r->request, &response);
   http_headers_destroy (&headers);
 }
@@ -246,12 +251,38 @@
   return false;
 }
 
-/* Decides whether the request is queued, once its route and team are known and it fits the limits
- * of callers. Returns false if the request was refused. */
-static bool
+static void
+start (gateway_request_t *r)
+{
+  gateway_core_t *core = r->policy->core;
+  r->service = gateway_core_get_service (core, gateway_core_choose_service (core, r->route)->name);
+  retry_budget_record_first_attempt (&r->service->budget, now_us (r));
+  enqueue (r);
+}
+
+static void
+on_quota_verdict (quota_request_t *quota, bool admitted, int64_t retry_after_us)
+{
+  gateway_request_t *r = CONTAINER_OF (quota, gateway_request_t, quota);
+  if (admitted)
+    start (r);
+  else
+    respond (r, 429, "over the limit of the team", retry_after_us);
+}
+
+/* Queues the request, after the verdict about the quota of its team if that has a limit. */
+static void
 admit_request (gateway_request_t *r)
 {
-  return true;
+  if (r->team == NULL || r->team->limit.rate <= 0)
+    {
+      start (r);
+      return;
+    }
+  quota_limit_t limit = { r->team->limit.rate, r->team->limit.burst };
+  r->state = GATEWAY_ADMITTING;
+  r->quota.on_verdict = on_quota_verdict;
+  gateway_quota_admit (&r->policy->core->quota, limiter_team_id (r->team->name), &limit, &r->quota);
 }
 
 static void
@@ -289,13 +320,8 @@
       respond (r, 413, "request body too large", 0);
       return;
     }
-  if (!admit_request (r))
-    return;
-  r->service
-      = gateway_core_get_service (core, gateway_core_choose_service (core, match.route)->name);
   init_balancer_request (r, head);
-  retry_budget_record_first_attempt (&r->service->budget, now_us (r));
-  enqueue (r);
+  admit_request (r);
 }
 
 static void
@@ -308,6 +334,8 @@
 {
   gateway_request_t *r = proxy_request_data (request);
   char id[LOGGED_ID_SIZE];
+  if (r->state == GATEWAY_ADMITTING)
+    gateway_quota_cancel (&r->policy->core->quota, &r->quota);
   if (r->state == GATEWAY_QUEUED)
     gateway_core_cancel (r->policy->core, r->service, r->balancer_request.id);
   r->state = GATEWAY_ENDED;
@@ -384,22 +412,6 @@
   return request_id != NULL && response_id != NULL && strcmp (request_id, response_id) == 0;
 }
 
-/* Returns the pause that a target asks for with a 503 response, in microseconds; 0 for none. */
-static int64_t
-read_pause_us (const http_dialect_t *dialect, int status, const http_headers_t *headers)
-{
-  const char *field = dialect->pause_header;
-  const char *text = field != NULL ? http_headers_get (headers, field) : NULL;
-  char *end = NULL;
-  if (status != 503 || text == NULL)
-    return 0;
-  double seconds = g_ascii_strtod (text, &end);
-  /* The comparison is false for NaN. */
-  if (end == text || *end != '\0' || !(seconds > 0))
-    return 0;
-  return (int64_t)(MIN (seconds * G_USEC_PER_SEC, (double)BALANCER_MAX_PAUSE_US));
-}
-
 /* Applies what a target says about itself: that it is leaving, or that it wants no requests for
  * some time. A response of another target at the address says nothing about the expected one, and
  * a success that cannot come from a target says nothing at all. */
@@ -412,7 +424,8 @@
   const char *leaving = dialect->leaving_header != NULL
                             ? http_headers_get (headers, dialect->leaving_header)
                             : NULL;
-  int64_t pause_us = read_pause_us (dialect, status, headers);
+  int64_t pause_us
+      = MIN (http_dialect_read_pause_us (dialect, status, headers), BALANCER_MAX_PAUSE_US);
   bool is_wrong_target
       = dialect->wrong_target_status != 0 && status == dialect->wrong_target_status;
   bool is_success = status >= 200 && status < 300;
--- a/src/gateway_policy.h
+++ b/src/gateway_policy.h
@@ -11,7 +11,11 @@
  *
  * If the configuration requires keys of teams, each request is checked against the configuration in
  * force when it arrives, also on a kept connection. An unknown key gives 401 before any target sees
- * the request, unless the route is public. Targets get the name of the team and never the key. */
+ * the request, unless the route is public. Targets get the name of the team and never the key.
+ *
+ * A request of a team with a limit waits for the verdict of gateway_quota before it is queued. It
+ * is refused with 429 beyond the limit. If it is refused with 503 later and has not run, its credit
+ * is given back. */
 
 typedef struct
 {
--- a/src/http_dialect.c
+++ b/src/http_dialect.c
@@ -1,5 +1,6 @@
 #include "http_dialect.h"
 
+#include <glib.h>
 #include <stddef.h>
 
 const http_dialect_t http_dialect_native = {
@@ -22,3 +23,19 @@
     }
   return false;
 }
+
+int64_t
+http_dialect_read_pause_us (const http_dialect_t *dialect, int status,
+                            const http_headers_t *headers)
+{
+  const char *field = dialect->pause_header;
+  const char *text = field != NULL ? http_headers_get (headers, field) : NULL;
+  char *end = NULL;
+  if (status != 503 || text == NULL)
+    return 0;
+  double seconds = g_ascii_strtod (text, &end);
+  /* The comparison is false for NaN. */
+  if (end == text || *end != '\0' || !(seconds > 0))
+    return 0;
+  return (int64_t)(MIN (seconds, HTTP_DIALECT_MAX_PAUSE_S) * G_USEC_PER_SEC);
+}
--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stdint.h>
+
+#include "http_headers.h"
 
 /* http_dialect - header fields and statuses that the proxy interprets, and fields that it adds.
  *
@@ -60,5 +63,12 @@
 /* Returns whether callers take STATUS as the assurance that the request was not run. */
 bool http_dialect_means_not_run (const http_dialect_t *dialect, int status);
 
+/* Longest pause that is understood; a longer one means this. */
+#define HTTP_DIALECT_MAX_PAUSE_S 3600
+
+/* Returns the pause that a target asks for with a 503 response, in microseconds; 0 for none. */
+int64_t http_dialect_read_pause_us (const http_dialect_t *dialect, int status,
+                                    const http_headers_t *headers);
+
 /* Dialect of the product's own interface. */
 extern const http_dialect_t http_dialect_native;
--- a/src/quota_client.c
+++ b/src/quota_client.c
@@ -357,6 +357,7 @@
   }
   client->stats.asked_count += team->unasked_count;
   client->unasked_count -= team->unasked_count;
+  team->unasked_count = 0;
   return oldest_us;
 }
 
@@ -370,8 +371,8 @@
       quota_team_t *team = CONTAINER_OF (list_pop_front (&client->dirty), quota_team_t, dirty_node);
       quota_ask_team_t ask
           = { team->team_id, team->unasked_count, team->used_count, team->returned_count };
-      oldest_us = MIN (oldest_us, number_requests (client, now_us, team, client->ask_number + 1));
-      team->unasked_count = 0;
+      int64_t team_oldest_us = number_requests (client, now_us, team, client->ask_number + 1);
+      oldest_us = MIN (oldest_us, team_oldest_us);
       team->used_count = 0;
       team->returned_count = 0;
       if (ask.waiting_count + ask.used_count + ask.returned_count > 0)
