Teams with keys: tests of documents, conversion, limiter and the real programs

Cause: the request path of teams with keys had no tests of its own.

Change: unit tests of keys in documents, of the conversion with an accept and a refuse case for each ground, of the redaction and of limits that are absent; the scenario team_keys on real processes; samples for the fuzz target.

--- a/tests/control/test_config_doc.cc
+++ b/tests/control/test_config_doc.cc
@@ -8,6 +8,7 @@
 #include "config_doc.h"
 #include "json_util.h"
 #include "rng.h"
+#include "team_keys.h"
 }
 
 namespace
@@ -52,6 +53,18 @@
 {
   return "{'services':{'s':{'hosts':['h']}},'routes':" + routes + "}";
 }
+// Returns the digest of a key, as a document has it.
+std::string
+digest_of (const std::string &key)
+{
+  char hex[TEAM_KEY_HEX_SIZE + 1];
+  team_key_digest_t digest = team_key_compute_digest (key.data (), key.size ());
+  team_key_format_digest (&digest, hex);
+  return hex;
+}
+const std::string DIGEST = digest_of ("key");
+// Keys of random documents: enough that most documents have none twice.
+const int KEY_COUNT = 40;
 const std::string methods_and_prefix = ",'methods':['GET'],'prefix':'/a'";
 }
 
@@ -184,12 +197,63 @@
     { "{'teams':{'t':{'rate':1}}}", "$.teams.t.burst: is required" },
     { "{'team_default':{'rate':1,'burst':1,'x':1}}", "$.team_default.x: unknown key" },
     { "{\"teams\":{\"\xff\":{}}}", "$: not valid UTF-8 text" },
+    { "{'teams':{'t':5}}", "$.teams.t: must be an object" },
+    { "{'teams':{'t':{'burst':1}}}", "$.teams.t.rate: is required" },
+    { "{'teams':{'t':{'priority':1001}}}", "$.teams.t.priority: must be from 0 to 1000" },
+    { "{'teams':{'t':{'annotations':5}}}", "$.teams.t.annotations: must be text" },
+    { "{'teams':{'t':{'keys':{}}}}", "$.teams.t.keys: must be a list" },
+    { "{'teams':{'t':{'keys':['0123456789ABCDEF0123456789ABCDEF']}}}",
+      "$.teams.t.keys: must be digests of 32 lower-case digits" },
+    { "{'teams':{'t':{'keys':['00']}}}",
+      "$.teams.t.keys: must be digests of 32 lower-case digits" },
+    { "{'teams':{'t':{'keys':['" + DIGEST + "','" + DIGEST + "']}}}",
+      "$.teams.t.keys: has a key twice" },
+    { "{'teams':{'a':{'keys':['" + DIGEST + "']},'t':{'keys':['" + DIGEST + "']}}}",
+      "$.teams.t.keys: has a key of team \"a\"" },
+    { "{'team_default':{}}", "$.team_default.rate: is required" },
+    { "{'team_default':{'rate':1,'burst':1,'keys':[]}}", "$.team_default.keys: unknown key" },
+    { "{'team_keys_required':1}", "$.team_keys_required: must be true or false" },
   };
   for (const auto &[text, expected] : cases)
     EXPECT_EQ (parse_error (text), expected) << text;
   EXPECT_EQ (parse_error (routes_document ("[" + route_a + "]")), "");
 }
 
+// Guards against a key that finds no team or a wrong one, and against settings that change when the
+// document has no limit or priority for a team.
+TEST (ConfigDoc, KeysFindTheirTeam)
+{
+  const std::string text = double_quoted (
+      "{'team_keys_required':true,'teams':{'a':{'keys':['" + digest_of ("k1") + "','"
+      + digest_of ("k2") + "'],'priority':0,'rate':5,'burst':1},'b':{'keys':['" + digest_of ("k3")
+      + "'],'annotations':'x'},'c':{'rate':5,'burst':1}}}");
+  anv_error_t err = {};
+  config_team_info_t team;
+  config_doc_t *doc = config_doc_parse (text.data (), text.size (), CONFIG_SCHEMA, &err);
+  ASSERT_NE (doc, nullptr) << err.text;
+  EXPECT_TRUE (config_doc_requires_team_key (doc));
+  for (const char *key : { "k1", "k2" })
+    {
+      ASSERT_TRUE (config_doc_find_team_by_key (doc, key, 2, &team));
+      EXPECT_STREQ (team.name, "a");
+      EXPECT_EQ (team.priority, 0u);
+      EXPECT_EQ (team.limit.rate, 5);
+    }
+  ASSERT_TRUE (config_doc_find_team_by_key (doc, "k3 and more", 2, &team));
+  EXPECT_STREQ (team.name, "b");
+  EXPECT_EQ (team.priority, CONFIG_NO_PRIORITY);
+  EXPECT_EQ (team.limit.rate, 0);
+  for (const char *key : { "k4", "k", "", "K1" })
+    EXPECT_FALSE (config_doc_find_team_by_key (doc, key, strlen (key), &team)) << key;
+  EXPECT_EQ (config_doc_find_team_limit (doc, "b")->rate, 0);
+  EXPECT_EQ (config_doc_find_team_limit (doc, "c")->rate, 5);
+  config_doc_unref (doc);
+  doc = config_doc_parse ("{}", 2, CONFIG_SCHEMA, nullptr);
+  EXPECT_FALSE (config_doc_requires_team_key (doc));
+  EXPECT_FALSE (config_doc_find_team_by_key (doc, "k1", 2, &team));
+  config_doc_unref (doc);
+}
+
 // Guards against accepting text from a peer that is damaged or not canonical, or reading outside
 // the text. A valid text is truncated at every length and changed at every byte.
 TEST (ConfigDoc, DamagedOrNonCanonicalTextIsRefused)
@@ -237,7 +301,8 @@
         services += "'s" + number + "':{'hosts':['h" + number + "']},";
       if (rng_uniform_int (rng, 3) > 0)
         teams += "'t" + number + "':{'rate':" + std::to_string (1 + rng_uniform_int (rng, 2))
-                 + ",'burst':4},";
+                 + ",'burst':4,'keys':['"
+                 + digest_of (std::to_string (rng_uniform_int (rng, KEY_COUNT))) + "']},";
     }
   for (int i = 0; i < 6; i++)
     {
@@ -277,6 +342,13 @@
       const config_limit_t *limit = config_doc_team_limit_at (doc, i, &name, &size);
       text += std::string (name, size) + " " + std::to_string (limit->rate) + "\n";
     }
+  for (int i = 0; i < KEY_COUNT; i++)
+    {
+      std::string key = std::to_string (i);
+      config_team_info_t team;
+      if (config_doc_find_team_by_key (doc, key.data (), key.size (), &team))
+        text += key + " of " + team.name + std::to_string (team.limit.rate) + "\n";
+    }
   return text;
 }
 }
--- a/tests/decision/test_limiter.cc
+++ b/tests/decision/test_limiter.cc
@@ -350,3 +350,35 @@
   EXPECT_EQ (limiter_team_id ("abc"), 0xba7816bf8f01cfeaULL);
   EXPECT_NE (limiter_team_id ("gang-12"), limiter_team_id ("gang-21"));
 }
+
+// Guards against a limit for a team that has none: at any load, after reports of peers, and when
+// the limit is removed while the bucket is empty.
+TEST (Limiter, TeamWithoutLimitIsNeverRefused)
+{
+  limiter_limit_t limit = { 1, 1 };
+  limiter_options_t options = {};
+  options.limit = [] (void *data, uint64_t) { return *(limiter_limit_t *)data; };
+  options.data = &limit;
+  options.max_teams = 10;
+  options.max_reported = 10;
+  options.epoch = 1;
+  limiter_t limiter;
+  limiter_init (&limiter, &options);
+  const char *const peers[] = { "entry-1" };
+  limiter_set_peers (&limiter, 0, peers, 1);
+  int64_t retry_after_us = 0;
+  EXPECT_TRUE (limiter_admit (&limiter, SECOND, 1, &retry_after_us));
+  EXPECT_FALSE (limiter_admit (&limiter, SECOND, 1, &retry_after_us));
+  EXPECT_GT (retry_after_us, 0);
+  limit = { 0, 0 };
+  limiter_usage_t usage = { 1, 100 };
+  limiter_message_t message = { 5, 0, 0, 1, { { 1, 0, 1, &usage } } };
+  limiter_receive (&limiter, SECOND, "entry-1", &message);
+  for (int i = 0; i < 1000; i++)
+    EXPECT_TRUE (limiter_admit (&limiter, SECOND, 1, &retry_after_us));
+  EXPECT_EQ (retry_after_us, 0);
+  for (int64_t now_us = SECOND; now_us < 2 * LIMITER_IDLE_TIMEOUT_US; now_us += SECOND)
+    limiter_tick (&limiter, now_us);
+  EXPECT_EQ (limiter_team_count (&limiter), 0u);
+  limiter_destroy (&limiter);
+}
--- a/tests/fuzz/fuzz_platform.cc
+++ b/tests/fuzz/fuzz_platform.cc
@@ -83,6 +83,8 @@
     return;
   platform_set_prefix_form (&change, true);
   platform_set_prefix_form (&change, false);
+  platform_set_clears_public (&change, false);
+  platform_set_clears_public (&change, true);
   platform_change_clear (&change);
 }
 
@@ -127,10 +129,13 @@
     seeds.push_back (std::string (1, call) + to_json (text));
   };
   add (CALL_CONFIG, SAMPLE_CONFIG);
+  add (CALL_CONFIG, SAMPLE_TEAMS);
   add (CALL_CONFIG, "{'version':'00000002','routes':[],'services':[]}");
   add (CALL_PATCH,
        "{'version':'00000002','upsert':{'routes':[{'name':'r','host':'h','path_prefix':'/x/',"
        "'service':'s','timeout_ms':5}],'services':[{'name':'s'}]},'drop':{'routes':['q']}}");
+  add (CALL_PATCH, "{'version':'00000002','upsert':{'tenants':[{'name':'t','api_keys':['k'],"
+                   "'rate_per_s':2}]},'drop':{'tenants':['u']}}");
   add (CALL_HEARTBEAT,
        "{'address':'10.0.0.1:80','born':1700000000000,'info':{'service':'s','version':'3',"
        "'zone':'z','slots':4},'status':{'state':'ready','sequence':7,'warmup_left_ms':20}}");
--- a/tests/http/test_http_headers.cc
+++ b/tests/http/test_http_headers.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <string>
+
 extern "C"
 {
 #include "http_headers.h"
@@ -39,3 +41,20 @@
   EXPECT_TRUE (http_headers_has_token (&headers, "connection", "keep-alive"));
   http_headers_destroy (&headers);
 }
+
+// Guards against a field of a caller that reaches a target, which may take '_' for '-', under
+// another spelling of its name.
+TEST (HttpHeaders, SimilarNamesAreRemoved)
+{
+  http_headers_t headers;
+  http_headers_init (&headers);
+  for (const char *name : { "Tenant-Name", "tenant_name", "TENANT-name", "Tenant", "Tenant-Name-",
+                            "Tenant.Name", "TenantName" })
+    http_headers_append (&headers, name, "x");
+  http_headers_remove_similar (&headers, "Tenant-Name");
+  std::string left;
+  for (size_t i = 0; i < http_headers_length (&headers); i++)
+    left += std::string (http_headers_name (&headers, i)) + " ";
+  EXPECT_EQ (left, "Tenant Tenant-Name- Tenant.Name TenantName ");
+  http_headers_destroy (&headers);
+}
--- a/tests/platform/sample_config.h
+++ b/tests/platform/sample_config.h
@@ -23,3 +23,12 @@
       "'/health','max_connections':330,'protocol':'h1','tls':false},{'name':'t'}],'limits':"
       "{'max_header_bytes':16384,'max_body_bytes':67108864,'header_timeout_ms':3000,"
       "'idle_timeout_ms':15000,'other':7},'extra':'kept'}";
+
+// The same with teams, a public route and limits that a document holds in another form.
+const char *const SAMPLE_TEAMS
+    = "{'version':'0000000c','routes':[{'name':'r-a','host':'h.example','path_prefix':'/',"
+      "'route_type':'safe','timeout_ms':800,'public_access':true,'service':'s'}],'services':"
+      "[{'name':'s'}],'tenants':[{'name':'alpha','api_keys':['alpha-1','alpha-2'],'priority':1,"
+      "'rate_per_s':437,'burst':437},{'name':'beta','api_keys':[],'rate_per_s':0,'burst':0.5,"
+      "'colour':'x'},{'name':'delta','rate_per_s':0.0001},{'name':'gamma','api_keys':['~!'],"
+      "'rate_per_s':5000000,'burst':-1}]}";
--- a/tests/platform/team_keys.py
+++ b/tests/platform/team_keys.py
@@ -19,7 +19,7 @@
 
 TEAMS = [team("alpha", "key-alpha-1", "key-alpha-2", rate_per_s=0), team("beta", "key-beta-1", priority=0, burst=0.5)]
 CONFIG = {"routes": [route("safe", "s1"), route("safe", "s1", name="open", public_access=True), route("unsafe", "s1"),
-                     route("safe", "s2", name="narrow", priority=3)],
+                     route("safe", "s2", name="narrow", priority=3, timeout_ms=10000, latency_goal_ms=9000)],
           "services": [service("s1"), service("s2")]}
 
 
@@ -37,7 +37,7 @@
             attempt = "%016x" % self.fleet.attempts
         connection = self.connection
         connection.putrequest("GET" if body is None else "POST", path, skip_host=True, skip_accept_encoding=True)
-        for name, value in [("Host", HOST), ("Attempt-Id", attempt), ("Deadline-Remaining-Ms", "5000"), *fields]:
+        for name, value in [("Host", HOST), ("Attempt-Id", attempt), ("Deadline-Remaining-Ms", "10000"), *fields]:
             connection.putheader(name, value)
         if body is not None:
             connection.putheader("Transfer-Encoding", "chunked")
@@ -120,18 +120,15 @@
     show("public route, key", caller, "/open/x", key("key-alpha-1"), *FORGED)
     show("public route, unknown key", caller, "/open/x", key("secret"), *FORGED)
 
-    results = []
-
-    def send_narrow(name, number):
-        results.append((name, Caller(fleet).send(f"/narrow/{name}", key(f"key-{name}-1"))[1], number))
-
-    threads = [threading.Thread(target=send_narrow, args=item) for item in (("alpha", 0), ("alpha", 1), ("beta", 2))]
+    # Without the priority of the team, the second request of alpha, which came earlier, would go first.
+    threads = [threading.Thread(target=Caller(fleet).send, args=(f"/narrow/{name}", key(f"key-{name}-1")))
+               for name in ("alpha", "alpha", "beta")]
     for thread in threads:
         thread.start()
         time.sleep(0.1)
     for thread in threads:
         thread.join()
-    say(f"one slot, by the priority of the team: {results}")
+    say(f"one slot, by the priority of the team: {[request[2] for request in fleet.targets[2].requests][:2]}")
 
     move = {"upsert": {"tenants": [team("alpha", "key-alpha-2"), team("beta", "key-beta-1", "key-alpha-1")]}}
     same = {"upsert": {"tenants": [team("gamma", "key-beta-1")]}}
