byte_stream: the end of a failed connection is not a regular end

Cause: a socket reports an error once, to whichever call comes first. After a write (also a partial one) or a read took it, the next read returned 0. A response without a length then counted as complete: with the entry stopped around a target's reset during an upload, the caller got a chunked 200 with its last chunk.

Change: byte_stream remembers that its connection failed, from writes, reads, the connection attempt and EPOLLERR. From then on the end of the input is BYTE_STREAM_FAILED, as is reading a stream that its owner closed. upstream_conn does not reuse such a connection. Links, probes and calls read through the same function.

--- a/src/byte_stream.c
+++ b/src/byte_stream.c
@@ -8,6 +8,13 @@
 
 #include "http_codec.h"
 
+static void
+record_failure (byte_stream_t *stream, const char *text)
+{
+  stream->failed = true;
+  g_strlcpy (stream->read_error, text, sizeof (stream->read_error));
+}
+
 static void
 report_failure (byte_stream_t *stream, const char *text)
 {
@@ -47,7 +54,10 @@
   if (g_socket_check_connect_result (stream->socket, &error))
     stream->ops->connected (stream);
   else
-    report_failure (stream, error->message);
+    {
+      record_failure (stream, error->message);
+      report_failure (stream, error->message);
+    }
 }
 
 static gssize
@@ -116,6 +126,8 @@
     wait_until_writable (stream);
   else
     update_watch (stream);
+  if (error != NULL && !blocked)
+    record_failure (stream, error->message);
 
   /* After a partial write, written() is called first. The next flush reports the error. */
   if (error != NULL && !blocked && total > 0)
@@ -150,6 +162,8 @@
       finish_connect (stream);
       return;
     }
+  if ((events & EPOLLERR) != 0)
+    record_failure (stream, "connection failed");
   if (stream->write_blocked && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0)
     {
       stream->write_blocked = false;
@@ -226,7 +240,10 @@
   gssize received = 0;
 
   if (stream->closed)
-    return BYTE_STREAM_EOF;
+    {
+      g_strlcpy (stream->read_error, "stream is closed", sizeof (stream->read_error));
+      return BYTE_STREAM_FAILED;
+    }
   if (stream->tls == NULL)
     received = g_socket_receive_with_blocking (stream->socket, buffer, size, FALSE, NULL, &error);
   else
@@ -235,11 +252,13 @@
           = G_POLLABLE_INPUT_STREAM (g_io_stream_get_input_stream (stream->tls));
       received = g_pollable_input_stream_read_nonblocking (input, buffer, size, NULL, &error);
     }
+  if (received == 0 && stream->failed)
+    return BYTE_STREAM_FAILED;
   if (received >= 0)
     return received;
   if (g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
     return BYTE_STREAM_WOULD_BLOCK;
-  g_strlcpy (stream->read_error, error->message, sizeof (stream->read_error));
+  record_failure (stream, error->message);
   return BYTE_STREAM_FAILED;
 }
 
--- a/src/byte_stream.h
+++ b/src/byte_stream.h
@@ -24,7 +24,7 @@
   /* SIZE bytes were written to the socket. */
   void (*written) (byte_stream_t *stream, size_t size);
   /* A write or the connection attempt failed, or the peer closed while reading was off (see
-   * watch_hangup). After a failed write, input can still be read. */
+   * watch_hangup). After a failed write, the input that has arrived can still be read. */
   void (*failed) (byte_stream_t *stream, const anv_error_t *err);
 } byte_stream_ops_t;
 
@@ -47,6 +47,7 @@
   bool write_blocked; /* waiting until the socket is writable */
   bool watch_hangup;  /* set by the owner: report that the peer closed while reading is off */
   bool write_failed;  /* a write has failed; further output is dropped */
+  bool failed;        /* the connection has failed: its input may lack bytes */
   bool closed;
   char read_error[BYTE_STREAM_ERROR_SIZE]; /* reason of the last BYTE_STREAM_FAILED */
 };
@@ -70,8 +71,10 @@
  * to it. Reading must be off and no output queued; nothing may have been read or written. */
 void byte_stream_start_tls (byte_stream_t *stream, GIOStream *tls);
 
-/* Reads up to SIZE bytes. Returns the number of bytes read, or BYTE_STREAM_EOF at the end of the
- * input, BYTE_STREAM_WOULD_BLOCK or BYTE_STREAM_FAILED. */
+/* Reads up to SIZE bytes. Returns the number of bytes read, or BYTE_STREAM_EOF at the regular end
+ * of the input, BYTE_STREAM_WOULD_BLOCK or BYTE_STREAM_FAILED. The end is regular only if nothing
+ * on the connection has failed: a socket reports an error once, to whichever call comes first, and
+ * then an end of the input. */
 ssize_t byte_stream_read (byte_stream_t *stream, char *buffer, size_t size);
 
 /* Queues a copy of SIZE bytes. Does nothing if the stream is closed or a write has failed. */
--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -171,7 +171,7 @@
 {
   upstream_exchange_t *exchange = conn->exchange;
   bool reuse = may_reuse && conn->codec.head.keep_alive && exchange->request_sent && !conn->retired
-               && byte_stream_pending (&conn->stream) == 0;
+               && !conn->stream.failed && byte_stream_pending (&conn->stream) == 0;
 
   exchange->conn = NULL;
   conn->exchange = NULL;
