--- a/src/gateway_core.c
+++ b/src/gateway_core.c
@@ -398,9 +398,10 @@
 }
 
 const config_service_t *
-gateway_core_choose_service (gateway_core_t *core, const config_route_t *route)
+gateway_core_choose_service (gateway_core_t *core, const config_doc_t *doc,
+                             const config_route_t *route)
 {
-  return route_split_choose (&core->split, core->doc, route, core->options.rng);
+  return route_split_choose (&core->split, doc, route, core->options.rng);
 }
 
 static void
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -103,9 +103,9 @@
 /* Returns the service NAME and creates it on first use. */
 gateway_service_t *gateway_core_get_service (gateway_core_t *core, const char *name);
 
-/* Returns the service for the next request of ROUTE. A traffic split distributes the requests by
- * its weights. */
-const config_service_t *gateway_core_choose_service (gateway_core_t *core,
+/* Returns the service for the next request of ROUTE, which is part of DOC. A traffic split
+ * distributes the requests by its weights. */
+const config_service_t *gateway_core_choose_service (gateway_core_t *core, const config_doc_t *doc,
                                                      const config_route_t *route);
 
 /* Adds REQUEST to the queue of SERVICE. The decision is reported through WAITER, possibly before
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -255,7 +255,8 @@
 start (gateway_request_t *r)
 {
   gateway_core_t *core = r->policy->core;
-  r->service = gateway_core_get_service (core, gateway_core_choose_service (core, r->route)->name);
+  const config_service_t *service = gateway_core_choose_service (core, r->doc, r->route);
+  r->service = gateway_core_get_service (core, service->name);
   retry_budget_record_first_attempt (&r->service->budget, now_us (r));
   enqueue (r);
 }
