--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -82,7 +82,9 @@
   http_headers_append (&headers, "Content-Type", "text/plain");
   if (retry_after_us > 0)
     {
-      g_ascii_formatd (seconds, sizeof (seconds), "%.3f", (double)retry_after_us / G_USEC_PER_SEC);
+      /* Rounded up: a request that returns earlier is refused again. */
+      g_ascii_formatd (seconds, sizeof (seconds), "%.3f",
+                       ceil ((double)retry_after_us / 1000) / 1000);
       http_headers_append (&headers, "Retry-After", seconds);
     }
   if (challenge != NULL)
--- a/tests/fleet/test_fleet_wire.cc
+++ b/tests/fleet/test_fleet_wire.cc
@@ -6,6 +6,7 @@
 extern "C"
 {
 #include "fleet_wire.h"
+#include "quota_wire.h"
 #include "raft_store.h"
 #include "rng.h"
 }
@@ -133,6 +134,48 @@
   EXPECT_EQ (g_array_index (decoded, fleet_load_report_t, 0).evidence, -1.5);
 }
 
+// Guards against verdicts, reports and credits that are decoded to other values than were sent, and
+// against counts whose sums overflow.
+TEST (FleetWire, QuotasAreReadAsTheyWereSent)
+{
+  encoded_message_t ask_message, grant_message, moved_message;
+  quota_ask_team_t asked = { UINT64_MAX, 3, 2, 1 };
+  quota_grant_team_t granted = { 5, 4, 3, UINT32_MAX, 250000, -1 };
+  g_autoptr (GArray) asks = g_array_new (FALSE, FALSE, sizeof (asked));
+  g_autoptr (GArray) grants = g_array_new (FALSE, FALSE, sizeof (granted));
+  g_autoptr (GArray) decoded_asks = g_array_new (FALSE, TRUE, sizeof (asked));
+  g_autoptr (GArray) decoded_grants = g_array_new (FALSE, TRUE, sizeof (granted));
+  g_array_append_val (asks, asked);
+  g_array_append_val (grants, granted);
+  quota_ask_t ask = { 9, asks }, decoded_ask = { 0, decoded_asks };
+  quota_ask_encode (&ask, &ask_message.writer);
+  ask_message.open_reader ();
+  ASSERT_TRUE (quota_ask_decode (&decoded_ask, &ask_message.reader));
+  EXPECT_EQ (decoded_ask.number, 9u);
+  ASSERT_EQ (decoded_asks->len, 1u);
+  EXPECT_EQ (memcmp (decoded_asks->data, &asked, sizeof (asked)), 0);
+
+  quota_grant_t grant = { 9, 107, grants }, decoded_grant = { 0, 0, decoded_grants };
+  quota_grant_encode (&grant, &grant_message.writer);
+  grant_message.open_reader ();
+  ASSERT_TRUE (quota_grant_decode (&decoded_grant, &grant_message.reader));
+  EXPECT_EQ (decoded_grant.entry_count, 107u);
+  const quota_grant_team_t *team = &g_array_index (decoded_grants, quota_grant_team_t, 0);
+  EXPECT_EQ (team->team_id, 5u);
+  EXPECT_EQ (team->admitted_count, 4u);
+  EXPECT_EQ (team->refused_count, 3u);
+  EXPECT_EQ (team->allowance, 1000000u) << "bounded";
+  EXPECT_EQ (team->retry_after_us, 250000);
+  EXPECT_EQ (team->retry_step_us, 0) << "bounded";
+
+  quota_moved_t moved = { 9, 107, "10.0.0.1:1" }, decoded_moved = {};
+  quota_moved_encode (&moved, &moved_message.writer);
+  moved_message.open_reader ();
+  ASSERT_TRUE (quota_moved_decode (&decoded_moved, &moved_message.reader));
+  EXPECT_EQ (decoded_moved.number, 9u);
+  EXPECT_STREQ (decoded_moved.owner, "10.0.0.1:1");
+}
+
 namespace
 {
 constexpr int64_t NOW_US = 5000000000;
@@ -143,7 +186,7 @@
 decode_as_any (const std::string &message)
 {
   bool accepted = false;
-  for (int kind = 0; kind < 6; kind++)
+  for (int kind = 0; kind < 9; kind++)
     {
       wire_reader_t reader;
       wire_type_t type;
@@ -153,6 +196,9 @@
       fleet_status_t status = {};
       fleet_view_t view = {};
       version_seal_t seal;
+      quota_ask_t ask;
+      quota_grant_t grant;
+      quota_moved_t moved;
       g_autoptr (GArray) items = nullptr;
       GBytes *text = nullptr;
       switch (kind)
@@ -180,6 +226,21 @@
           items = g_array_new (FALSE, TRUE, sizeof (registry_departure_t));
           accepted |= fleet_departed_decode (items, &reader);
           break;
+        case 5:
+          items = g_array_new (FALSE, TRUE, sizeof (quota_ask_team_t));
+          ask = { 0, items };
+          accepted |= quota_ask_decode (&ask, &reader);
+          EXPECT_LE (items->len, (guint)QUOTA_MAX_MESSAGE_TEAMS);
+          break;
+        case 6:
+          items = g_array_new (FALSE, TRUE, sizeof (quota_grant_team_t));
+          grant = { 0, 0, items };
+          accepted |= quota_grant_decode (&grant, &reader);
+          EXPECT_LE (grant.entry_count, 1000000u);
+          break;
+        case 7:
+          accepted |= quota_moved_decode (&moved, &reader);
+          break;
         default:
           items = g_array_new (FALSE, TRUE, sizeof (fleet_load_report_t));
           accepted |= fleet_load_decode (items, &reader);
@@ -237,6 +298,21 @@
   fleet_load_encode (loads, &writer);
   g_array_unref (loads);
   messages.push_back (take_text (&writer));
+  quota_ask_team_t asked = { 9, 3, 2, 1 };
+  quota_ask_t ask = { 1, g_array_new (FALSE, FALSE, sizeof (asked)) };
+  g_array_append_val (ask.teams, asked);
+  quota_ask_encode (&ask, &writer);
+  g_array_unref (ask.teams);
+  messages.push_back (take_text (&writer));
+  quota_grant_team_t granted = { 9, 1, 2, 5, 1000, 100 };
+  quota_grant_t grant = { 1, 107, g_array_new (FALSE, FALSE, sizeof (granted)) };
+  g_array_append_val (grant.teams, granted);
+  quota_grant_encode (&grant, &writer);
+  g_array_unref (grant.teams);
+  messages.push_back (take_text (&writer));
+  quota_moved_t moved = { 1, 107, "10.0.0.1:1" };
+  quota_moved_encode (&moved, &writer);
+  messages.push_back (take_text (&writer));
   return messages;
 }
 
--- a/tests/fuzz/fuzz_wire.cc
+++ b/tests/fuzz/fuzz_wire.cc
@@ -9,6 +9,7 @@
 #include "claim_wire.h"
 #include "fleet_wire.h"
 #include "limiter_wire.h"
+#include "quota_wire.h"
 #include "raft_wire.h"
 #include "swim_wire.h"
 #include "version_codec.h"
@@ -109,6 +110,37 @@
     result = reencode_array (
         sizeof (fleet_load_report_t),
         [&] (GArray *loads) { return fleet_load_decode (loads, &reader); }, fleet_load_encode);
+  else if (type == WIRE_FLEET_QUOTA_ASK)
+    {
+      quota_ask_t ask = {};
+      result = reencode_array (
+          sizeof (quota_ask_team_t),
+          [&] (GArray *teams) {
+            ask.teams = teams;
+            return quota_ask_decode (&ask, &reader);
+          },
+          [&] (GArray *, wire_writer_t *out) { quota_ask_encode (&ask, out); });
+    }
+  else if (type == WIRE_FLEET_QUOTA_GRANT)
+    {
+      quota_grant_t grant = {};
+      result = reencode_array (
+          sizeof (quota_grant_team_t),
+          [&] (GArray *teams) {
+            grant.teams = teams;
+            return quota_grant_decode (&grant, &reader);
+          },
+          [&] (GArray *, wire_writer_t *out) { quota_grant_encode (&grant, out); });
+    }
+  else if (type == WIRE_FLEET_QUOTA_MOVED)
+    {
+      quota_moved_t moved = {};
+      if (quota_moved_decode (&moved, &reader))
+        {
+          quota_moved_encode (&moved, &writer);
+          result = take (&writer);
+        }
+    }
   else if (type == WIRE_CLAIM_REQUEST)
     {
       uint64_t id = 0;
@@ -244,6 +276,22 @@
   seeds.push_back (take (&writer));
   g_array_unref (loads);
 
+  quota_ask_team_t asked = { 99, 3, 2, 1 };
+  quota_ask_t ask = { 1, g_array_new (FALSE, TRUE, sizeof (asked)) };
+  g_array_append_val (ask.teams, asked);
+  quota_ask_encode (&ask, &writer);
+  seeds.push_back (take (&writer));
+  g_array_unref (ask.teams);
+  quota_grant_team_t granted = { 99, 1, 2, 5, 1000, 100 };
+  quota_grant_t grant = { 1, 107, g_array_new (FALSE, TRUE, sizeof (granted)) };
+  g_array_append_val (grant.teams, granted);
+  quota_grant_encode (&grant, &writer);
+  seeds.push_back (take (&writer));
+  g_array_unref (grant.teams);
+  quota_moved_t moved = { 1, 107, "10.0.0.1:1" };
+  quota_moved_encode (&moved, &writer);
+  seeds.push_back (take (&writer));
+
   claim_command_t command = {};
   command.type = CLAIM_COMMAND_OUTCOME;
   command.status = 201;
--- a/tests/platform/quotas.py
+++ b/tests/platform/quotas.py
@@ -66,6 +66,7 @@
     say(f"leader killed: within the rule: {worst_window(admitted) <= allowed(RATE, BURST)}, "
         f"not less than half of the limit: {len(admitted) >= 8 * RATE / 2}, others {sorted({s for _, s, _ in others})}")
     fleet.controls[leader].start()
+    wait_until(lambda: fleet.read()[0] == 200, "the control instances answer")
     lower = {"upsert": {"tenants": [team("alpha", "key-1", rate_per_s=1, burst=1)]}}
     say(f"lower limit: {fleet.rpc('config.patch', {'version': '00000002', **lower}, base='00000001')[0]}")
     time.sleep(2)
