Balancer: a service without idempotent requests is explored as well

Cause: only idempotent requests try targets that were idle for 1.5 s. Change: if no idempotent request has arrived at the balancer, one placement in three may explore an idle target whose suspicion is at most 0.5. Result: Balancer.IdleTargetsAreUsedWithoutIdempotentRequests uses at least 7 of 10 targets in each 2 s; before, 1.

--- a/src/balancer_place.c
+++ b/src/balancer_place.c
@@ -3,12 +3,16 @@
 /* A target that no entry has used for this long is explored: its suspicion has become uncertain,
  * and its slots are needed when other targets fail. At most one in EXPLORE_INTERVAL placements
  * of the least urgent idempotent requests explores, and never a target above MAX_EXPLORE_SUSPICION.
+ * A service without idempotent requests is explored by the others, with the second pair of bounds,
+ * because a failed attempt loses such a request.
  * The idle time is below two seconds because the platform requires that 0.7 of the healthy targets
  * get requests within two seconds. The platform counts a target as healthy again two seconds after
  * the target itself failed. */
 #define EXPLORE_IDLE_US INT64_C (1500000)
 #define EXPLORE_INTERVAL 2
 #define MAX_EXPLORE_SUSPICION 0.8
+#define EXPLORE_INTERVAL_ONCE 3
+#define MAX_EXPLORE_SUSPICION_ONCE 0.5
 /* Part of a request's worth that is lost if its first attempt fails and it is retried. */
 #define RETRY_LOSS 0.6
 
@@ -73,9 +77,9 @@
   return loss + MAX_RANDOM_LOSS * rng_uniform_double (&b->rng);
 }
 
-/* Returns the longest idle target among those that may be explored, or NULL. */
+/* Returns the longest idle target of at most MAX_SUSPICION, or NULL. */
 static tracked_target_t *
-find_idle_target (const balancer_t *b, int64_t now_us)
+find_idle_target (const balancer_t *b, int64_t now_us, double max_suspicion)
 {
   GHashTableIter iter;
   gpointer value = NULL;
@@ -87,7 +91,7 @@
       if (target->setting.locality != BALANCER_LOCALITY_CELL
           || now_us - target->last_use_us < EXPLORE_IDLE_US
           || !balancer_has_free_slot (target, now_us)
-          || balancer_target_suspicion (b, target, now_us) > MAX_EXPLORE_SUSPICION)
+          || balancer_target_suspicion (b, target, now_us) > max_suspicion)
         continue;
       if (longest_idle == NULL || target->last_use_us < longest_idle->last_use_us)
         longest_idle = target;
@@ -99,12 +103,15 @@
 static tracked_target_t *
 choose_idle_target (balancer_t *b, const balancer_request_t *request, int64_t now_us)
 {
-  if (!request->idempotent || request->tried_count > 0
-      || !balancer_is_least_urgent (b, now_us, request->rank))
+  unsigned interval = request->idempotent ? EXPLORE_INTERVAL : EXPLORE_INTERVAL_ONCE;
+  if (request->tried_count > 0
+      || (request->idempotent ? !balancer_is_least_urgent (b, now_us, request->rank)
+                              : b->has_idempotent_requests))
     return NULL;
-  if (++b->placements_since_exploration < EXPLORE_INTERVAL)
+  if (++b->placements_since_exploration < interval)
     return NULL;
-  tracked_target_t *target = find_idle_target (b, now_us);
+  tracked_target_t *target = find_idle_target (
+      b, now_us, request->idempotent ? MAX_EXPLORE_SUSPICION : MAX_EXPLORE_SUSPICION_ONCE);
   if (target != NULL)
     b->placements_since_exploration = 0;
   return target;
--- a/src/balancer_queue.c
+++ b/src/balancer_queue.c
@@ -50,6 +50,7 @@
   found->last_arrival_us = now_us;
   if (idempotent)
     found->last_idempotent_us = now_us;
+  b->has_idempotent_requests = b->has_idempotent_requests || idempotent;
 }
 
 bool
--- a/tests/fleet/test_balancer.cc
+++ b/tests/fleet/test_balancer.cc
@@ -212,6 +212,27 @@
     }
 }
 
+// Guards against a service whose requests are all not idempotent and which has idle targets that
+// none of them explores: the platform requires that 0.7 of the healthy targets get requests within
+// two seconds.
+TEST_F (Balancer, IdleTargetsAreUsedWithoutIdempotentRequests)
+{
+  for (uint64_t id = 1; id <= 10; id++)
+    add_target (id);
+  for (int64_t start = 2 * SECOND; start <= 8 * SECOND; start += 2 * SECOND)
+    {
+      std::set<uint64_t> used;
+      for (int i = 0; i < 70; i++)
+        {
+          int64_t now = start + i * 2 * SECOND / 70;
+          uint64_t id = submit (now, 0, SECOND, 2 * SECOND, false);
+          used.insert (next_dispatch_target (now));
+          balancer_finish (&balancer, now + 1, id, BALANCER_OK, 20 * MS);
+        }
+      EXPECT_GE (used.size (), 7u) << "from " << start;
+    }
+}
+
 // Guards against requests that all go to an unreachable target, because its slots always look free
 // while the other targets are busy, and against an unreachable target that is never tried again.
 TEST_F (Balancer, UnreachableTargetPauses)
