Balancer: overload policy value

Cause: when demand exceeds the capacity, the balancer dispatches in order of arrival within a rank and admits requests that miss their goal by up to a quarter of the time to the deadline. It takes the slots of the whole cell for its own, so waits are underestimated, and requests are refused after about a second in the queue.

Change: overload-policy=value of anvillb-fleet-entry orders and refuses requests by what they are expected to earn (request_value), keeps shares for kinds and teams (fair_share) and spreads the times of retries. The default, order, decides as before.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -52,6 +52,7 @@
   list_init (&b->queue);
   fault_prior_init (&b->prior);
   b->outside_share = 1;
+  balancer_value_init (b);
 }
 
 void
@@ -61,12 +62,14 @@
   g_clear_pointer (&b->kinds, g_hash_table_unref);
   g_clear_pointer (&b->requests, g_hash_table_unref);
   g_clear_pointer (&b->arrivals, g_array_unref);
+  balancer_value_destroy (b);
 }
 
 const char *
 balancer_verdict_name (balancer_verdict_t verdict)
 {
-  static const char *const names[] = { "dispatch", "no_time", "no_target", "stopping" };
+  static const char *const names[]
+      = { "dispatch", "no_time", "no_target", "stopping", "low_value", "evicted" };
   return names[verdict];
 }
 
@@ -295,14 +298,19 @@
   bool passes_less_urgent = false;
   if (balancer_refuse_for_stop (b, now_us, out))
     return true;
-  tracked_request_t *tracked = balancer_choose_request (b, now_us, &passes_less_urgent);
+  bool by_value = b->options.overload_policy == BALANCER_OVERLOAD_VALUE;
+  tracked_request_t *tracked = by_value ? balancer_value_choose_request (b, now_us)
+                                        : balancer_choose_request (b, now_us, &passes_less_urgent);
   if (tracked == NULL)
     return false;
   tracked_target_t *target = balancer_place_request (b, tracked, now_us);
   if (target == NULL && tracked->deferred)
     tracked = balancer_choose_other_request (b, tracked, now_us, &target);
   if (target == NULL)
-    return balancer_refuse_one (b, now_us, out);
+    return by_value ? balancer_value_refuse_one (b, now_us, out)
+                    : balancer_refuse_one (b, now_us, out);
+  if (by_value)
+    balancer_value_record_dispatch (b, now_us, &tracked->request);
   dispatch (b, tracked, target, now_us, out);
   b->consecutive_urgent_count = passes_less_urgent ? b->consecutive_urgent_count + 1 : 0;
   return true;
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "fair_share.h"
 #include "list.h"
 #include "rng.h"
 #include "target_suspicion.h"
@@ -73,7 +74,9 @@
 {
   uint64_t id;         /* unique among the requests of this entry */
   uint64_t kind;       /* requests of one kind have similar latencies */
+  uint64_t team;       /* id of the team that sent it; 0 for none */
   uint32_t rank;       /* 0 is the most urgent */
+  int64_t received_us; /* arrival at the entry; 0 if unknown */
   int64_t goal_us;     /* time by which the answer is worth most */
   int64_t deadline_us; /* time by which the caller must have an answer */
   bool idempotent;     /* may be retried after a failed attempt */
@@ -97,9 +100,18 @@
   BALANCER_REFUSE_NO_TIME,   /* it could not be answered in time behind the requests ahead of it */
   BALANCER_REFUSE_NO_TARGET, /* no target is known, reachable and not paused */
   BALANCER_REFUSE_STOPPING,  /* it could not be answered before this entry stops */
+  BALANCER_REFUSE_LOW_VALUE, /* others earn more than it would, see BALANCER_OVERLOAD_VALUE */
+  BALANCER_REFUSE_EVICTED,   /* the same, after it has waited */
 } balancer_verdict_t;
 
-#define BALANCER_VERDICT_COUNT (BALANCER_REFUSE_STOPPING + 1)
+#define BALANCER_VERDICT_COUNT (BALANCER_REFUSE_EVICTED + 1)
+
+/* What decides about order and refusal. */
+typedef enum
+{
+  BALANCER_OVERLOAD_ORDER, /* rank and order of arrival */
+  BALANCER_OVERLOAD_VALUE, /* what requests are expected to earn, see balancer_value.c */
+} balancer_overload_policy_t;
 
 typedef struct
 {
@@ -123,6 +135,7 @@
 typedef struct
 {
   int64_t default_latency_us; /* assumed for a kind of request without a sample */
+  balancer_overload_policy_t overload_policy;
 } balancer_options_t;
 
 typedef struct
@@ -143,6 +156,10 @@
   double outside_share; /* share of placements that may use targets outside the cell, 0 to 1 */
   unsigned consecutive_urgent_count; /* dispatches while a less urgent request was waiting */
   int64_t stop_us;                   /* time at which this entry stops; 0: it does not */
+  /* BALANCER_OVERLOAD_VALUE */
+  fair_share_t kind_shares;
+  fair_share_t team_shares;
+  int64_t next_return_us; /* time from which capacity is left for the next refused caller */
 } balancer_t;
 
 void balancer_init (balancer_t *b, const balancer_options_t *options, uint64_t seed);
@@ -212,5 +229,6 @@
 /* Returns the suspicion of a target, 0 to 1; 1 for an unknown one. */
 double balancer_suspicion (const balancer_t *b, int64_t now_us, uint64_t id);
 
-/* Returns the name of VERDICT: "dispatch", "no_time", "no_target" or "stopping". */
+/* Returns the name of VERDICT: "dispatch", "no_time", "no_target", "stopping", "low_value"
+ * or "evicted". */
 const char *balancer_verdict_name (balancer_verdict_t verdict);
--- a/src/balancer_internal.h
+++ b/src/balancer_internal.h
@@ -3,8 +3,8 @@
 #include "balancer.h"
 
 /* balancer_internal - types and functions that are shared by balancer.c (targets, evidence,
- * requests in flight), balancer_queue.c (arrivals, order, refusal) and balancer_place.c (choice of
- * a target). */
+ * requests in flight), balancer_queue.c (arrivals, order, refusal), balancer_value.c (order and
+ * refusal with BALANCER_OVERLOAD_VALUE) and balancer_place.c (choice of a target). */
 
 /* Maximum number of other entries of the cell whose load is kept for a target. */
 #define MAX_CELL_PEERS 24
@@ -40,6 +40,9 @@
   double mean_us;
   double mean_deviation_us;
   bool has_sample;
+  uint32_t rank;     /* of its last request */
+  double per_second; /* arrival rate at LAST_ARRIVAL_US, decays; for BALANCER_OVERLOAD_VALUE */
+  int64_t last_arrival_us;
 } kind_latency_t;
 
 typedef struct
@@ -86,6 +89,18 @@
 /* Returns whether no idempotent request of a less urgent rank than RANK has arrived recently. */
 bool balancer_is_least_urgent (const balancer_t *b, int64_t now_us, uint32_t rank);
 
+/* Returns the arrival rate of KIND at NOW_US, per second. */
+double balancer_kind_rate (const kind_latency_t *kind, int64_t now_us);
+
+/* Returns whether TRACKED is expected to be answered before this entry stops if it is dispatched at
+ * START_US. */
+bool balancer_ends_before_stop (balancer_t *b, const tracked_request_t *tracked, int64_t start_us);
+
+/* Removes TRACKED and stores its refusal in OUT. The caller is told to retry after RETRY_AFTER_US,
+ * but not sooner than a lower bound. Always returns true. */
+bool balancer_refuse (balancer_t *b, tracked_request_t *tracked, int64_t now_us,
+                      balancer_verdict_t verdict, int64_t retry_after_us, balancer_decision_t *out);
+
 /* Removes TRACKED from the queue. */
 void balancer_dequeue (balancer_t *b, tracked_request_t *tracked);
 
@@ -103,6 +118,24 @@
  * there is one. */
 bool balancer_refuse_one (balancer_t *b, int64_t now_us, balancer_decision_t *out);
 
+/* balancer_value: like the functions of balancer_queue, by what requests are expected to earn */
+
+void balancer_value_init (balancer_t *b);
+void balancer_value_destroy (balancer_t *b);
+
+/* Record that REQUEST arrives, and that it is dispatched. */
+void balancer_value_record_offered (balancer_t *b, int64_t now_us,
+                                    const balancer_request_t *request);
+void balancer_value_record_dispatch (balancer_t *b, int64_t now_us,
+                                     const balancer_request_t *request);
+
+/* Returns the request to dispatch next, or NULL for an empty queue. */
+tracked_request_t *balancer_value_choose_request (balancer_t *b, int64_t now_us);
+
+/* Refuses the first request, in the order of dispatch, that waits too long, and stores the refusal
+ * in OUT. Returns whether there is one. */
+bool balancer_value_refuse_one (balancer_t *b, int64_t now_us, balancer_decision_t *out);
+
 /* balancer_place */
 
 /* Returns whether REQUEST has already tried the target ID. */
--- a/src/balancer_queue.c
+++ b/src/balancer_queue.c
@@ -52,6 +52,21 @@
     found->last_idempotent_us = now_us;
 }
 
+double
+balancer_kind_rate (const kind_latency_t *kind, int64_t now_us)
+{
+  return kind->per_second * exp (-(double)(now_us - kind->last_arrival_us) / ARRIVAL_DECAY_US);
+}
+
+static void
+record_kind_arrival (balancer_t *b, int64_t now_us, const balancer_request_t *request)
+{
+  kind_latency_t *kind = balancer_latency (b, request->kind);
+  kind->per_second = balancer_kind_rate (kind, now_us) + G_USEC_PER_SEC / ARRIVAL_DECAY_US;
+  kind->last_arrival_us = now_us;
+  kind->rank = request->rank;
+}
+
 bool
 balancer_is_least_urgent (const balancer_t *b, int64_t now_us, uint32_t rank)
 {
@@ -85,6 +100,11 @@
   tracked->request = *request;
   tracked->state_since_us = now_us;
   record_arrival (b, now_us, request->rank, request->idempotent);
+  if (b->options.overload_policy == BALANCER_OVERLOAD_VALUE)
+    {
+      record_kind_arrival (b, now_us, request);
+      balancer_value_record_offered (b, now_us, request);
+    }
   g_hash_table_insert (b->requests, &tracked->request.id, tracked);
   list_node_t *node = b->queue.head.prev;
   while (node != &b->queue.head
@@ -171,11 +191,9 @@
   tracked->deferred = false;
 }
 
-/* Removes TRACKED and stores its refusal in OUT. The caller is told to retry after RETRY_AFTER_US,
- * but not sooner than MIN_RETRY_AFTER_US. Always returns true. */
-static bool
-refuse (balancer_t *b, tracked_request_t *tracked, int64_t now_us, balancer_verdict_t verdict,
-        int64_t retry_after_us, balancer_decision_t *out)
+bool
+balancer_refuse (balancer_t *b, tracked_request_t *tracked, int64_t now_us,
+                 balancer_verdict_t verdict, int64_t retry_after_us, balancer_decision_t *out)
 {
   *out = (balancer_decision_t){
     .verdict = verdict,
@@ -188,10 +206,8 @@
   return true;
 }
 
-/* Returns whether TRACKED is expected to be answered before this entry stops if it is dispatched at
- * START_US. */
-static bool
-ends_before_stop (balancer_t *b, const tracked_request_t *tracked, int64_t start_us)
+bool
+balancer_ends_before_stop (balancer_t *b, const tracked_request_t *tracked, int64_t start_us)
 {
   const kind_latency_t *latency = balancer_latency (b, tracked->request.kind);
   double latest_us = latency->mean_us + STOP_MARGIN_DEVIATIONS * latency->mean_deviation_us;
@@ -206,8 +222,8 @@
   LIST_FOREACH (&b->queue, node)
   {
     tracked_request_t *tracked = CONTAINER_OF (node, tracked_request_t, node);
-    if (!ends_before_stop (b, tracked, now_us))
-      return refuse (b, tracked, now_us, BALANCER_REFUSE_STOPPING, 0, out);
+    if (!balancer_ends_before_stop (b, tracked, now_us))
+      return balancer_refuse (b, tracked, now_us, BALANCER_REFUSE_STOPPING, 0, out);
   }
   return false;
 }
@@ -236,12 +252,12 @@
                                   * (double)(latest_end_us - tracked->request.goal_us));
     requests_ahead += 1;
     if (capacity.target_count == 0)
-      return refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TARGET,
-                     balancer_available_after_us (b, now_us), out);
-    if (!ends_before_stop (b, tracked, now_us + wait_us))
-      return refuse (b, tracked, now_us, BALANCER_REFUSE_STOPPING, 0, out);
+      return balancer_refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TARGET,
+                              balancer_available_after_us (b, now_us), out);
+    if (!balancer_ends_before_stop (b, tracked, now_us + wait_us))
+      return balancer_refuse (b, tracked, now_us, BALANCER_REFUSE_STOPPING, 0, out);
     if (now_us + wait_us + (int64_t)mean_latency_us > latest_end_us)
-      return refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TIME, wait_us, out);
+      return balancer_refuse (b, tracked, now_us, BALANCER_REFUSE_NO_TIME, wait_us, out);
   }
   return false;
 }
--- a/src/fleet_entry_tasks.c
+++ b/src/fleet_entry_tasks.c
@@ -135,6 +135,7 @@
     .retry_share = RETRY_SHARE_FRACTION * fleet_options.retry_share,
     .min_retry_rate = fleet_options.retry_rate,
     .default_latency_us = fleet_options.default_latency_ms * US_PER_MS,
+    .overload_policy = (balancer_overload_policy_t)fleet_options.overload_policy,
     .routes = tasks.adapter->routes,
     .on_caller_limits = on_caller_limits,
   };
--- a/src/fleet_options.c
+++ b/src/fleet_options.c
@@ -11,6 +11,9 @@
 /* Average fraction of the link and the processor that requests may use. Bursts need the rest. */
 #define CAPACITY_FRACTION 0.35
 
+/* By balancer_overload_policy_t. */
+static const char *const overload_policies[] = { "order", "value", NULL };
+
 #define COMMON_OPTIONS                                                                              \
   {                                                                                                 \
     "instance", OPTION_STRING, &fleet_options.instance, NULL, 0, 0, NULL, true, "ID", "Instance id" \
@@ -99,6 +102,9 @@
     "US", "Processor time that a request takes, to estimate the capacity" },
   { "default-latency-ms", OPTION_INTEGER, &fleet_options.default_latency_ms, "150", 1, MS_PER_DAY,
     NULL, false, "MS", "Expected time of a request of a kind that was never seen" },
+  { "overload-policy", OPTION_ENUM, &fleet_options.overload_policy, "order", 0, 0,
+    overload_policies, false, "POLICY",
+    "What decides who is served if capacity is insufficient: order or value" },
   { 0 },
 };
 
--- a/src/fleet_options.h
+++ b/src/fleet_options.h
@@ -28,6 +28,7 @@
   int64_t request_bytes;
   int64_t request_cpu_us;
   int64_t default_latency_ms;
+  int64_t overload_policy; /* balancer_overload_policy_t */
 
   /* control */
   char *call_listen;
--- a/src/gateway_core.c
+++ b/src/gateway_core.c
@@ -66,7 +66,10 @@
   gateway_service_t *service = g_hash_table_lookup (core->services, name);
   if (service != NULL)
     return service;
-  balancer_options_t options = { .default_latency_us = core->options.default_latency_us };
+  balancer_options_t options = {
+    .default_latency_us = core->options.default_latency_us,
+    .overload_policy = core->options.overload_policy,
+  };
   retry_budget_options_t budget = {
     .share = core->options.retry_share,
     .min_retry_rate = core->options.min_retry_rate,
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -52,6 +52,7 @@
   double retry_share;         /* retries per first attempt at this entry, 0 to 1 */
   double min_retry_rate;      /* retries per second that are always allowed */
   int64_t default_latency_us; /* expected latency of a kind of request without a sample */
+  balancer_overload_policy_t overload_policy;
   route_table_options_t routes;
   /* Called when a configuration that has limits for callers comes into force. The callback may be
    * NULL, LIMITS is not. */
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -175,6 +175,7 @@
   r->balancer_request = (balancer_request_t){
     .kind = g_str_hash (route->id),
     .rank = route->priority,
+    .received_us = head->received_us,
     .goal_us = head->received_us + goal_ms * 1000,
     .deadline_us = deadline_us,
     .idempotent = route->idempotent,
@@ -487,8 +488,12 @@
 gateway_policy_init (gateway_policy_t *policy, gateway_core_t *core, const http_dialect_t *dialect,
                      metric_registry_t *counters)
 {
-  static const char *const reasons[BALANCER_VERDICT_COUNT]
-      = { NULL, "reason=\"no_time\"", "reason=\"no_target\"", "reason=\"stopping\"" };
+  static const char *const reasons[BALANCER_VERDICT_COUNT] = { NULL,
+                                                               "reason=\"no_time\"",
+                                                               "reason=\"no_target\"",
+                                                               "reason=\"stopping\"",
+                                                               "reason=\"low_value\"",
+                                                               "reason=\"evicted\"" };
   *policy = (gateway_policy_t){ .policy.ops = &policy_ops, .core = core, .dialect = dialect };
   for (size_t i = 1; i < G_N_ELEMENTS (reasons); i++)
     metric_register (counters, &policy->refused[i], METRIC_KIND_COUNTER, "anvillb_refused_total",
