Balancer: capacity measured by what leaves the queue

Cause: with overload-policy=value, an entry counted only the slots that it uses itself. With 12 entries at 40 slots it refused 27 in 100 requests at 0.85 of the capacity.

Change: the capacity is the work dispatched while requests wait, per time in which they wait; without such work it is the entry's part of the cell.

--- a/src/balancer.c
+++ b/src/balancer.c
@@ -292,30 +292,52 @@
   target->load_report_due = true;
 }
 
-bool
-balancer_next (balancer_t *b, int64_t now_us, balancer_decision_t *out)
+static bool
+decide_in_order (balancer_t *b, int64_t now_us, balancer_decision_t *out)
 {
   bool passes_less_urgent = false;
-  if (balancer_refuse_for_stop (b, now_us, out))
-    return true;
-  bool by_value = b->options.overload_policy == BALANCER_OVERLOAD_VALUE;
-  tracked_request_t *tracked = by_value ? balancer_value_choose_request (b, now_us)
-                                        : balancer_choose_request (b, now_us, &passes_less_urgent);
+  tracked_request_t *tracked = balancer_choose_request (b, now_us, &passes_less_urgent);
   if (tracked == NULL)
     return false;
   tracked_target_t *target = balancer_place_request (b, tracked, now_us);
   if (target == NULL && tracked->deferred)
     tracked = balancer_choose_other_request (b, tracked, now_us, &target);
   if (target == NULL)
-    return by_value ? balancer_value_refuse_one (b, now_us, out)
-                    : balancer_refuse_one (b, now_us, out);
-  if (by_value)
-    balancer_value_record_dispatch (b, now_us, &tracked->request);
+    return balancer_refuse_one (b, now_us, out);
   dispatch (b, tracked, target, now_us, out);
   b->consecutive_urgent_count = passes_less_urgent ? b->consecutive_urgent_count + 1 : 0;
   return true;
 }
 
+static bool
+decide_by_value (balancer_t *b, int64_t now_us, balancer_decision_t *out)
+{
+  balancer_value_begin (b, now_us);
+  tracked_request_t *tracked = balancer_value_choose_request (b, now_us);
+  tracked_target_t *target = tracked != NULL ? balancer_place_request (b, tracked, now_us) : NULL;
+  if (target == NULL && tracked != NULL && tracked->deferred)
+    tracked = balancer_choose_other_request (b, tracked, now_us, &target);
+  if (target != NULL)
+    {
+      balancer_value_record_dispatch (b, now_us, tracked);
+      dispatch (b, tracked, target, now_us, out);
+      return true;
+    }
+  if (balancer_value_refuse_one (b, now_us, out))
+    return true;
+  balancer_value_end (b, now_us);
+  return false;
+}
+
+bool
+balancer_next (balancer_t *b, int64_t now_us, balancer_decision_t *out)
+{
+  if (balancer_refuse_for_stop (b, now_us, out))
+    return true;
+  return b->options.overload_policy == BALANCER_OVERLOAD_VALUE ? decide_by_value (b, now_us, out)
+                                                               : decide_in_order (b, now_us, out);
+}
+
 void
 balancer_set_stop (balancer_t *b, int64_t stop_us)
 {
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -159,6 +159,10 @@
   /* BALANCER_OVERLOAD_VALUE */
   fair_share_t kind_shares;
   fair_share_t team_shares;
+  int64_t backlog_since_us; /* time from which requests wait and are not counted yet; 0: none */
+  double backlog_us;        /* time in which requests waited, decays */
+  double drained_work_us;   /* work that was dispatched in it, decays */
+  int64_t drain_updated_us;
   int64_t next_return_us; /* time from which capacity is left for the next refused caller */
 } balancer_t;
 
--- a/src/balancer_internal.h
+++ b/src/balancer_internal.h
@@ -123,11 +123,16 @@
 void balancer_value_init (balancer_t *b);
 void balancer_value_destroy (balancer_t *b);
 
-/* Record that REQUEST arrives, and that it is dispatched. */
+/* Record that REQUEST arrives, and that TRACKED is dispatched. */
 void balancer_value_record_offered (balancer_t *b, int64_t now_us,
                                     const balancer_request_t *request);
 void balancer_value_record_dispatch (balancer_t *b, int64_t now_us,
-                                     const balancer_request_t *request);
+                                     const tracked_request_t *tracked);
+
+/* Are called at the begin of balancer_next(), and at its end if it makes no decision. They measure
+ * how fast requests leave the queue. */
+void balancer_value_begin (balancer_t *b, int64_t now_us);
+void balancer_value_end (balancer_t *b, int64_t now_us);
 
 /* Returns the request to dispatch next, or NULL for an empty queue. */
 tracked_request_t *balancer_value_choose_request (balancer_t *b, int64_t now_us);
--- a/src/balancer_value.c
+++ b/src/balancer_value.c
@@ -26,6 +26,10 @@
  * entry, so its share is counted for longer. */
 #define KIND_DECAY_US 2000000.0
 #define TEAM_DECAY_US 8000000.0
+/* Time constant of the work that was dispatched while requests waited, and time for which the
+ * estimate of an entry without such work counts. */
+#define DRAIN_DECAY_US 1000000.0
+#define EXPECTED_WEIGHT_US 50000.0
 /* A retry takes as much as a first attempt, but a failed one ends the request. */
 #define FIRST_FAILURE_LOSS 0.6
 
@@ -41,12 +45,11 @@
   guint position;   /* in the queue */
 } candidate_t;
 
-/* What this entry can serve: its own requests in flight, since a slot that becomes free is used
- * again by the entry that has used it. */
+/* What this entry can serve while requests wait. */
 typedef struct
 {
-  double slots;
-  double mean_work_us;
+  double slots;        /* that work for this entry */
+  double mean_work_us; /* of a request */
 } own_capacity_t;
 
 void
@@ -63,25 +66,76 @@
   fair_share_destroy (&b->team_shares);
 }
 
+/* Returns the slots of the cell whose requests are not late, divided by the entries that use them.
+ */
+static double
+fair_slots (const balancer_t *b, int64_t now_us, double late_count)
+{
+  uint64_t peers[MAX_CELL_PEERS] = { 0 };
+  size_t peer_count = 0;
+  double slots = 0;
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, b->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const tracked_target_t *target = value;
+      if (target->setting.locality != BALANCER_LOCALITY_CELL
+          || !balancer_is_available (target, now_us))
+        continue;
+      slots += target->setting.slots;
+      for (size_t i = 0; i < MAX_CELL_PEERS; i++)
+        {
+          const peer_load_t *load = &target->peers[i];
+          size_t j = 0;
+          while (j < peer_count && peers[j] != load->peer)
+            j++;
+          if (load->in_flight > 0 && j == peer_count && peer_count < MAX_CELL_PEERS)
+            peers[peer_count++] = load->peer;
+        }
+    }
+  return MAX (slots / (double)(peer_count + 1) - late_count, 1);
+}
+
+void
+balancer_value_begin (balancer_t *b, int64_t now_us)
+{
+  if (b->backlog_since_us == 0)
+    return;
+  double factor = exp (-(double)(now_us - b->drain_updated_us) / DRAIN_DECAY_US);
+  b->drain_updated_us = now_us;
+  b->drained_work_us *= factor;
+  b->backlog_us = b->backlog_us * factor + (double)(now_us - b->backlog_since_us);
+  b->backlog_since_us = 0;
+}
+
+void
+balancer_value_end (balancer_t *b, int64_t now_us)
+{
+  b->backlog_since_us = b->queued_count > b->deferred_count ? now_us : 0;
+}
+
 static own_capacity_t
-estimate_capacity (balancer_t *b)
+estimate_capacity (balancer_t *b, int64_t now_us)
 {
   own_capacity_t capacity = { 0, 0 };
+  double late_count = 0;
+  double in_flight = 0;
   GHashTableIter iter;
   gpointer value = NULL;
   g_hash_table_iter_init (&iter, b->requests);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const tracked_request_t *tracked = value;
-      if (tracked->target == NULL || tracked->counted_late)
-        continue;
-      capacity.slots += 1;
+      late_count += tracked->target != NULL && tracked->counted_late;
+      in_flight += tracked->target != NULL && !tracked->counted_late;
       capacity.mean_work_us += balancer_latency (b, tracked->request.kind)->mean_us;
     }
-  if (capacity.slots > 0)
-    capacity.mean_work_us /= capacity.slots;
-  else
-    capacity = (own_capacity_t){ 1, (double)b->options.default_latency_us };
+  capacity.mean_work_us /= MAX (g_hash_table_size (b->requests), 1);
+  double expected = MAX (in_flight, fair_slots (b, now_us, late_count));
+  double factor = exp (-(double)(now_us - b->drain_updated_us) / DRAIN_DECAY_US);
+  capacity.slots = (b->drained_work_us * factor + EXPECTED_WEIGHT_US * expected)
+                   / (b->backlog_us * factor + EXPECTED_WEIGHT_US);
   return capacity;
 }
 
@@ -224,7 +278,7 @@
 {
   if (list_is_empty (&b->queue))
     return NULL;
-  own_capacity_t capacity = estimate_capacity (b);
+  own_capacity_t capacity = estimate_capacity (b, now_us);
   g_autoptr (GArray) candidates = order_queue (b, now_us, &capacity);
   return g_array_index (candidates, candidate_t, 0).tracked;
 }
@@ -240,9 +294,12 @@
 }
 
 void
-balancer_value_record_dispatch (balancer_t *b, int64_t now_us, const balancer_request_t *request)
+balancer_value_record_dispatch (balancer_t *b, int64_t now_us, const tracked_request_t *tracked)
 {
+  const balancer_request_t *request = &tracked->request;
   double work_us = balancer_latency (b, request->kind)->mean_us;
+  if (now_us > tracked->state_since_us)
+    b->drained_work_us += work_us;
   if (request->tried_count > 0)
     return;
   fair_share_record_served (&b->kind_shares, now_us, request->kind, work_us);
@@ -285,7 +342,7 @@
 {
   if (list_is_empty (&b->queue))
     return false;
-  own_capacity_t capacity = estimate_capacity (b);
+  own_capacity_t capacity = estimate_capacity (b, now_us);
   g_autoptr (GArray) candidates = order_queue (b, now_us, &capacity);
   int64_t available_us = balancer_available_after_us (b, now_us);
   double ahead_us = 0.5 * capacity.mean_work_us;
