Balancer: the order counts what waiting costs

Cause: by value per unit of work at once, a new request goes before one that waits, which is refused later although it was admitted.

Change: the order counts what a request loses if it starts two mean requests later, and half of what it then earns. New requests are admitted from a chance of 0.75, not 0.5, so fewer are refused after a wait.

--- a/src/balancer_value.c
+++ b/src/balancer_value.c
@@ -7,7 +7,7 @@
 /* A request is refused while it waits for a slot if its chance of an answer by the goal, in parts
  * of what it was on arrival, falls below MIN_ARRIVAL_CHANCE (new requests) or MIN_WAITING_CHANCE.
  * The second is lower, so that estimates that vary refuse on arrival rather than after a wait. */
-#define MIN_ARRIVAL_CHANCE 0.5
+#define MIN_ARRIVAL_CHANCE 0.75
 #define MIN_WAITING_CHANCE 0.25
 /* A request that will miss its goal stays if it is answered by its deadline with this probability,
  * from capacity that new requests of its rank and of more urgent ones leave. */
@@ -26,6 +26,10 @@
  * entry, so its share is counted for longer. */
 #define KIND_DECAY_US 2000000.0
 #define TEAM_DECAY_US 8000000.0
+/* The order counts what a request loses if it starts later by this many mean requests, and
+ * LATER_SHARE of what it then earns still. */
+#define LATER_REQUESTS 2.0
+#define LATER_SHARE 0.5
 /* Time constant of the work that was dispatched while requests waited, and time for which the
  * estimate of an entry without such work counts. */
 #define DRAIN_DECAY_US 1000000.0
@@ -42,6 +46,7 @@
   bool starved;     /* its kind or team is not served as often as guaranteed */
   bool late;        /* unlikely to meet the goal */
   bool above_share; /* its team was given more than its share */
+  double index;     /* cost of serving it later, per microsecond of work; larger goes first */
   guint position;   /* in the queue */
 } candidate_t;
 
@@ -206,6 +211,9 @@
                             > MAX_DEBT_REQUESTS * mean_work_us;
   if (candidate.late)
     candidate.late = !is_order_at_risk (b, now_us, request);
+  double later_us = LATER_REQUESTS * mean_work_us;
+  double later = request_value_estimate (&input, now_us + (int64_t)later_us).earned;
+  candidate.index = (candidate.value.earned - (1 - LATER_SHARE) * later) / MAX (input.work_us, 1);
   return candidate;
 }
 
@@ -224,8 +232,8 @@
     return x_rank < y_rank ? -1 : 1;
   if (x->above_share != y->above_share)
     return x->above_share ? 1 : -1;
-  if (x->value.earned_per_us != y->value.earned_per_us)
-    return x->value.earned_per_us > y->value.earned_per_us ? -1 : 1;
+  if (x->index != y->index)
+    return x->index > y->index ? -1 : 1;
   return x->position < y->position ? -1 : 1;
 }
 
