--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -200,7 +200,9 @@
     deadline_us = MIN (deadline_us, head->deadline_us);
   r->balancer_request = (balancer_request_t){
     .kind = g_str_hash (route->id),
+    .team = r->team != NULL ? limiter_team_id (r->team->name) : 0,
     .rank = has_priority ? r->team->priority : route->priority,
+    .received_us = head->received_us,
     .goal_us = head->received_us + goal_ms * 1000,
     .deadline_us = deadline_us,
     .idempotent = route->idempotent,
@@ -285,7 +287,7 @@
   quota_limit_t limit = { r->team->limit.rate, r->team->limit.burst };
   r->state = GATEWAY_ADMITTING;
   r->quota.on_verdict = on_quota_verdict;
-  gateway_quota_admit (&r->policy->core->quota, limiter_team_id (r->team->name), &limit, &r->quota);
+  gateway_quota_admit (&r->policy->core->quota, r->balancer_request.team, &limit, &r->quota);
 }
 
 static void
@@ -582,8 +584,12 @@
 gateway_policy_init (gateway_policy_t *policy, gateway_core_t *core, const http_dialect_t *dialect,
                      metric_registry_t *counters)
 {
-  static const char *const reasons[BALANCER_VERDICT_COUNT]
-      = { NULL, "reason=\"no_time\"", "reason=\"no_target\"", "reason=\"stopping\"" };
+  static const char *const reasons[BALANCER_VERDICT_COUNT] = { NULL,
+                                                               "reason=\"no_time\"",
+                                                               "reason=\"no_target\"",
+                                                               "reason=\"stopping\"",
+                                                               "reason=\"low_value\"",
+                                                               "reason=\"evicted\"" };
   *policy = (gateway_policy_t){ .policy.ops = &policy_ops, .core = core, .dialect = dialect };
   for (size_t i = 1; i < G_N_ELEMENTS (reasons); i++)
     metric_register (counters, &policy->refused[i], METRIC_KIND_COUNTER, "anvillb_refused_total",
