memory_budget: bound what connections hold, close the largest and slowest

Cause: an entry keeps what callers and targets do not read, up to 256 KB for each connection in its own memory and what the kernel's automatic buffers take besides. 2,000 callers that read a byte a second from answers of 200 KB, beside 300 uploads that a target does not read, added 415 MB.

Change: memory_budget keeps the account of each connection and chooses whom to close; caller_memory applies it, and reads kernel buffers with SO_MEMINFO. With memory-mb, sockets have kernel buffers of 64 KB, new requests are refused at the bound (503 with Retry-After), requests that may have run are answered 502, and bodies kept for another attempt are freed first. A body is no longer kept once the response has started. The request bytes at one target are bounded: more of a body is read only by the oldest request. Without the setting nothing is bounded, as before.

--- a/src/byte_stream.c
+++ b/src/byte_stream.c
@@ -1,5 +1,6 @@
 #include "byte_stream.h"
 
+#include <linux/sock_diag.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -266,6 +267,35 @@
   return stream->output == NULL ? 0 : stream->output->len - stream->output_start;
 }
 
+size_t
+byte_stream_held_bytes (const byte_stream_t *stream)
+{
+  return stream->output == NULL ? 0 : stream->output->allocated_len;
+}
+
+byte_stream_kernel_t
+byte_stream_kernel_bytes (const byte_stream_t *stream)
+{
+  uint32_t values[SK_MEMINFO_VARS] = { 0 };
+  socklen_t size = sizeof (values);
+  if (stream->closed
+      || getsockopt (g_socket_get_fd (stream->socket), SOL_SOCKET, SO_MEMINFO, values, &size) != 0)
+    return (byte_stream_kernel_t){ 0 };
+  return (byte_stream_kernel_t){
+    .input_bytes = values[SK_MEMINFO_RMEM_ALLOC],
+    .output_bytes = values[SK_MEMINFO_WMEM_QUEUED],
+  };
+}
+
+void
+byte_stream_limit_kernel_buffers (byte_stream_t *stream, int size)
+{
+  if (stream->closed)
+    return;
+  g_socket_set_option (stream->socket, SOL_SOCKET, SO_SNDBUF, size, NULL);
+  g_socket_set_option (stream->socket, SOL_SOCKET, SO_RCVBUF, size, NULL);
+}
+
 static gboolean
 on_tls_readable (GObject *object, gpointer data)
 {
--- a/src/byte_stream.h
+++ b/src/byte_stream.h
@@ -51,6 +51,12 @@
   char read_error[BYTE_STREAM_ERROR_SIZE]; /* reason of the last BYTE_STREAM_FAILED */
 };
 
+typedef struct
+{
+  size_t input_bytes;  /* received and not read yet */
+  size_t output_bytes; /* written and not acknowledged by the peer */
+} byte_stream_kernel_t;
+
 /* Results of byte_stream_read() other than a number of bytes. */
 #define BYTE_STREAM_EOF 0
 #define BYTE_STREAM_WOULD_BLOCK (-1)
@@ -80,6 +86,15 @@
 /* Returns the number of queued bytes that are not written yet. */
 size_t byte_stream_pending (const byte_stream_t *stream);
 
+/* Returns the memory that queued output takes. */
+size_t byte_stream_held_bytes (const byte_stream_t *stream);
+
+/* Returns the memory that the kernel holds for the socket; 0 if it does not tell. */
+byte_stream_kernel_t byte_stream_kernel_bytes (const byte_stream_t *stream);
+
+/* Limits the kernel buffers of the socket to SIZE bytes each way. */
+void byte_stream_limit_kernel_buffers (byte_stream_t *stream, int size);
+
 /* Turns the readable callback on or off. */
 void byte_stream_set_reading (byte_stream_t *stream, bool reading);
 
--- a/src/caller_conn.c
+++ b/src/caller_conn.c
@@ -44,6 +44,7 @@
   if (conn->state == CALLER_CLOSED)
     return;
   conn->state = CALLER_CLOSED;
+  caller_memory_close (conn);
   byte_stream_close (&conn->stream, reset);
   io_timer_cancel (&conn->timer);
   io_deferred_cancel (&conn->resume);
@@ -62,6 +63,17 @@
   close_conn (conn, request != NULL);
 }
 
+void
+caller_conn_close_for_memory (caller_conn_t *conn)
+{
+  if (conn->request != NULL && byte_stream_pending (&conn->stream) == 0)
+    proxy_request_end_for_memory (conn->request);
+  else if (conn->request != NULL)
+    caller_conn_close (conn);
+  else
+    close_conn (conn, true);
+}
+
 static void
 update_reading (caller_conn_t *conn)
 {
@@ -290,12 +302,14 @@
     store_pipelined_input (conn, buffer, (size_t)size);
   else if (conn->state != CALLER_LINGERING)
     process_input (conn, buffer, (size_t)size);
+  caller_memory_update (conn, false);
 }
 
 static void
 on_written (byte_stream_t *stream, size_t size)
 {
   caller_conn_t *conn = CONTAINER_OF (stream, caller_conn_t, stream);
+  caller_memory_record_moved (conn, size);
   if (conn->request != NULL)
     proxy_request_output_written (conn->request);
   else if (conn->state == CALLER_LINGERING)
@@ -329,7 +343,9 @@
 static void
 exchange_write (caller_exchange_t *exchange, const char *bytes, size_t size)
 {
-  byte_stream_write (&((caller_conn_t *)exchange)->stream, bytes, size);
+  caller_conn_t *conn = (caller_conn_t *)exchange;
+  byte_stream_write (&conn->stream, bytes, size);
+  caller_memory_update (conn, false);
 }
 
 static size_t
@@ -346,6 +362,12 @@
   update_reading (conn);
 }
 
+static void
+exchange_request_written (caller_exchange_t *exchange, size_t size)
+{
+  caller_memory_record_moved ((caller_conn_t *)exchange, size);
+}
+
 static void
 exchange_finished (caller_exchange_t *exchange, bool keep_alive)
 {
@@ -363,6 +385,7 @@
       arm_timer (conn, conn->options->header_timeout_us);
       update_reading (conn);
     }
+  caller_memory_update (conn, false);
 }
 
 static void
@@ -383,6 +406,7 @@
   .write = exchange_write,
   .pending = exchange_pending,
   .set_reading = exchange_set_reading,
+  .request_written = exchange_request_written,
   .finished = exchange_finished,
   .aborted = exchange_aborted,
 };
@@ -418,6 +442,7 @@
   io_deferred_init (&conn->free, free_conn);
   byte_stream_open (&conn->stream, &stream_ops, options->loop, socket, tls);
   conn->stream.watch_hangup = true;
+  caller_memory_open (conn);
   wait_for_request (conn);
   return conn;
 }
--- a/src/caller_conn.h
+++ b/src/caller_conn.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "byte_stream.h"
+#include "caller_memory.h"
 #include "http_codec.h"
 #include "proxy.h"
 
@@ -9,12 +10,11 @@
  * The requests of a connection are handled one at a time. A request in progress is cancelled when
  * the caller closes the connection, even if it closes only its sending side. */
 
-typedef struct caller_conn caller_conn_t;
-
 typedef struct
 {
   io_loop_t *loop;
   proxy_t *proxy;
+  caller_memory_t *memory;   /* NULL: connections may hold what they need */
   int64_t header_timeout_us; /* time limit of a request head, and of the rest of a discarded body */
   int64_t idle_timeout_us;   /* longest time between two requests */
   /* Called once, when the connection is closed. */
@@ -50,7 +50,9 @@
   io_timer_t timer;
   io_deferred_t resume; /* goes on after a request, see on_resume() */
   io_deferred_t free;
-  char address[64]; /* IP address of the caller, without port */
+  memory_holder_t holder;      /* see caller_memory */
+  byte_stream_kernel_t kernel; /* as it was read last */
+  char address[64];            /* IP address of the caller, without port */
 };
 
 /* Starts to serve the connected SOCKET, through TLS if that is not NULL. Takes a reference to both.
@@ -65,3 +67,7 @@
 
 /* Closes the connection immediately and cancels its request, if any. */
 void caller_conn_close (caller_conn_t *conn);
+
+/* Closes the connection to free memory. A request whose response has not started is answered if
+ * the caller has taken the earlier responses: 503 if it has not run, otherwise 502. */
+void caller_conn_close_for_memory (caller_conn_t *conn);
--- a/src/entry_policy.c
+++ b/src/entry_policy.c
@@ -444,6 +444,7 @@
     case ATTEMPT_CALLER_GONE:
     case ATTEMPT_CALLER_ERROR:
     case ATTEMPT_STOPPING:
+    case ATTEMPT_MEMORY:
       return HEALTH_ABANDONED;
     default:
       return HEALTH_ERROR;
--- a/src/fleet_entry_tasks.c
+++ b/src/fleet_entry_tasks.c
@@ -1,5 +1,7 @@
 #include "fleet_entry_tasks.h"
 
+#include <malloc.h>
+
 #define LOG_MODULE "fleet_entry"
 #include "fleet_options.h"
 #include "gateway_policy.h"
@@ -9,6 +11,9 @@
 #include "supervisor.h"
 
 #define US_PER_MS 1000
+#define BYTES_PER_MB 1e6
+/* Buffers of this size go back to the system when they are freed. */
+#define LARGE_BUFFER_BYTES (128 * 1024)
 #define MAX_LINKS 1024
 #define MAX_SERVER_CONNECTIONS 64
 #define MAX_CALL_BODY_BYTES 4096
@@ -42,6 +47,7 @@
   gateway_policy_t policy;
   proxy_t proxy;
   caller_listener_t listener;
+  caller_memory_t memory; /* with a bound, see memory-mb */
   call_server_t ready;
   call_server_t metrics;
   supervisor_t supervisor;
@@ -110,6 +116,27 @@
   peer_network_init (&tasks.network, &options, NULL);
 }
 
+static bool
+has_memory_bound (void)
+{
+  return fleet_options.memory_mb > 0;
+}
+
+static void
+init_memory (void)
+{
+  if (!has_memory_bound ())
+    return;
+  caller_memory_options_t options = {
+    .loop = tasks.loop,
+    .process_bytes = (size_t)(fleet_options.memory_mb * BYTES_PER_MB),
+    .counters = &tasks.counters,
+  };
+  caller_memory_init (&tasks.memory, &options);
+  /* The allocator otherwise raises this threshold, and keeps what long answers took. */
+  mallopt (M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
+}
+
 static void
 init_core (void)
 {
@@ -118,6 +145,11 @@
     .connect_timeout_us = fleet_options.connect_timeout_ms * US_PER_MS,
     .idle_timeout_us = fleet_options.upstream_idle_ms * US_PER_MS,
   };
+  if (has_memory_bound ())
+    {
+      pool_options.max_target_request_bytes = memory_budget_max_target_bytes (&tasks.memory.budget);
+      pool_options.kernel_buffer_bytes = MEMORY_KERNEL_BUFFER_BYTES;
+    }
   upstream_pool_init (&tasks.pool, &pool_options);
   metric_register (&tasks.counters, &tasks.upstream_connections, METRIC_KIND_COUNTER,
                    "anvillb_upstream_connections_total", NULL, "Connections opened to targets.");
@@ -156,6 +188,7 @@
     .dialect = tasks.adapter->dialect,
     .default_timeout_us = DEFAULT_REQUEST_TIMEOUT_US,
     .max_kept_body_bytes = MAX_KEPT_BODY_BYTES,
+    .memory = has_memory_bound () ? &tasks.memory.budget : NULL,
   };
   proxy_init (&tasks.proxy, &options);
   caller_listener_options_t listener_options = {
@@ -165,6 +198,7 @@
     .conn = {
       .loop = tasks.loop,
       .proxy = &tasks.proxy,
+      .memory = has_memory_bound () ? &tasks.memory : NULL,
       .header_timeout_us = HEADER_TIMEOUT_US,
       .idle_timeout_us = IDLE_TIMEOUT_US,
     },
@@ -263,6 +297,7 @@
   rng_init (&tasks.rng, (uint64_t)g_get_real_time () ^ g_str_hash (fleet_options.instance));
   tasks.seeds = fleet_options_peer_addresses (fleet_options.seeds);
   init_network ();
+  init_memory ();
   init_core ();
   init_proxy ();
   init_server (&tasks.ready, fleet_options.ready_listen, "port=\"ready\"", handle_ready);
@@ -327,6 +362,8 @@
       call_server_destroy (&tasks.metrics);
       proxy_destroy (&tasks.proxy);
       upstream_pool_destroy (&tasks.pool);
+      if (has_memory_bound ())
+        caller_memory_destroy (&tasks.memory);
       gateway_core_destroy (&tasks.core);
       peer_network_destroy (&tasks.network);
       g_ptr_array_unref (tasks.seeds);
--- a/src/fleet_options.c
+++ b/src/fleet_options.c
@@ -81,6 +81,8 @@
     "Time from SIGTERM to the end of the process" },
   { "max-connections", OPTION_INTEGER, &fleet_options.max_connections, "2048", 1, 1000000, NULL,
     false, "COUNT", "Open connections of callers" },
+  { "memory-mb", OPTION_NUMBER, &fleet_options.memory_mb, "0", 0, 1000000, NULL, false, "MB",
+    "Memory of this instance; connections may hold a half of it. 0: no bound" },
   { "connect-timeout-ms", OPTION_INTEGER, &fleet_options.connect_timeout_ms, "250", 1, MS_PER_DAY,
     NULL, false, "MS", "Time limit for a connection to a target" },
   { "upstream-idle-ms", OPTION_INTEGER, &fleet_options.upstream_idle_ms, "9000", 1, MS_PER_DAY,
--- a/src/fleet_options.h
+++ b/src/fleet_options.h
@@ -19,6 +19,7 @@
   char *ready_listen;
   int64_t grace_s;
   int64_t max_connections;
+  double memory_mb;
   int64_t connect_timeout_ms;
   int64_t upstream_idle_ms;
   double retry_share;
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -378,6 +378,7 @@
     case ATTEMPT_CALLER_GONE:
     case ATTEMPT_CALLER_ERROR:
     case ATTEMPT_STOPPING:
+    case ATTEMPT_MEMORY:
     case ATTEMPT_CLOSED_REUSED: /* the target may have closed the connection while it was idle */
       return BALANCER_ABANDONED;
     case ATTEMPT_STALLED:
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -30,7 +30,7 @@
     "end=\"complete\"",      "end=\"shed\"",      "end=\"discarded\"",   "end=\"connect_failed\"",
     "end=\"closed_reused\"", "end=\"closed\"",    "end=\"truncated\"",   "end=\"invalid\"",
     "end=\"stalled\"",       "end=\"timed_out\"", "end=\"caller_gone\"", "end=\"caller_error\"",
-    "end=\"stopping\"",
+    "end=\"stopping\"",      "end=\"memory\"",
   };
   proxy_counters_t *counters = &proxy->counters;
   metric_registry_t *registry = proxy->options.counters;
@@ -55,6 +55,9 @@
   metric_register (registry, &counters->added_latency, METRIC_KIND_HISTOGRAM,
                    "anvillb_added_latency_ms", NULL,
                    "Time of a request that was not spent in attempts.");
+  if (proxy->options.memory != NULL)
+    metric_register (registry, &counters->refused_for_memory, METRIC_KIND_COUNTER,
+                     "anvillb_memory_refused_total", NULL, "Requests refused for memory.");
 }
 
 void
@@ -245,6 +248,7 @@
     [CANCEL_DEADLINE] = "deadline",
     [CANCEL_CALLER_ERROR] = "caller_error",
     [CANCEL_STOPPING] = "stopping",
+    [CANCEL_MEMORY] = "memory",
   };
   return names[reason];
 }
@@ -331,6 +335,8 @@
 
   if (request->proxy->refusing)
     proxy_request_refuse_for_stop (request);
+  else if (proxy_refuses_for_memory (request->proxy))
+    proxy_request_refuse_for_memory (request);
   else if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") != 0)
     proxy_request_send_error (request, 417, "unknown expectation");
   else if (!deadline_valid)
@@ -398,9 +404,8 @@
                                 "request body too large");
 }
 
-/* Frees the buffered body and stops buffering. No further attempt is possible. */
-static void
-drop_body (proxy_request_t *request)
+void
+proxy_request_drop_body (proxy_request_t *request)
 {
   request->body_dropped = true;
   if (request->body != NULL)
@@ -424,7 +429,7 @@
   bool sending = request->state == REQUEST_ATTEMPT && request->attempt.head_written;
   if (sending && !request->body_dropped
       && (request->body_bytes > max_kept_body_bytes || !request->attempt.options.keep_body))
-    drop_body (request);
+    proxy_request_drop_body (request);
   if (!request->body_dropped)
     proxy_request_append_body (request, bytes, size);
   if (sending)
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -3,6 +3,7 @@
 #include <stdio.h>
 
 #include "http_dialect.h"
+#include "memory_budget.h"
 #include "metric.h"
 #include "request_policy.h"
 #include "rng.h"
@@ -30,6 +31,8 @@
   size_t (*pending) (const caller_exchange_t *caller);
   /* Starts or stops reading the request body. */
   void (*set_reading) (caller_exchange_t *caller, bool reading);
+  /* The target has taken SIZE bytes of the request. */
+  void (*request_written) (caller_exchange_t *caller, size_t size);
   /* The response is complete. Without KEEP_ALIVE, closes the connection after writing it. */
   void (*finished) (caller_exchange_t *caller, bool keep_alive);
   /* The response cannot be completed. Closes the connection so that the caller does not take it
@@ -57,6 +60,7 @@
   const http_dialect_t *dialect; /* NULL selects http_dialect_native */
   int64_t default_timeout_us;    /* time limit of a request until the policy sets a deadline */
   size_t max_kept_body_bytes;    /* longest request body that is kept for another attempt */
+  const memory_budget_t *memory; /* refuses new requests at its bound; NULL for no bound */
 } proxy_options_t;
 
 typedef struct
@@ -68,6 +72,7 @@
   metric_t not_run;                     /* responses that tell that the request was not run */
   metric_t outcome_unknown;             /* responses that tell that the request may have been run */
   metric_t aborted;                     /* incomplete responses */
+  metric_t refused_for_memory;          /* registered only with a bound */
   metric_t added_latency;               /* time of a request that was not spent in attempts */
 } proxy_counters_t;
 
@@ -92,6 +97,16 @@
 /* Returns the number of requests in progress. */
 size_t proxy_in_flight_count (const proxy_t *proxy);
 
+/* Memory that a request holds besides the output to its caller. */
+typedef struct
+{
+  size_t unread_bytes; /* of the request, which the target has not read */
+  size_t kept_bytes;   /* body kept for another attempt, and what of the response is not read yet */
+  size_t moved_bytes;  /* taken by the target since the kernel was read before */
+  /* The target takes no more of the body, so what was kept and received of it is unread as well. */
+  bool waits_for_target;
+} proxy_held_t;
+
 /* The functions below are called by the caller connection. */
 
 /* Creates a request and moves the request target and the header fields out of HEAD. The returned
@@ -114,5 +129,17 @@
 /* The caller has closed the connection. Calls neither finished() nor aborted() of CALLER. */
 void proxy_request_caller_gone (proxy_request_t *request);
 
+/* Returns what REQUEST holds; reads the kernel buffers of its connection again if READ_KERNEL. */
+proxy_held_t proxy_request_read_held (proxy_request_t *request, bool read_kernel);
+
+/* Frees the body that is kept for another attempt, if it was sent; no other attempt is possible
+ * then.
+ */
+void proxy_request_drop_kept_body (proxy_request_t *request);
+
+/* Ends the request to free memory: aborts a response that has started, answers 503 if no target can
+ * have run the request, and 502 otherwise. */
+void proxy_request_end_for_memory (proxy_request_t *request);
+
 /* Queued output was written to the caller. Resumes reading the response if little is left. */
 void proxy_request_output_written (proxy_request_t *request);
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -23,6 +23,7 @@
   [ATTEMPT_CALLER_GONE] = "caller_gone",
   [ATTEMPT_CALLER_ERROR] = "caller_error",
   [ATTEMPT_STOPPING] = "stopping",
+  [ATTEMPT_MEMORY] = "memory",
 };
 
 const char *
@@ -169,7 +170,8 @@
       proxy_write_chunk (chunk, bytes, size);
       upstream_exchange_write (&request->exchange, chunk->str, chunk->len);
     }
-  if (upstream_exchange_pending (&request->exchange) > PROXY_HIGH_WATER_BYTES)
+  if (upstream_exchange_pending (&request->exchange) > PROXY_HIGH_WATER_BYTES
+      || !upstream_exchange_may_send (&request->exchange))
     proxy_request_pause_caller (request, true);
 }
 
@@ -182,6 +184,16 @@
   request->exchange.request_sent = true;
 }
 
+static void
+resume_caller (upstream_exchange_t *exchange)
+{
+  proxy_request_t *request = CONTAINER_OF (exchange, proxy_request_t, exchange);
+  if (!request->body_complete && request->attempt.head_written
+      && upstream_exchange_pending (exchange) < PROXY_LOW_WATER_BYTES
+      && upstream_exchange_may_send (exchange))
+    proxy_request_pause_caller (request, false);
+}
+
 static void
 on_written (upstream_exchange_t *exchange, size_t size)
 {
@@ -193,8 +205,8 @@
       request->attempt.wrote_bytes = true;
       policy->ops->first_byte_written (policy, request);
     }
-  if (!request->body_complete && upstream_exchange_pending (exchange) < PROXY_LOW_WATER_BYTES)
-    proxy_request_pause_caller (request, false);
+  resume_caller (exchange);
+  request->caller->ops->request_written (request->caller, size);
 }
 
 /* Returns whether the response proves that the target did not run the request. */
@@ -267,6 +279,8 @@
   if (request->version_minor == 0)
     request->keep_alive = false;
   GString *text = proxy_build_response_head (request, head);
+  /* A response that has started rules out another attempt. */
+  proxy_request_drop_body (request);
   request->response_started = true;
   request->response_status = head->status;
   request->caller->ops->write (request->caller, text->str, text->len);
@@ -371,6 +385,7 @@
 static const upstream_exchange_ops_t exchange_ops = {
   .ready = on_ready,
   .written = on_written,
+  .relieved = resume_caller,
   .response_owner = response_owner,
   .head = on_head,
   .body = on_body,
--- a/src/proxy_request.h
+++ b/src/proxy_request.h
@@ -78,6 +78,7 @@
   bool response_chunked;
   int response_status;
   attempt_end_t last_end;
+  byte_stream_kernel_t kernel; /* of the connection to the target, as it was read last */
   char *retry_after; /* Retry-After of the last response of an ATTEMPT_SHED; may be NULL */
   span_t span;
 };
@@ -104,6 +105,8 @@
 void proxy_request_send_error (proxy_request_t *request, int status, const char *text);
 /* Appends a part of the request body to the buffered body. */
 void proxy_request_append_body (proxy_request_t *request, const char *bytes, size_t size);
+/* Frees the buffered body and stops buffering. No further attempt is possible. */
+void proxy_request_drop_body (proxy_request_t *request);
 /* Stops or resumes reading the request body. */
 void proxy_request_pause_caller (proxy_request_t *request, bool paused);
 /* Sends 100 Continue if the caller expects it and has not sent any of the body. */
@@ -130,6 +133,13 @@
 /* Answers a request that arrives while proxy_t.refusing is set. */
 void proxy_request_refuse_for_stop (proxy_request_t *request);
 
+/* In proxy_memory.c: */
+
+/* Returns whether new requests are refused because the process holds too much. */
+bool proxy_refuses_for_memory (const proxy_t *proxy);
+/* Answers a request that arrives meanwhile. */
+void proxy_request_refuse_for_memory (proxy_request_t *request);
+
 /* In proxy_message.c; the returned strings are freed with g_string_free(): */
 
 /* Returns the request head for the current attempt. */
--- a/src/request_policy.h
+++ b/src/request_policy.h
@@ -85,9 +85,10 @@
   ATTEMPT_CALLER_GONE,
   ATTEMPT_CALLER_ERROR, /* malformed or too large request body */
   ATTEMPT_STOPPING,     /* this process stops */
+  ATTEMPT_MEMORY,       /* ended to free memory */
 } attempt_end_t;
 
-#define ATTEMPT_END_COUNT (ATTEMPT_STOPPING + 1)
+#define ATTEMPT_END_COUNT (ATTEMPT_MEMORY + 1)
 
 typedef struct
 {
@@ -109,6 +110,7 @@
   CANCEL_DEADLINE,
   CANCEL_CALLER_ERROR,
   CANCEL_STOPPING, /* this process stops */
+  CANCEL_MEMORY,   /* ended to free memory */
 } cancel_reason_t;
 
 typedef struct
--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -17,6 +17,27 @@
   g_free (conn);
 }
 
+/* Ends the account of the bytes that the exchange of CONN has written, and tells the others at the
+ * target if that makes room. */
+static void
+release_request_bytes (upstream_conn_t *conn)
+{
+  upstream_target_t *target = conn->target;
+  size_t limit = conn->pool->options.max_target_request_bytes;
+  bool was_full = limit > 0 && target->request_bytes >= limit;
+
+  target->request_bytes -= conn->exchange->request_bytes;
+  conn->exchange->request_bytes = 0;
+  LIST_FOREACH (&target->active, node)
+  {
+    upstream_conn_t *other = CONTAINER_OF (node, upstream_conn_t, node);
+    if (!was_full || other == conn || other->exchange == NULL)
+      continue;
+    if (other->exchange->ops->relieved != NULL)
+      other->exchange->ops->relieved (other->exchange);
+  }
+}
+
 void
 upstream_conn_close (upstream_conn_t *conn)
 {
@@ -24,7 +45,10 @@
     return;
   conn->state = UPSTREAM_CONN_CLOSED;
   if (conn->exchange != NULL)
-    conn->exchange->conn = NULL;
+    {
+      release_request_bytes (conn);
+      conn->exchange->conn = NULL;
+    }
   conn->exchange = NULL;
   byte_stream_close (&conn->stream, false);
   io_timer_cancel (&conn->timer);
@@ -173,6 +197,7 @@
   bool reuse = may_reuse && conn->codec.head.keep_alive && exchange->request_sent && !conn->retired
                && byte_stream_pending (&conn->stream) == 0;
 
+  release_request_bytes (conn);
   exchange->conn = NULL;
   conn->exchange = NULL;
   http_codec_reset (&conn->codec);
@@ -406,7 +431,11 @@
   exchange->on_reused_connection = false;
   conn->stream.closed = true;
   if (address != NULL && byte_stream_connect (&conn->stream, &stream_ops, loop, address, NULL))
-    io_timer_set (loop, &conn->timer, now_us + pool->options.connect_timeout_us);
+    {
+      io_timer_set (loop, &conn->timer, now_us + pool->options.connect_timeout_us);
+      if (pool->options.kernel_buffer_bytes > 0)
+        byte_stream_limit_kernel_buffers (&conn->stream, pool->options.kernel_buffer_bytes);
+    }
   else
     schedule_connect_failure (conn);
   return conn;
@@ -424,8 +453,29 @@
 void
 upstream_exchange_write (upstream_exchange_t *exchange, const char *bytes, size_t size)
 {
-  if (exchange->conn != NULL)
-    byte_stream_write (&exchange->conn->stream, bytes, size);
+  if (exchange->conn == NULL)
+    return;
+  exchange->request_bytes += size;
+  exchange->target->request_bytes += size;
+  byte_stream_write (&exchange->conn->stream, bytes, size);
+}
+
+bool
+upstream_exchange_may_send (const upstream_exchange_t *exchange)
+{
+  const upstream_conn_t *conn = exchange->conn;
+  if (conn == NULL)
+    return true;
+  size_t limit = conn->pool->options.max_target_request_bytes;
+  if (limit == 0 || conn->target->request_bytes < limit)
+    return true;
+  LIST_FOREACH (&conn->target->active, node)
+  {
+    const upstream_conn_t *other = CONTAINER_OF (node, upstream_conn_t, node);
+    if (other->exchange != NULL)
+      return other == conn;
+  }
+  return true;
 }
 
 size_t
--- a/src/upstream_conn.h
+++ b/src/upstream_conn.h
@@ -41,6 +41,8 @@
   void (*ready) (upstream_exchange_t *exchange);
   /* SIZE bytes of the request were written to the socket. */
   void (*written) (upstream_exchange_t *exchange, size_t size);
+  /* The target may be sent more again; see upstream_exchange_may_send(). May be NULL. */
+  void (*relieved) (upstream_exchange_t *exchange);
   /* Tells to which request the response belongs. If it is another one, the response is read and
    * dropped, and the exchange waits for the next one; likewise without an id, if the peer has sent
    * ids on this connection. NULL accepts every response. */
@@ -75,6 +77,7 @@
   /* The request must not be lost: use a connection that was idle for longer than idle_limit allows
    * only if no new one can be opened. */
   bool avoid_stale_connection;
+  size_t request_bytes;      /* written with upstream_exchange_write() on this connection */
   bool request_sent;         /* set by the owner after the last write of the request */
   bool stalled;              /* the connection has stalled; see UPSTREAM_STALLED */
   bool on_reused_connection; /* the connection has carried an earlier exchange */
@@ -137,5 +140,9 @@
 /* Returns the number of queued bytes that are not written to the socket yet. */
 size_t upstream_exchange_pending (const upstream_exchange_t *exchange);
 
+/* Returns whether more of the request body may be written. It may not while the unanswered requests
+ * at the target exceed the bound of the pool; but the oldest of them goes on. */
+bool upstream_exchange_may_send (const upstream_exchange_t *exchange);
+
 /* Stops or resumes reading the response. */
 void upstream_exchange_pause (upstream_exchange_t *exchange, bool paused);
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -15,6 +15,9 @@
   io_loop_t *loop;
   int64_t connect_timeout_us;
   int64_t idle_timeout_us; /* idle connections are closed after this time */
+  /* Bound for the bytes of unanswered requests at one target; 0 for none. */
+  size_t max_target_request_bytes;
+  int kernel_buffer_bytes; /* size of the kernel's buffers of a connection; 0: its own choice */
   /* A connection to ADDRESS has made no progress for the stall timeout, and no other connection to
    * the target shows whether the target is alive; a probe on another connection can tell. May be
    * NULL. */
@@ -30,6 +33,7 @@
   int max_connections;
   int connection_count;     /* open or connecting */
   int64_t last_progress_us; /* last progress of any connection */
+  size_t request_bytes;     /* written to it by exchanges that have not ended */
   list_t active;            /* connecting and busy connections */
   list_t idle;              /* idle connections, most recently used first */
   list_t waiting;           /* upstream_exchange_t without a connection, oldest first */
--- a/tests/http/proxy_fixture.h
+++ b/tests/http/proxy_fixture.h
@@ -258,6 +258,9 @@
   rng_t rng = {};
   proxy_t proxy = {};
   caller_listener_t listener = {};
+  size_t process_bytes = 0;            /* bound for memory_budget; 0 for none */
+  size_t max_target_request_bytes = 0; /* see upstream_pool_options_t */
+  caller_memory_t memory = {};
   test_policy_t policy;
   server_t server;
   std::vector<peer_ptr> callers;
@@ -278,7 +281,11 @@
     metric_registry_init (&counters);
     rng_init (&rng, 1);
     upstream_pool_options_t pool_options = { loop, G_USEC_PER_SEC * 5, WAIT_LIMIT_US };
+    pool_options.max_target_request_bytes = max_target_request_bytes;
     upstream_pool_init (pool.get (), &pool_options);
+    caller_memory_options_t memory_options = { loop, process_bytes, &counters };
+    if (process_bytes > 0)
+      caller_memory_init (&memory, &memory_options);
     policy.base.ops = &test_policy_ops;
     policy.dispatch.max_connections = 4;
     policy.targets = { server.address };
@@ -290,6 +297,7 @@
     options.rng = &rng;
     options.default_timeout_us = WAIT_LIMIT_US;
     options.max_kept_body_bytes = 65536;
+    options.memory = process_bytes > 0 ? &memory.budget : nullptr;
     proxy_init (&proxy, &options);
     caller_listener_options_t listen = {};
     listen.listen = "127.0.0.1:0";
@@ -297,6 +305,7 @@
     listen.counters = &counters;
     listen.conn.loop = loop;
     listen.conn.proxy = &proxy;
+    listen.conn.memory = process_bytes > 0 ? &memory : nullptr;
     listen.conn.header_timeout_us = header_timeout_us;
     listen.conn.idle_timeout_us = idle_timeout_us;
     caller_listener_init (&listener, &listen, nullptr);
@@ -308,6 +317,8 @@
   TearDown () override
   {
     caller_listener_destroy (&listener);
+    if (process_bytes > 0)
+      caller_memory_destroy (&memory);
     proxy_destroy (&proxy);
     upstream_pool_destroy (pool.get ());
     io_loop_free (loop);
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -254,6 +254,7 @@
         self.port_block = self.ports[0] // 200
         self.attempts, self.seen_attempts = 0, set()
         self.preloads_disk_faults = False  # set it before start()
+        self.entry_settings = {}  # besides the usual ones; set them before start()
         self.lock = threading.Lock()
 
     def __enter__(self):
@@ -289,7 +290,7 @@
                 "INSTANCE": f"entry-{i}", "DOMAIN": "abc"[i % 3], "LISTEN": f"{ip}:{self.ports[0]}",
                 "READY_LISTEN": f"{ip}:{self.ports[1]}", "PEER_LISTEN": f"{ip}:{self.ports[2]}",
                 "METRICS_LISTEN": f"{ip}:{self.ports[3]}", "SEED": seeds, "GRACE_S": GRACE_S, "RETRY_SHARE": 1, "RETRY_RATE": 100,
-                "DEFAULT_LATENCY_MS": 1000}).start())
+                "DEFAULT_LATENCY_MS": 1000, **self.entry_settings}).start())
 
     def add_target(self, service, **arguments):
         target = Target(self, len(self.targets) + 1, service, **arguments)
