Responses: a status is exactly three digits; anvillbctl needs a length

Cause: http_parser and libsoup read "0200" as 200; http_parser also skips further blanks before the status, and libsoup takes 600 and 999. libsoup takes a connection that ends between two chunks, or in a body without a length, for a complete response.

Change: http_codec, which reads all other responses, checks the status in the first line: one blank, three digits from 100 to 599, then a blank or the end of the line. ctl_client accepts a status from 100 to 599 without further digits, and only responses with Content-Length, as the control instances send them.

--- a/src/ctl_client.c
+++ b/src/ctl_client.c
@@ -4,6 +4,9 @@
 
 #include "version_codec.h"
 
+#define MIN_STATUS 100
+#define MAX_STATUS 599
+
 bool
 ctl_client_init (ctl_client_t *client, const ctl_client_options_t *options, anv_error_t *err)
 {
@@ -43,6 +46,21 @@
   g_clear_pointer (&client->authorization, g_free);
 }
 
+/* Returns whether the response has a valid status and a Content-Length, as control instances send
+ * it. libsoup takes a lost connection for the end of a body without a length, also between two
+ * chunks. */
+static bool
+is_complete_response (SoupMessage *message)
+{
+  SoupMessageHeaders *headers = soup_message_get_response_headers (message);
+  guint status = soup_message_get_status (message);
+  const char *reason = soup_message_get_reason_phrase (message);
+  /* libsoup reads three digits of the status; further ones begin the reason. */
+  bool has_further_digits = reason != NULL && g_ascii_isdigit (reason[0]);
+  return status >= MIN_STATUS && status <= MAX_STATUS && !has_further_digits
+         && soup_message_headers_get_encoding (headers) == SOUP_ENCODING_CONTENT_LENGTH;
+}
+
 /* Makes one call without following redirects. Returns NULL if there is no complete response. */
 static GBytes *
 call_once (ctl_client_t *client, const char *method, const char *url, const char *body,
@@ -69,6 +87,13 @@
       anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_CALL, "%s: %s", url, error->message);
       return NULL;
     }
+  if (!is_complete_response (message))
+    {
+      anv_error_set (err, ANV_ERROR_CTL, CTL_ERROR_CALL, "%s: malformed or incomplete response",
+                     url);
+      g_bytes_unref (response);
+      return NULL;
+    }
   SoupMessageHeaders *headers = soup_message_get_response_headers (message);
   *status = soup_message_get_status (message);
   *location = g_strdup (soup_message_headers_get_one (headers, "Location"));
--- a/src/http_codec.c
+++ b/src/http_codec.c
@@ -329,6 +329,23 @@
   return NULL;
 }
 
+/* Returns whether the first line of the head in BYTES has a status of exactly three digits after
+ * one blank. http_parser skips leading zeros and further digits. */
+static bool
+has_valid_status (const char *bytes, size_t size)
+{
+  static const char version[] = "HTTP/1.1 ";
+  size_t start = strlen (version);
+  if (size <= start + 3 || bytes[start - 1] != ' ' || bytes[start] == '0')
+    return false;
+  for (size_t i = start; i < start + 3; i++)
+    {
+      if (!g_ascii_isdigit (bytes[i]))
+        return false;
+    }
+  return bytes[start + 3] == ' ' || bytes[start + 3] == '\r';
+}
+
 static void
 choose_body_mode (http_codec_t *codec)
 {
@@ -372,8 +389,9 @@
       reason = check_request (&codec->head, &code);
     }
   if (reason == NULL && codec->kind == HTTP_CODEC_RESPONSE
-      && (codec->head.status < MIN_STATUS || codec->head.status > MAX_STATUS))
-    reason = "status out of range";
+      && (codec->head.status < MIN_STATUS || codec->head.status > MAX_STATUS
+          || !has_valid_status (bytes, size)))
+    reason = "status is not a number from 100 to 599";
   if (reason != NULL)
     return fail (codec, err, code, reason);
   if (codec->parser.http_major != 1 || codec->head.version_minor > 1)
--- a/tests/control/test_ctl.cc
+++ b/tests/control/test_ctl.cc
@@ -1,5 +1,6 @@
 #include "version_fixture.h"
 
+#include <atomic>
 #include <cstdio>
 #include <fstream>
 #include <vector>
@@ -122,6 +123,58 @@
   }
 };
 
+// Server that reads one request on each connection, writes RESPONSE and closes.
+class RawServer
+{
+public:
+  std::string url;
+
+  explicit RawServer (const std::string &text) : response (text)
+  {
+    listener = g_socket_listener_new ();
+    guint16 port = g_socket_listener_add_any_inet_port (listener, nullptr, nullptr);
+    url = "http://127.0.0.1:" + std::to_string (port);
+    thread = g_thread_new ("raw", run, this);
+  }
+
+  ~RawServer ()
+  {
+    ended = true;
+    std::string address = url.substr (strlen ("http://"));
+    g_autoptr (GSocketClient) waker = g_socket_client_new ();
+    g_autoptr (GSocketConnection) last
+        = g_socket_client_connect_to_host (waker, address.c_str (), 0, nullptr, nullptr);
+    g_thread_join (thread);
+    g_object_unref (listener);
+  }
+
+private:
+  GSocketListener *listener;
+  GThread *thread;
+  std::string response;
+  std::atomic<bool> ended = false;
+
+  static void *
+  run (void *data)
+  {
+    RawServer *self = (RawServer *)data;
+    while (true)
+      {
+        g_autoptr (GSocketConnection) connection
+            = g_socket_listener_accept (self->listener, nullptr, nullptr, nullptr);
+        if (connection == nullptr || self->ended)
+          return nullptr;
+        char buffer[4096];
+        GIOStream *stream = G_IO_STREAM (connection);
+        g_input_stream_read (g_io_stream_get_input_stream (stream), buffer, sizeof (buffer),
+                             nullptr, nullptr);
+        g_output_stream_write_all (g_io_stream_get_output_stream (stream), self->response.data (),
+                                   self->response.size (), nullptr, nullptr, nullptr);
+        g_io_stream_close (stream, nullptr, nullptr);
+      }
+  }
+};
+
 class Ctl : public ::testing::Test
 {
 protected:
@@ -286,3 +339,31 @@
       EXPECT_EQ (err.code, CTL_ERROR_USAGE);
     }
 }
+
+// Guards against a malformed or incomplete response that is taken for an answer.
+TEST_F (Ctl, InvalidResponsesAreRefused)
+{
+  const std::string with_length = "Content-Length: 2\r\n\r\n{}";
+  std::vector<std::string> responses = {
+    "HTTP/1.1 200 OK\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+  };
+  for (const char *status : { "000", "099", "600", "999", "0200", "2000", "20", "+200", "2 0" })
+    responses.push_back (std::string ("HTTP/1.1 ") + status + " OK\r\n" + with_length);
+  for (const std::string &response : responses)
+    {
+      RawServer server (response);
+      unsigned status = 0;
+      cJSON *json = ctl_client_call_server (&client, server.url.c_str (), "GET", "/x", nullptr,
+                                            &status, &err);
+      EXPECT_EQ (json, nullptr) << response << status << err.text;
+      cJSON_Delete (json);
+    }
+  RawServer server ("HTTP/1.1 200 OK\r\n" + with_length);
+  unsigned status = 0;
+  cJSON *json
+      = ctl_client_call_server (&client, server.url.c_str (), "GET", "/x", nullptr, &status, &err);
+  EXPECT_NE (json, nullptr) << err.text;
+  cJSON_Delete (json);
+}
--- a/tests/http/test_http_codec.cc
+++ b/tests/http/test_http_codec.cc
@@ -273,6 +273,12 @@
     { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk", false, "E", "" },
     { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false,
       "E", "" },
+    { "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", false, "HC", "" },
+    { "HTTP/1.1 599 High\r\nContent-Length: 0\r\n\r\n", false, "HC", "" },
+    { "HTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n", false, "E", "" },
+    { "HTTP/1.1 0200 OK\r\nContent-Length: 0\r\n\r\n", false, "E", "" },
+    { "HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n", false, "E", "" },
+    { "HTTP/1.1 200\tOK\r\nContent-Length: 0\r\n\r\n", false, "E", "" },
     { "HTTP/1.1 99 Low\r\n\r\n", false, "E", "" },
     { "SSH-2.0-server\r\n\r\n", false, "E", "" },
   };
