caller_conn: an incomplete response stays readable

Cause: when a response could not be completed, caller_conn dropped the queued output and closed with a reset, so a caller that was still sending saw no status line. After other early responses it read the rest of the upload for 2 s and closed over unread input, which makes the kernel send a reset.

Change: an incomplete response is written as far as it was passed on. Then the sending side is shut down, without the last chunk or with fewer bytes than Content-Length, and input is dropped until the caller closes: at most 2 s without input, 10 s or 8 MB. A reset ends the response only where the end of the connection delimits it (HTTP/1.0 without a length), 0.2 s after the last write. A connection that is closed by the end of the process with output queued is reset as well.

--- a/src/caller_conn.c
+++ b/src/caller_conn.c
@@ -6,8 +6,14 @@
 /* Most bytes of a request body that are read and dropped to keep the connection open after an early
  * response. The connection closes if more of the body is left. */
 #define MAX_DISCARDED_BYTES (256 * 1024)
-/* Time for the caller to close after the output was shut down. */
+/* Time without input for the caller to close after the output was shut down. */
 #define LINGER_TIMEOUT_US (2 * G_USEC_PER_SEC)
+/* A caller that goes on sending reads its response only afterwards, and a close over unread input
+ * would destroy it. So the input is read and dropped up to these bounds. */
+#define MAX_LINGER_US (10 * G_USEC_PER_SEC)
+#define MAX_LINGER_BYTES (8 * 1024 * 1024)
+/* Time for the last bytes to reach the caller before a reset ends the response. */
+#define RESET_DELAY_US (G_USEC_PER_SEC / 5)
 /* Time without progress while the last response is flushed to a slow caller. */
 #define FLUSH_TIMEOUT_US (30 * G_USEC_PER_SEC)
 
@@ -44,7 +50,7 @@
   if (conn->state == CALLER_CLOSED)
     return;
   conn->state = CALLER_CLOSED;
-  byte_stream_close (&conn->stream, reset);
+  byte_stream_close (&conn->stream, reset || conn->ends_with_reset);
   io_timer_cancel (&conn->timer);
   io_deferred_cancel (&conn->resume);
   list_remove (&conn->node);
@@ -59,7 +65,7 @@
   conn->request = NULL;
   if (request != NULL)
     proxy_request_caller_gone (request);
-  close_conn (conn, request != NULL);
+  close_conn (conn, request != NULL || byte_stream_pending (&conn->stream) > 0);
 }
 
 static void
@@ -84,8 +90,10 @@
       return;
     }
   conn->output_shut_down = true;
-  byte_stream_shutdown_output (&conn->stream);
-  arm_timer (conn, LINGER_TIMEOUT_US);
+  conn->linger_end_us = io_loop_now_us (conn->options->loop) + MAX_LINGER_US;
+  if (!conn->ends_with_reset)
+    byte_stream_shutdown_output (&conn->stream);
+  arm_timer (conn, conn->ends_with_reset ? RESET_DELAY_US : LINGER_TIMEOUT_US);
 }
 
 static void
@@ -93,11 +101,26 @@
 {
   conn->state = CALLER_LINGERING;
   free_pipelined_input (conn);
-  arm_timer (conn, FLUSH_TIMEOUT_US);
+  arm_timer (conn, conn->aborted ? LINGER_TIMEOUT_US : FLUSH_TIMEOUT_US);
   update_reading (conn);
   shut_down_output (conn);
 }
 
+/* Drops SIZE bytes of input after the last response. */
+static void
+discard_lingering_input (caller_conn_t *conn, size_t size)
+{
+  conn->discarded_bytes += size;
+  if (conn->discarded_bytes > MAX_LINGER_BYTES)
+    {
+      close_conn (conn, byte_stream_pending (&conn->stream) > 0);
+      return;
+    }
+  int64_t left_us = conn->linger_end_us - io_loop_now_us (conn->options->loop);
+  if (conn->output_shut_down && !conn->ends_with_reset)
+    arm_timer (conn, CLAMP (left_us, 0, LINGER_TIMEOUT_US));
+}
+
 static void
 wait_for_request (caller_conn_t *conn)
 {
@@ -288,7 +311,9 @@
     handle_end_of_input (conn, size == BYTE_STREAM_EOF);
   else if (conn->state == CALLER_REQUEST && conn->message_complete)
     store_pipelined_input (conn, buffer, (size_t)size);
-  else if (conn->state != CALLER_LINGERING)
+  else if (conn->state == CALLER_LINGERING)
+    discard_lingering_input (conn, (size_t)size);
+  else
     process_input (conn, buffer, (size_t)size);
 }
 
@@ -301,7 +326,7 @@
   else if (conn->state == CALLER_LINGERING)
     {
       if (!conn->output_shut_down)
-        arm_timer (conn, FLUSH_TIMEOUT_US);
+        arm_timer (conn, conn->aborted ? LINGER_TIMEOUT_US : FLUSH_TIMEOUT_US);
       shut_down_output (conn);
     }
   else if (conn->state == CALLER_IDLE && !http_codec_is_mid_message (&conn->codec))
@@ -365,12 +390,15 @@
     }
 }
 
+/* What was passed on is still written and stays readable. */
 static void
-exchange_aborted (caller_exchange_t *exchange)
+exchange_aborted (caller_exchange_t *exchange, bool end_delimits)
 {
   caller_conn_t *conn = (caller_conn_t *)exchange;
   conn->request = NULL;
-  close_conn (conn, true);
+  conn->aborted = true;
+  conn->ends_with_reset = end_delimits;
+  start_lingering_close (conn);
 }
 
 static const byte_stream_ops_t stream_ops = {
--- a/src/caller_conn.h
+++ b/src/caller_conn.h
@@ -44,8 +44,11 @@
   bool paused;           /* the proxy has stopped reading the request body */
   bool output_shut_down;
   bool input_ended;
+  bool aborted;             /* the last response is incomplete */
+  bool ends_with_reset;     /* without a reset, the last response would look complete */
   bool draining;            /* closes as soon as no request has arrived */
-  size_t discarded_bytes;   /* of the body of the current request */
+  size_t discarded_bytes;   /* of the body of the current request, and after the last response */
+  int64_t linger_end_us;    /* when input is no longer dropped; set when the output is shut down */
   GString *pipelined_input; /* unparsed input after the current request; NULL if empty */
   io_timer_t timer;
   io_deferred_t resume; /* goes on after a request, see on_resume() */
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -83,8 +83,9 @@
     {
       proxy_request_t *request = CONTAINER_OF (node, proxy_request_t, node);
       caller_exchange_t *caller = request->caller;
+      bool end_delimits = request->end_delimits;
       proxy_request_caller_gone (request);
-      caller->ops->aborted (caller);
+      caller->ops->aborted (caller, end_delimits);
     }
 }
 
@@ -161,7 +162,7 @@
   caller_exchange_t *caller = request->caller;
   metric_inc (&request->proxy->counters.aborted);
   end_request (request);
-  caller->ops->aborted (caller);
+  caller->ops->aborted (caller, request->end_delimits);
 }
 
 static void
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -32,9 +32,10 @@
   void (*set_reading) (caller_exchange_t *caller, bool reading);
   /* The response is complete. Without KEEP_ALIVE, closes the connection after writing it. */
   void (*finished) (caller_exchange_t *caller, bool keep_alive);
-  /* The response cannot be completed. Closes the connection so that the caller does not take it
-   * for complete. */
-  void (*aborted) (caller_exchange_t *caller);
+  /* The response cannot be completed. Writes what is queued, then closes the connection so that the
+   * caller does not take the response for complete: with a reset if END_DELIMITS, i.e. if the end
+   * of the connection delimits the response. */
+  void (*aborted) (caller_exchange_t *caller, bool end_delimits);
 } caller_exchange_ops_t;
 
 struct caller_exchange
--- a/src/proxy_message.c
+++ b/src/proxy_message.c
@@ -140,8 +140,9 @@
   if (request->proxy->options.dialect->sends_forwarding_headers)
     http_headers_append (&out, "Via", VIA_VALUE);
 
-  request->response_chunked
-      = head->has_body && head->content_length < 0 && request->version_minor > 0;
+  bool has_no_length = head->has_body && head->content_length < 0;
+  request->response_chunked = has_no_length && request->version_minor > 0;
+  request->end_delimits = has_no_length && request->version_minor == 0;
   if (request->response_chunked)
     http_headers_append (&out, "Transfer-Encoding", "chunked");
   if (!request->keep_alive)
--- a/src/proxy_request.h
+++ b/src/proxy_request.h
@@ -76,6 +76,7 @@
   bool possibly_run;
   bool response_started; /* the response head was queued for the caller */
   bool response_chunked;
+  bool end_delimits; /* the end of the connection delimits the response */
   int response_status;
   attempt_end_t last_end;
   char *retry_after; /* Retry-After of the last response of an ATTEMPT_SHED; may be NULL */
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -103,8 +103,11 @@
     it in a success without a signature, "late leaving" in an additional answer to another request. The modes of ENDLESS
     write bytes without end; cut_count counts the connections that were closed meanwhile. "copies" refuses some requests,
     and writes its last answer once more, as it was or damaged, where the next answer on the connection is expected.
+    on_head, if set, is called with the handler in place of all this, before the body of the request is read.
     """
 
+    on_head = None
+
     def __init__(self, fleet, number, service, zone="a", delay_s=0.0, identity=None, address=None, slots=4):
         self.fleet, self.service, self.zone, self.delay_s, self.slots = fleet, service, zone, delay_s, slots
         self.random = random.Random(number)
@@ -170,6 +173,10 @@
         self.wfile.write(draw.choice((self.last_answer, self.last_answer, without_id, refusal)))
 
     def handle_request(self):
+        if self.target.on_head:
+            self.close_connection = True
+            self.target.on_head(self)
+            return
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         expected = self.headers.get("Expected-Instance")
         attempt = self.headers.get("Attempt-Id", "")
