--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -342,7 +342,11 @@
   if (r->state == GATEWAY_ADMITTING)
     gateway_quota_cancel (&r->policy->core->quota, &r->quota);
   if (r->state == GATEWAY_QUEUED)
-    gateway_core_cancel (r->policy->core, r->service, r->balancer_request.id);
+    {
+      gateway_core_cancel (r->policy->core, r->service, r->balancer_request.id);
+      if (!r->possibly_run)
+        gateway_quota_give_back (&r->policy->core->quota, &r->quota);
+    }
   r->state = GATEWAY_ENDED;
   LOG_INFO ("cancelled id=%s reason=%s attempts=%u", quote_request_id (r, id),
             cancel_reason_name (reason), r->attempt_count);
