--- a/bench/bench_config.cc
+++ b/bench/bench_config.cc
@@ -2,6 +2,7 @@
 //   bench_config document ROUTES TEAMS keyed|array
 //   bench_config changes ROUTES TEAMS CHANGES
 //   bench_config history CHANGES
+//   bench_config keys TEAMS
 // Sizes repeat exactly; times are processor time of one run and vary.
 
 #include <malloc.h>
@@ -16,8 +17,10 @@
 extern "C"
 {
 #include "config_cache.h"
+#include "config_redact.h"
 #include "rng.h"
 #include "route_table.h"
+#include "team_keys.h"
 #include "version_store.h"
 }
 
@@ -346,6 +349,95 @@
   version_store_free (restored);
   version_store_free (store);
 }
+
+std::string
+team_key (int team, int number)
+{
+  return "key" + std::to_string (number) + "of" + std::to_string (team) + "padded";
+}
+
+// Returns a document of TEAMS teams with two keys each, as a platform's configuration gives it.
+std::string
+keys_document_json (int teams)
+{
+  std::string text = "{\"routes\":{},\"services\":{},\"team_keys_required\":true,\"teams\":{";
+  for (int i = 0; i < teams; i++)
+    {
+      char member[600];
+      char hex[2][TEAM_KEY_HEX_SIZE + 1];
+      for (int number = 0; number < 2; number++)
+        {
+          std::string key = team_key (i, number);
+          team_key_digest_t digest = team_key_compute_digest (key.data (), key.size ());
+          team_key_format_digest (&digest, hex[number]);
+        }
+      snprintf (
+          member, sizeof (member),
+          "%s\"team-%06d\":{\"annotations\":\"{\\\"api_keys\\\":[\\\"%s\\\",\\\"%s\\\"],"
+          "\\\"burst\\\":%d,\\\"priority\\\":1,\\\"rate_per_s\\\":%d}\",\"burst\":%d,\"keys\":"
+          "[\"%s\",\"%s\"],\"priority\":1,\"rate\":%d}",
+          i > 0 ? "," : "", i, team_key (i, 0).c_str (), team_key (i, 1).c_str (), 10 + i % 40,
+          1 + i % 17, 10 + i % 40, hex[0], hex[1], 1 + i % 17);
+      text += member;
+    }
+  return text + "}}";
+}
+
+// Measures teams with keys: the redaction at a control instance, and memory, install and lookup at
+// an entry.
+void
+measure_keys (int teams)
+{
+  std::string json = keys_document_json (teams);
+  g_autoptr (GBytes) text = g_bytes_new (json.data (), json.size ());
+  anv_error_t err = {};
+  double start_ms = cpu_ms ();
+  config_doc_t *stored = config_doc_new (text, CONFIG_SCHEMA, &err);
+  double checked_ms = cpu_ms ();
+  if (stored == nullptr)
+    {
+      fprintf (stderr, "%s\n", err.text);
+      exit (1);
+    }
+  version_seal_t seal = {};
+  config_redact_t redact = {};
+  GBytes *sent = config_redact_version (&redact, text, &seal);
+  printf ("control instance: text %zu bytes a team, check %.1f ms, redaction %.1f ms\n",
+          json.size () / (size_t)teams, checked_ms - start_ms, cpu_ms () - checked_ms);
+  config_doc_unref (stored);
+
+  malloc_trim (0);
+  reset_peak ();
+  double base_mib = peak_mib ();
+  gsize size = 0;
+  const char *data = (const char *)g_bytes_get_data (sent, &size);
+  start_ms = cpu_ms ();
+  version_compute_text_digest (data, size);
+  size_t before = heap_bytes ();
+  config_doc_t *doc = config_doc_new (sent, CONFIG_SCHEMA, nullptr);
+  double installed_ms = cpu_ms ();
+  size_t view_bytes = heap_bytes () - before;
+  printf ("entry: text %.1f and view %.1f bytes a team, install %.1f ms, peak %.1f MiB besides the "
+          "text\n",
+          (double)size / teams, (double)view_bytes / teams, installed_ms - start_ms,
+          peak_mib () - base_mib);
+
+  rng_t rng;
+  rng_init (&rng, 1);
+  const int lookups = 200000;
+  int found_count = 0;
+  start_ms = cpu_ms ();
+  for (int i = 0; i < lookups; i++)
+    {
+      config_team_info_t team;
+      std::string key = team_key ((int)rng_uniform_int (&rng, (uint64_t)teams), i % 2);
+      found_count += config_doc_find_team_by_key (doc, key.data (), key.size (), &team);
+    }
+  printf ("lookup: %.2f us, found %d of %d\n", (cpu_ms () - start_ms) * 1000 / lookups, found_count,
+          lookups);
+  config_doc_unref (doc);
+  config_redact_clear (&redact);
+}
 }
 
 int
@@ -357,11 +449,14 @@
     measure_changes (atoi (argv[2]), atoi (argv[3]), atoi (argv[4]));
   else if (argc == 3 && strcmp (argv[1], "history") == 0)
     measure_history (atoi (argv[2]));
+  else if (argc == 3 && strcmp (argv[1], "keys") == 0)
+    measure_keys (atoi (argv[2]));
   else
     {
       fprintf (stderr, "usage: bench_config document ROUTES TEAMS keyed|array\n"
                        "       bench_config changes ROUTES TEAMS CHANGES\n"
-                       "       bench_config history CHANGES\n");
+                       "       bench_config history CHANGES\n"
+                       "       bench_config keys TEAMS\n");
       return 2;
     }
   return 0;
--- a/src/config_teams.c
+++ b/src/config_teams.c
@@ -194,7 +194,9 @@
         }
       else
         {
-          g_string_append_printf (text, "%s\"", text->len > 1 ? "," : "");
+          if (text->len > 1)
+            g_string_append_c (text, ',');
+          g_string_append_c (text, '"');
           g_string_append_len (text, key.data, (gssize)key.size);
           g_string_append (text, "\":");
           g_string_append_len (text, member.data, (gssize)member.size);
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -201,27 +201,6 @@
   proxy_request_set_deadline (r->request, deadline_us);
 }
 
-/* Returns the key in the request and stores its size in SIZE, or returns NULL unless there is
- * exactly one field with the scheme of the dialect and one word of visible ASCII. */
-static const char *
-get_team_key (const http_dialect_t *dialect, const http_headers_t *headers, size_t *size)
-{
-  const char *field = dialect->team_key_header;
-  if (field == NULL || http_headers_count (headers, field) != 1)
-    return NULL;
-  const char *key = http_headers_get (headers, field);
-  size_t scheme_size = strlen (dialect->team_key_scheme);
-  if (g_ascii_strncasecmp (key, dialect->team_key_scheme, scheme_size) != 0
-      || key[scheme_size] != ' ')
-    return NULL;
-  key += scheme_size;
-  key += strspn (key, " ");
-  *size = 0;
-  while (g_ascii_isgraph (key[*size]))
-    (*size)++;
-  return *size > 0 && key[*size] == '\0' ? key : NULL;
-}
-
 /* Finds the team of the request if the configuration requires keys. Returns false if the request is
  * refused, as it has no key of a team and its route is not public. */
 static bool
@@ -236,7 +215,7 @@
     r->removed_headers[removed_count++] = dialect->team_key_header;
   if (dialect->team_header != NULL)
     r->removed_headers[removed_count++] = dialect->team_header;
-  const char *key = get_team_key (dialect, head->headers, &size);
+  const char *key = http_dialect_get_team_key (dialect, head->headers, &size);
   if (key != NULL && config_doc_find_team_by_key (r->doc, key, size, &r->team_info))
     r->team = &r->team_info;
   if (r->team != NULL || r->route->is_public)
--- a/src/http_dialect.c
+++ b/src/http_dialect.c
@@ -1,6 +1,6 @@
 #include "http_dialect.h"
 
-#include <stddef.h>
+#include <string.h>
 
 const http_dialect_t http_dialect_native = {
   .deadline_header = "Anvillb-Deadline-Ms",
@@ -22,3 +22,23 @@
     }
   return false;
 }
+
+const char *
+http_dialect_get_team_key (const http_dialect_t *dialect, const http_headers_t *headers,
+                           size_t *size)
+{
+  const char *field = dialect->team_key_header;
+  if (field == NULL || http_headers_count (headers, field) != 1)
+    return NULL;
+  const char *key = http_headers_get (headers, field);
+  size_t scheme_size = strlen (dialect->team_key_scheme);
+  if (g_ascii_strncasecmp (key, dialect->team_key_scheme, scheme_size) != 0
+      || key[scheme_size] != ' ')
+    return NULL;
+  key += scheme_size;
+  key += strspn (key, " ");
+  *size = 0;
+  while (g_ascii_isgraph (key[*size]))
+    (*size)++;
+  return *size > 0 && key[*size] == '\0' ? key : NULL;
+}
--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stddef.h>
+
+#include "http_headers.h"
 
 /* http_dialect - header fields and statuses that the proxy interprets, and fields that it adds.
  *
@@ -60,5 +63,10 @@
 /* Returns whether callers take STATUS as the assurance that the request was not run. */
 bool http_dialect_means_not_run (const http_dialect_t *dialect, int status);
 
+/* Returns the key of a team in HEADERS and stores its size in SIZE. Returns NULL unless there is
+ * exactly one field of the dialect for it, with the scheme and one word of visible ASCII. */
+const char *http_dialect_get_team_key (const http_dialect_t *dialect, const http_headers_t *headers,
+                                       size_t *size);
+
 /* Dialect of the product's own interface. */
 extern const http_dialect_t http_dialect_native;
