--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -2,6 +2,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <stddef.h>
 
 #include "http_headers.h"
 
@@ -70,5 +71,10 @@
 int64_t http_dialect_read_pause_us (const http_dialect_t *dialect, int status,
                                     const http_headers_t *headers);
 
+/* Returns the key of a team in HEADERS and stores its size in SIZE. Returns NULL unless there is
+ * exactly one field of the dialect for it, with the scheme and one word of visible ASCII. */
+const char *http_dialect_get_team_key (const http_dialect_t *dialect, const http_headers_t *headers,
+                                       size_t *size);
+
 /* Dialect of the product's own interface. */
 extern const http_dialect_t http_dialect_native;
