--- a/src/balancer.h
+++ b/src/balancer.h
@@ -163,6 +163,10 @@
   double backlog_us;        /* time in which requests waited, decays */
   double drained_work_us;   /* work that was dispatched in it, decays */
   int64_t drain_updated_us;
+  double fair_slots; /* slots of the cell, divided by the entries that use them */
+  int64_t fair_slots_updated_us;
+  bool refusal_check_due; /* a request has arrived since the last check for refusals */
+  int64_t refusal_checked_us;
   int64_t next_return_us; /* time from which capacity is left for the next refused caller */
 } balancer_t;
 
--- a/src/balancer_internal.h
+++ b/src/balancer_internal.h
@@ -134,7 +134,7 @@
 void balancer_value_begin (balancer_t *b, int64_t now_us);
 void balancer_value_end (balancer_t *b, int64_t now_us);
 
-/* Returns the request to dispatch next, or NULL for an empty queue. */
+/* Returns the request to dispatch next, or NULL if none waits or no slot is free. */
 tracked_request_t *balancer_value_choose_request (balancer_t *b, int64_t now_us);
 
 /* Refuses the first request, in the order of dispatch, that waits too long, and stores the refusal
--- a/src/balancer_value.c
+++ b/src/balancer_value.c
@@ -20,6 +20,10 @@
 #define MAX_DEBT_REQUESTS 2.0
 /* A kind keeps its place if it is not served more often than a less urgent kind by this share. */
 #define ORDER_MARGIN 0.03
+/* Period in which the entries of the cell are counted, and in which waiting requests are checked
+ * for a refusal; new requests are checked at once. */
+#define FAIR_SLOTS_PERIOD_US 50000
+#define REFUSAL_PERIOD_US 10000
 /* Longest time after which a caller is told to retry. */
 #define MAX_RETRY_AFTER_US INT64_C (2000000)
 /* Time constants of the counts of requests by kind and by team. A team sends few requests to an
@@ -60,6 +64,7 @@
 void
 balancer_value_init (balancer_t *b)
 {
+  b->fair_slots_updated_us = -FAIR_SLOTS_PERIOD_US;
   fair_share_init (&b->kind_shares, KIND_DECAY_US);
   fair_share_init (&b->team_shares, TEAM_DECAY_US);
 }
@@ -71,10 +76,9 @@
   fair_share_destroy (&b->team_shares);
 }
 
-/* Returns the slots of the cell whose requests are not late, divided by the entries that use them.
- */
+/* Returns the slots of the cell, divided by the entries that use them. */
 static double
-fair_slots (const balancer_t *b, int64_t now_us, double late_count)
+compute_fair_slots (const balancer_t *b, int64_t now_us)
 {
   uint64_t peers[MAX_CELL_PEERS] = { 0 };
   size_t peer_count = 0;
@@ -99,7 +103,7 @@
             peers[peer_count++] = load->peer;
         }
     }
-  return MAX (slots / (double)(peer_count + 1) - late_count, 1);
+  return slots / (double)(peer_count + 1);
 }
 
 void
@@ -137,7 +141,12 @@
       capacity.mean_work_us += balancer_latency (b, tracked->request.kind)->mean_us;
     }
   capacity.mean_work_us /= MAX (g_hash_table_size (b->requests), 1);
-  double expected = MAX (in_flight, fair_slots (b, now_us, late_count));
+  if (now_us - b->fair_slots_updated_us >= FAIR_SLOTS_PERIOD_US)
+    {
+      b->fair_slots = compute_fair_slots (b, now_us);
+      b->fair_slots_updated_us = now_us;
+    }
+  double expected = MAX (MAX (in_flight, b->fair_slots - late_count), 1);
   double factor = exp (-(double)(now_us - b->drain_updated_us) / DRAIN_DECAY_US);
   capacity.slots = (b->drained_work_us * factor + EXPECTED_WEIGHT_US * expected)
                    / (b->backlog_us * factor + EXPECTED_WEIGHT_US);
@@ -281,10 +290,24 @@
   return candidates;
 }
 
+static bool
+is_any_slot_free (const balancer_t *b, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+  g_hash_table_iter_init (&iter, b->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (balancer_has_free_slot (value, now_us))
+        return true;
+    }
+  return false;
+}
+
 tracked_request_t *
 balancer_value_choose_request (balancer_t *b, int64_t now_us)
 {
-  if (list_is_empty (&b->queue))
+  if (list_is_empty (&b->queue) || !is_any_slot_free (b, now_us))
     return NULL;
   own_capacity_t capacity = estimate_capacity (b, now_us);
   g_autoptr (GArray) candidates = order_queue (b, now_us, &capacity);
@@ -294,6 +317,7 @@
 void
 balancer_value_record_offered (balancer_t *b, int64_t now_us, const balancer_request_t *request)
 {
+  b->refusal_check_due = true;
   if (request->tried_count > 0)
     return;
   fair_share_record_offered (&b->kind_shares, now_us, request->kind);
@@ -348,7 +372,8 @@
 bool
 balancer_value_refuse_one (balancer_t *b, int64_t now_us, balancer_decision_t *out)
 {
-  if (list_is_empty (&b->queue))
+  if (list_is_empty (&b->queue)
+      || (!b->refusal_check_due && now_us - b->refusal_checked_us < REFUSAL_PERIOD_US))
     return false;
   own_capacity_t capacity = estimate_capacity (b, now_us);
   g_autoptr (GArray) candidates = order_queue (b, now_us, &capacity);
@@ -382,5 +407,7 @@
         }
       ahead_us += candidate->work_us;
     }
+  b->refusal_check_due = false;
+  b->refusal_checked_us = now_us;
   return false;
 }
