--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <stdbool.h>
-#include <stdint.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "http_headers.h"
 
