--- a/src/balancer.h
+++ b/src/balancer.h
@@ -52,7 +52,7 @@
  * bursts of one kind of request, a team that sends many times its usual rate, and targets that
  * hang. The order is: one request of a kind or team that is not served as often as guaranteed, see
  * fair_share.h; then requests that can meet their goal before those that cannot; the rank; teams
- * within their share before others; and what a request loses by waiting, per unit of its work, see
+ * within their share before others; and what waiting costs, per unit of the work of a request, see
  * request_value.h. A late request keeps its place while its kind is served hardly more often than a
  * less urgent one. The capacity is measured by the work that leaves the queue while requests wait.
  * A new request is refused if its chance to meet its goal after the expected wait is too low, and a
--- a/src/balancer_value.c
+++ b/src/balancer_value.c
@@ -30,8 +30,8 @@
  * entry, so its share is counted for longer. */
 #define KIND_DECAY_US 2000000.0
 #define TEAM_DECAY_US 8000000.0
-/* The order counts what a request loses if it starts later by this many mean requests, and
- * LATER_SHARE of what it then earns still. */
+/* The order counts what refusing a request costs now, minus 1 - LATER_SHARE of what it costs this
+ * many mean requests later. */
 #define LATER_REQUESTS 2.0
 #define LATER_SHARE 0.5
 /* Time constant of the work that was dispatched while requests waited, and time for which the
@@ -221,8 +221,9 @@
   if (candidate.late)
     candidate.late = !is_order_at_risk (b, now_us, request);
   double later_us = LATER_REQUESTS * mean_work_us;
-  double later = request_value_estimate (&input, now_us + (int64_t)later_us).earned;
-  candidate.index = (candidate.value.earned - (1 - LATER_SHARE) * later) / MAX (input.work_us, 1);
+  double later = request_value_estimate (&input, now_us + (int64_t)later_us).refusal_cost;
+  candidate.index
+      = (candidate.value.refusal_cost - (1 - LATER_SHARE) * later) / MAX (input.work_us, 1);
   return candidate;
 }
 
