Balancer: exploration while no idempotent requests come

The condition 'no idempotent request ever' did not hold, as rare requests on idle routes are idempotent; and exploring targets that are not known to be healthy costs requests. Change: the others explore while no idempotent request came for 2 s, one placement in four, and only targets that answered lately: suspicion at most 0.2, unused for 0.8 s.

--- a/src/balancer.h
+++ b/src/balancer.h
@@ -32,8 +32,7 @@
  * fewer requests go there and the queue grows in this cell instead of at those targets.
  * Recent successes lower the suspicion of a target, so requests concentrate on some targets. Part
  * of the least urgent idempotent requests therefore explores the idle targets, whose first answer
- * is least certain. A service whose requests are all not idempotent is explored by these, at a
- * lower rate.
+ * is least certain. A service that gets no idempotent requests is explored by the others.
  *
  * When only suspect targets have a free slot, a request waits briefly for a busy target that is
  * more likely healthy: slots become free every few milliseconds, and a failed attempt loses most or
@@ -165,7 +164,6 @@
   unsigned placements_since_exploration; /* placements that could have explored an idle target since
                                           the last that did; a waiting request counts each
                                           time a target is sought for it */
-  bool has_idempotent_requests;          /* an idempotent request has arrived */
   double outside_share; /* share of placements that may use targets outside the cell, 0 to 1 */
   unsigned consecutive_urgent_count; /* dispatches while a less urgent request was waiting */
   int64_t stop_us;                   /* time at which this entry stops; 0: it does not */
--- a/src/balancer_internal.h
+++ b/src/balancer_internal.h
@@ -86,6 +86,9 @@
 
 /* balancer_queue */
 
+/* Returns whether an idempotent request has arrived recently. */
+bool balancer_has_idempotent_requests (const balancer_t *b, int64_t now_us);
+
 /* Returns whether no idempotent request of a less urgent rank than RANK has arrived recently. */
 bool balancer_is_least_urgent (const balancer_t *b, int64_t now_us, uint32_t rank);
 
--- a/src/balancer_place.c
+++ b/src/balancer_place.c
@@ -3,16 +3,18 @@
 /* A target that no entry has used for this long is explored: its suspicion has become uncertain,
  * and its slots are needed when other targets fail. At most one in EXPLORE_INTERVAL placements
  * of the least urgent idempotent requests explores, and never a target above MAX_EXPLORE_SUSPICION.
- * A service without idempotent requests is explored by the others, with the second pair of bounds,
- * because a failed attempt loses such a request.
+ * A service that gets no idempotent requests is explored by the others, with the second bounds: a
+ * failed attempt loses such a request, so suspect targets are left out, and a shorter idle time
+ * finds targets that were healthy a moment ago.
  * The idle time is below two seconds because the platform requires that 0.7 of the healthy targets
  * get requests within two seconds. The platform counts a target as healthy again two seconds after
  * the target itself failed. */
 #define EXPLORE_IDLE_US INT64_C (1500000)
 #define EXPLORE_INTERVAL 2
 #define MAX_EXPLORE_SUSPICION 0.8
-#define EXPLORE_INTERVAL_ONCE 3
-#define MAX_EXPLORE_SUSPICION_ONCE 0.5
+#define EXPLORE_IDLE_ONCE_US INT64_C (800000)
+#define EXPLORE_INTERVAL_ONCE 4
+#define MAX_EXPLORE_SUSPICION_ONCE 0.2
 /* Part of a request's worth that is lost if its first attempt fails and it is retried. */
 #define RETRY_LOSS 0.6
 
@@ -77,9 +79,10 @@
   return loss + MAX_RANDOM_LOSS * rng_uniform_double (&b->rng);
 }
 
-/* Returns the longest idle target of at most MAX_SUSPICION, or NULL. */
+/* Returns the longest idle target of those unused since BEFORE_US with at most MAX_SUSPICION, or
+ * NULL. */
 static tracked_target_t *
-find_idle_target (const balancer_t *b, int64_t now_us, double max_suspicion)
+find_idle_target (const balancer_t *b, int64_t now_us, int64_t before_us, double max_suspicion)
 {
   GHashTableIter iter;
   gpointer value = NULL;
@@ -88,8 +91,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       tracked_target_t *target = value;
-      if (target->setting.locality != BALANCER_LOCALITY_CELL
-          || now_us - target->last_use_us < EXPLORE_IDLE_US
+      if (target->setting.locality != BALANCER_LOCALITY_CELL || target->last_use_us > before_us
           || !balancer_has_free_slot (target, now_us)
           || balancer_target_suspicion (b, target, now_us) > max_suspicion)
         continue;
@@ -106,12 +108,15 @@
   unsigned interval = request->idempotent ? EXPLORE_INTERVAL : EXPLORE_INTERVAL_ONCE;
   if (request->tried_count > 0
       || (request->idempotent ? !balancer_is_least_urgent (b, now_us, request->rank)
-                              : b->has_idempotent_requests))
+                              : balancer_has_idempotent_requests (b, now_us)))
     return NULL;
   if (++b->placements_since_exploration < interval)
     return NULL;
-  tracked_target_t *target = find_idle_target (
-      b, now_us, request->idempotent ? MAX_EXPLORE_SUSPICION : MAX_EXPLORE_SUSPICION_ONCE);
+  tracked_target_t *target
+      = request->idempotent
+            ? find_idle_target (b, now_us, now_us - EXPLORE_IDLE_US, MAX_EXPLORE_SUSPICION)
+            : find_idle_target (b, now_us, now_us - EXPLORE_IDLE_ONCE_US,
+                                MAX_EXPLORE_SUSPICION_ONCE);
   if (target != NULL)
     b->placements_since_exploration = 0;
   return target;
--- a/src/balancer_queue.c
+++ b/src/balancer_queue.c
@@ -50,7 +50,6 @@
   found->last_arrival_us = now_us;
   if (idempotent)
     found->last_idempotent_us = now_us;
-  b->has_idempotent_requests = b->has_idempotent_requests || idempotent;
 }
 
 double
@@ -68,6 +67,18 @@
   kind->rank = request->rank;
 }
 
+bool
+balancer_has_idempotent_requests (const balancer_t *b, int64_t now_us)
+{
+  for (guint i = 0; i < b->arrivals->len; i++)
+    {
+      const rank_arrivals_t *arrival = &g_array_index (b->arrivals, rank_arrivals_t, i);
+      if (now_us - arrival->last_idempotent_us < RANK_WINDOW_US)
+        return true;
+    }
+  return false;
+}
+
 bool
 balancer_is_least_urgent (const balancer_t *b, int64_t now_us, uint32_t rank)
 {
