--- a/src/balancer.c
+++ b/src/balancer.c
@@ -52,6 +52,7 @@
   list_init (&b->queue);
   fault_prior_init (&b->prior);
   b->outside_share = 1;
+  balancer_value_init (b);
 }
 
 void
@@ -61,12 +62,14 @@
   g_clear_pointer (&b->kinds, g_hash_table_unref);
   g_clear_pointer (&b->requests, g_hash_table_unref);
   g_clear_pointer (&b->arrivals, g_array_unref);
+  balancer_value_destroy (b);
 }
 
 const char *
 balancer_verdict_name (balancer_verdict_t verdict)
 {
-  static const char *const names[] = { "dispatch", "no_time", "no_target", "stopping" };
+  static const char *const names[]
+      = { "dispatch", "no_time", "no_target", "stopping", "low_value", "evicted" };
   return names[verdict];
 }
 
@@ -289,12 +292,10 @@
   target->load_report_due = true;
 }
 
-bool
-balancer_next (balancer_t *b, int64_t now_us, balancer_decision_t *out)
+static bool
+decide_in_order (balancer_t *b, int64_t now_us, balancer_decision_t *out)
 {
   bool passes_less_urgent = false;
-  if (balancer_refuse_for_stop (b, now_us, out))
-    return true;
   tracked_request_t *tracked = balancer_choose_request (b, now_us, &passes_less_urgent);
   if (tracked == NULL)
     return false;
@@ -308,6 +309,35 @@
   return true;
 }
 
+static bool
+decide_by_value (balancer_t *b, int64_t now_us, balancer_decision_t *out)
+{
+  balancer_value_begin (b, now_us);
+  tracked_request_t *tracked = balancer_value_choose_request (b, now_us);
+  tracked_target_t *target = tracked != NULL ? balancer_place_request (b, tracked, now_us) : NULL;
+  if (target == NULL && tracked != NULL && tracked->deferred)
+    tracked = balancer_choose_other_request (b, tracked, now_us, &target);
+  if (target != NULL)
+    {
+      balancer_value_record_dispatch (b, now_us, tracked);
+      dispatch (b, tracked, target, now_us, out);
+      return true;
+    }
+  if (balancer_value_refuse_one (b, now_us, out))
+    return true;
+  balancer_value_end (b, now_us);
+  return false;
+}
+
+bool
+balancer_next (balancer_t *b, int64_t now_us, balancer_decision_t *out)
+{
+  if (balancer_refuse_for_stop (b, now_us, out))
+    return true;
+  return b->options.overload_policy == BALANCER_OVERLOAD_VALUE ? decide_by_value (b, now_us, out)
+                                                               : decide_in_order (b, now_us, out);
+}
+
 void
 balancer_set_stop (balancer_t *b, int64_t stop_us)
 {
--- a/src/balancer.h
+++ b/src/balancer.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "fair_share.h"
 #include "list.h"
 #include "rng.h"
 #include "target_suspicion.h"
@@ -31,7 +32,7 @@
  * fewer requests go there and the queue grows in this cell instead of at those targets.
  * Recent successes lower the suspicion of a target, so requests concentrate on some targets. Part
  * of the least urgent idempotent requests therefore explores the idle targets, whose first answer
- * is least certain.
+ * is least certain. A service that gets no idempotent requests is explored by the others.
  *
  * When only suspect targets have a free slot, a request waits briefly for a busy target that is
  * more likely healthy: slots become free every few milliseconds, and a failed attempt loses most or
@@ -45,7 +46,18 @@
  * arrival if it is estimated to miss its goal by more than a quarter of the time from goal to
  * deadline, given the requests ahead of it and the arrival rate of more urgent ones. Under overload
  * some requests have to be refused, and a refusal after a wait has wasted that wait. A waiting
- * request is refused once it can no longer meet its deadline. */
+ * request is refused once it can no longer meet its deadline.
+ *
+ * With BALANCER_OVERLOAD_VALUE, queue and refusal answer demand above the capacity for seconds,
+ * bursts of one kind of request, a team that sends many times its usual rate, and targets that
+ * hang. The order is: one request of a kind or team that is not served as often as guaranteed, see
+ * fair_share.h; then requests that can meet their goal before those that cannot; the rank; teams
+ * within their share before others; and what waiting costs, per unit of the work of a request, see
+ * request_value.h. A late request keeps its place while its kind is served hardly more often than a
+ * less urgent one. The capacity is measured by the work that leaves the queue while requests wait.
+ * A new request is refused if its chance to meet its goal after the expected wait is too low, and a
+ * waiting one if the chance becomes much lower, unless spare capacity lets it meet its deadline.
+ * Refused callers are told to return one after the other. */
 
 #define BALANCER_LESS_URGENT_INTERVAL 8
 /* Longest pause that a target gets when it asks for one. */
@@ -73,7 +85,9 @@
 {
   uint64_t id;         /* unique among the requests of this entry */
   uint64_t kind;       /* requests of one kind have similar latencies */
+  uint64_t team;       /* id of the team that sent it; 0 for none */
   uint32_t rank;       /* 0 is the most urgent */
+  int64_t received_us; /* arrival at the entry; 0 if unknown */
   int64_t goal_us;     /* time by which the answer is worth most */
   int64_t deadline_us; /* time by which the caller must have an answer */
   bool idempotent;     /* may be retried after a failed attempt */
@@ -97,9 +111,18 @@
   BALANCER_REFUSE_NO_TIME,   /* it could not be answered in time behind the requests ahead of it */
   BALANCER_REFUSE_NO_TARGET, /* no target is known, reachable and not paused */
   BALANCER_REFUSE_STOPPING,  /* it could not be answered before this entry stops */
+  BALANCER_REFUSE_LOW_VALUE, /* others earn more than it would, see BALANCER_OVERLOAD_VALUE */
+  BALANCER_REFUSE_EVICTED,   /* the same, after it has waited */
 } balancer_verdict_t;
 
-#define BALANCER_VERDICT_COUNT (BALANCER_REFUSE_STOPPING + 1)
+#define BALANCER_VERDICT_COUNT (BALANCER_REFUSE_EVICTED + 1)
+
+/* What decides about order and refusal. */
+typedef enum
+{
+  BALANCER_OVERLOAD_ORDER, /* rank and order of arrival */
+  BALANCER_OVERLOAD_VALUE, /* what requests are expected to earn, see balancer_value.c */
+} balancer_overload_policy_t;
 
 typedef struct
 {
@@ -123,6 +146,7 @@
 typedef struct
 {
   int64_t default_latency_us; /* assumed for a kind of request without a sample */
+  balancer_overload_policy_t overload_policy;
 } balancer_options_t;
 
 typedef struct
@@ -143,6 +167,18 @@
   double outside_share; /* share of placements that may use targets outside the cell, 0 to 1 */
   unsigned consecutive_urgent_count; /* dispatches while a less urgent request was waiting */
   int64_t stop_us;                   /* time at which this entry stops; 0: it does not */
+  /* BALANCER_OVERLOAD_VALUE */
+  fair_share_t kind_shares;
+  fair_share_t team_shares;
+  int64_t backlog_since_us; /* time from which requests wait and are not counted yet; 0: none */
+  double backlog_us;        /* time in which requests waited, decays */
+  double drained_work_us;   /* work that was dispatched in it, decays */
+  int64_t drain_updated_us;
+  double fair_slots; /* slots of the cell, divided by the entries that use them */
+  int64_t fair_slots_updated_us;
+  bool refusal_check_due; /* a request has arrived since the last check for refusals */
+  int64_t refusal_checked_us;
+  int64_t next_return_us; /* time from which capacity is left for the next refused caller */
 } balancer_t;
 
 void balancer_init (balancer_t *b, const balancer_options_t *options, uint64_t seed);
@@ -217,5 +253,6 @@
 /* Returns the suspicion of a target, 0 to 1; 1 for an unknown one. */
 double balancer_suspicion (const balancer_t *b, int64_t now_us, uint64_t id);
 
-/* Returns the name of VERDICT: "dispatch", "no_time", "no_target" or "stopping". */
+/* Returns the name of VERDICT: "dispatch", "no_time", "no_target", "stopping", "low_value"
+ * or "evicted". */
 const char *balancer_verdict_name (balancer_verdict_t verdict);
--- a/src/byte_stream.h
+++ b/src/byte_stream.h
@@ -24,7 +24,7 @@
   /* SIZE bytes were written to the socket. */
   void (*written) (byte_stream_t *stream, size_t size);
   /* A write or the connection attempt failed, or the peer closed while reading was off (see
-   * watch_hangup). After a failed write, input can still be read. */
+   * watch_hangup). After a failed write, the input that has arrived can still be read. */
   void (*failed) (byte_stream_t *stream, const anv_error_t *err);
 } byte_stream_ops_t;
 
@@ -47,10 +47,17 @@
   bool write_blocked; /* waiting until the socket is writable */
   bool watch_hangup;  /* set by the owner: report that the peer closed while reading is off */
   bool write_failed;  /* a write has failed; further output is dropped */
+  bool failed;        /* the connection has failed: its input may lack bytes */
   bool closed;
   char read_error[BYTE_STREAM_ERROR_SIZE]; /* reason of the last BYTE_STREAM_FAILED */
 };
 
+typedef struct
+{
+  size_t input_bytes;  /* received and not read yet */
+  size_t output_bytes; /* written and not acknowledged by the peer */
+} byte_stream_kernel_t;
+
 /* Results of byte_stream_read() other than a number of bytes. */
 #define BYTE_STREAM_EOF 0
 #define BYTE_STREAM_WOULD_BLOCK (-1)
@@ -70,8 +77,10 @@
  * to it. Reading must be off and no output queued; nothing may have been read or written. */
 void byte_stream_start_tls (byte_stream_t *stream, GIOStream *tls);
 
-/* Reads up to SIZE bytes. Returns the number of bytes read, or BYTE_STREAM_EOF at the end of the
- * input, BYTE_STREAM_WOULD_BLOCK or BYTE_STREAM_FAILED. */
+/* Reads up to SIZE bytes. Returns the number of bytes read, or BYTE_STREAM_EOF at the regular end
+ * of the input, BYTE_STREAM_WOULD_BLOCK or BYTE_STREAM_FAILED. The end is regular only if nothing
+ * on the connection has failed: a socket reports an error once, to whichever call comes first, and
+ * then an end of the input. */
 ssize_t byte_stream_read (byte_stream_t *stream, char *buffer, size_t size);
 
 /* Queues a copy of SIZE bytes. Does nothing if the stream is closed or a write has failed. */
@@ -80,6 +89,15 @@
 /* Returns the number of queued bytes that are not written yet. */
 size_t byte_stream_pending (const byte_stream_t *stream);
 
+/* Returns the memory that queued output takes. */
+size_t byte_stream_held_bytes (const byte_stream_t *stream);
+
+/* Returns the memory that the kernel holds for the socket; 0 if it does not tell. */
+byte_stream_kernel_t byte_stream_kernel_bytes (const byte_stream_t *stream);
+
+/* Limits the kernel buffers of the socket to SIZE bytes each way. */
+void byte_stream_limit_kernel_buffers (byte_stream_t *stream, int size);
+
 /* Turns the readable callback on or off. */
 void byte_stream_set_reading (byte_stream_t *stream, bool reading);
 
--- a/src/caller_conn.c
+++ b/src/caller_conn.c
@@ -6,8 +6,14 @@
 /* Most bytes of a request body that are read and dropped to keep the connection open after an early
  * response. The connection closes if more of the body is left. */
 #define MAX_DISCARDED_BYTES (256 * 1024)
-/* Time for the caller to close after the output was shut down. */
+/* Time without input for the caller to close after the output was shut down. */
 #define LINGER_TIMEOUT_US (2 * G_USEC_PER_SEC)
+/* A caller that goes on sending reads its response only afterwards, and a close over unread input
+ * would destroy it. So the input is read and dropped up to these bounds. */
+#define MAX_LINGER_US (10 * G_USEC_PER_SEC)
+#define MAX_LINGER_BYTES (8 * 1024 * 1024)
+/* Time for the last bytes to reach the caller before a reset ends the response. */
+#define RESET_DELAY_US (G_USEC_PER_SEC / 5)
 /* Time without progress while the last response is flushed to a slow caller. */
 #define FLUSH_TIMEOUT_US (30 * G_USEC_PER_SEC)
 
@@ -44,7 +50,8 @@
   if (conn->state == CALLER_CLOSED)
     return;
   conn->state = CALLER_CLOSED;
-  byte_stream_close (&conn->stream, reset);
+  caller_memory_close (conn);
+  byte_stream_close (&conn->stream, reset || conn->ends_with_reset);
   io_timer_cancel (&conn->timer);
   io_deferred_cancel (&conn->resume);
   list_remove (&conn->node);
@@ -59,7 +66,18 @@
   conn->request = NULL;
   if (request != NULL)
     proxy_request_caller_gone (request);
-  close_conn (conn, request != NULL);
+  close_conn (conn, request != NULL || byte_stream_pending (&conn->stream) > 0);
+}
+
+void
+caller_conn_close_for_memory (caller_conn_t *conn)
+{
+  if (conn->request != NULL && byte_stream_pending (&conn->stream) == 0)
+    proxy_request_end_for_memory (conn->request);
+  else if (conn->request != NULL)
+    caller_conn_close (conn);
+  else
+    close_conn (conn, true);
 }
 
 static void
@@ -84,8 +102,10 @@
       return;
     }
   conn->output_shut_down = true;
-  byte_stream_shutdown_output (&conn->stream);
-  arm_timer (conn, LINGER_TIMEOUT_US);
+  conn->linger_end_us = io_loop_now_us (conn->options->loop) + MAX_LINGER_US;
+  if (!conn->ends_with_reset)
+    byte_stream_shutdown_output (&conn->stream);
+  arm_timer (conn, conn->ends_with_reset ? RESET_DELAY_US : LINGER_TIMEOUT_US);
 }
 
 static void
@@ -93,11 +113,26 @@
 {
   conn->state = CALLER_LINGERING;
   free_pipelined_input (conn);
-  arm_timer (conn, FLUSH_TIMEOUT_US);
+  arm_timer (conn, conn->aborted ? LINGER_TIMEOUT_US : FLUSH_TIMEOUT_US);
   update_reading (conn);
   shut_down_output (conn);
 }
 
+/* Drops SIZE bytes of input after the last response. */
+static void
+discard_lingering_input (caller_conn_t *conn, size_t size)
+{
+  conn->discarded_bytes += size;
+  if (conn->discarded_bytes > MAX_LINGER_BYTES)
+    {
+      close_conn (conn, byte_stream_pending (&conn->stream) > 0);
+      return;
+    }
+  int64_t left_us = conn->linger_end_us - io_loop_now_us (conn->options->loop);
+  if (conn->output_shut_down && !conn->ends_with_reset)
+    arm_timer (conn, CLAMP (left_us, 0, LINGER_TIMEOUT_US));
+}
+
 static void
 wait_for_request (caller_conn_t *conn)
 {
@@ -288,20 +323,24 @@
     handle_end_of_input (conn, size == BYTE_STREAM_EOF);
   else if (conn->state == CALLER_REQUEST && conn->message_complete)
     store_pipelined_input (conn, buffer, (size_t)size);
-  else if (conn->state != CALLER_LINGERING)
+  else if (conn->state == CALLER_LINGERING)
+    discard_lingering_input (conn, (size_t)size);
+  else
     process_input (conn, buffer, (size_t)size);
+  caller_memory_update (conn, false);
 }
 
 static void
 on_written (byte_stream_t *stream, size_t size)
 {
   caller_conn_t *conn = CONTAINER_OF (stream, caller_conn_t, stream);
+  caller_memory_record_moved (conn, size);
   if (conn->request != NULL)
     proxy_request_output_written (conn->request);
   else if (conn->state == CALLER_LINGERING)
     {
       if (!conn->output_shut_down)
-        arm_timer (conn, FLUSH_TIMEOUT_US);
+        arm_timer (conn, conn->aborted ? LINGER_TIMEOUT_US : FLUSH_TIMEOUT_US);
       shut_down_output (conn);
     }
   else if (conn->state == CALLER_IDLE && !http_codec_is_mid_message (&conn->codec))
@@ -329,7 +368,9 @@
 static void
 exchange_write (caller_exchange_t *exchange, const char *bytes, size_t size)
 {
-  byte_stream_write (&((caller_conn_t *)exchange)->stream, bytes, size);
+  caller_conn_t *conn = (caller_conn_t *)exchange;
+  byte_stream_write (&conn->stream, bytes, size);
+  caller_memory_update (conn, false);
 }
 
 static size_t
@@ -346,6 +387,12 @@
   update_reading (conn);
 }
 
+static void
+exchange_request_written (caller_exchange_t *exchange, size_t size)
+{
+  caller_memory_record_moved ((caller_conn_t *)exchange, size);
+}
+
 static void
 exchange_finished (caller_exchange_t *exchange, bool keep_alive)
 {
@@ -363,14 +410,18 @@
       arm_timer (conn, conn->options->header_timeout_us);
       update_reading (conn);
     }
+  caller_memory_update (conn, false);
 }
 
+/* What was passed on is still written and stays readable. */
 static void
-exchange_aborted (caller_exchange_t *exchange)
+exchange_aborted (caller_exchange_t *exchange, bool end_delimits)
 {
   caller_conn_t *conn = (caller_conn_t *)exchange;
   conn->request = NULL;
-  close_conn (conn, true);
+  conn->aborted = true;
+  conn->ends_with_reset = end_delimits;
+  start_lingering_close (conn);
 }
 
 static const byte_stream_ops_t stream_ops = {
@@ -383,6 +434,7 @@
   .write = exchange_write,
   .pending = exchange_pending,
   .set_reading = exchange_set_reading,
+  .request_written = exchange_request_written,
   .finished = exchange_finished,
   .aborted = exchange_aborted,
 };
@@ -418,6 +470,7 @@
   io_deferred_init (&conn->free, free_conn);
   byte_stream_open (&conn->stream, &stream_ops, options->loop, socket, tls);
   conn->stream.watch_hangup = true;
+  caller_memory_open (conn);
   wait_for_request (conn);
   return conn;
 }
--- a/src/fleet_options.h
+++ b/src/fleet_options.h
@@ -19,6 +19,7 @@
   char *ready_listen;
   int64_t grace_s;
   int64_t max_connections;
+  double memory_mb;
   int64_t connect_timeout_ms;
   int64_t upstream_idle_ms;
   double retry_share;
@@ -28,6 +29,7 @@
   int64_t request_bytes;
   int64_t request_cpu_us;
   int64_t default_latency_ms;
+  int64_t overload_policy; /* balancer_overload_policy_t */
 
   /* control */
   char *call_listen;
--- a/src/gateway_core.c
+++ b/src/gateway_core.c
@@ -66,7 +66,10 @@
   gateway_service_t *service = g_hash_table_lookup (core->services, name);
   if (service != NULL)
     return service;
-  balancer_options_t options = { .default_latency_us = core->options.default_latency_us };
+  balancer_options_t options = {
+    .default_latency_us = core->options.default_latency_us,
+    .overload_policy = core->options.overload_policy,
+  };
   retry_budget_options_t budget = {
     .share = core->options.retry_share,
     .min_retry_rate = core->options.min_retry_rate,
@@ -398,9 +401,10 @@
 }
 
 const config_service_t *
-gateway_core_choose_service (gateway_core_t *core, const config_route_t *route)
+gateway_core_choose_service (gateway_core_t *core, const config_doc_t *doc,
+                             const config_route_t *route)
 {
-  return route_split_choose (&core->split, core->doc, route, core->options.rng);
+  return route_split_choose (&core->split, doc, route, core->options.rng);
 }
 
 static void
@@ -524,6 +528,8 @@
     .data = core,
   };
   feed_client_init (&core->feed, &feed_options);
+  gateway_quota_init (&core->quota, &(gateway_quota_options_t){ options->loop, options->network,
+                                                                options->counters, &core->feed });
   target_registry_init (&core->registry);
   core->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
   core->targets = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -546,6 +552,7 @@
   io_timer_cancel (&core->tick);
   io_deferred_cancel (&core->deferred_load_reports);
   io_deferred_cancel (&core->deferred_locality_update);
+  gateway_quota_destroy (&core->quota);
   feed_client_destroy (&core->feed);
   g_clear_pointer (&core->targets, g_hash_table_unref);
   g_clear_pointer (&core->services, g_hash_table_unref);
@@ -589,7 +596,8 @@
 gateway_core_receive (gateway_core_t *core, link_t *link, wire_type_t type, wire_reader_t *reader)
 {
   if (type != WIRE_FLEET_LOAD)
-    return feed_client_receive (&core->feed, link, type, reader);
+    return gateway_quota_receive (&core->quota, link, type, reader)
+           || feed_client_receive (&core->feed, link, type, reader);
   receive_load_reports (core, link, reader);
   return true;
 }
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -2,6 +2,7 @@
 
 #include "balancer.h"
 #include "feed_client.h"
+#include "gateway_quota.h"
 #include "http_dialect.h"
 #include "retry_budget.h"
 #include "route_table.h"
@@ -52,6 +53,7 @@
   double retry_share;         /* retries per first attempt at this entry, 0 to 1 */
   double min_retry_rate;      /* retries per second that are always allowed */
   int64_t default_latency_us; /* expected latency of a kind of request without a sample */
+  balancer_overload_policy_t overload_policy;
   route_table_options_t routes;
   /* Called when a configuration that has limits for callers comes into force. The callback may be
    * NULL, LIMITS is not. */
@@ -63,6 +65,7 @@
 {
   gateway_core_options_t options;
   feed_client_t feed;
+  gateway_quota_t quota;
   target_registry_t registry;
   GHashTable *services; /* name -> gateway_service_t */
   GHashTable *targets;  /* hash of the target -> gateway_target_t */
@@ -101,9 +104,9 @@
 /* Returns the service NAME and creates it on first use. */
 gateway_service_t *gateway_core_get_service (gateway_core_t *core, const char *name);
 
-/* Returns the service for the next request of ROUTE. A traffic split distributes the requests by
- * its weights. */
-const config_service_t *gateway_core_choose_service (gateway_core_t *core,
+/* Returns the service for the next request of ROUTE, which is part of DOC. A traffic split
+ * distributes the requests by its weights. */
+const config_service_t *gateway_core_choose_service (gateway_core_t *core, const config_doc_t *doc,
                                                      const config_route_t *route);
 
 /* Adds REQUEST to the queue of SERVICE. The decision is reported through WAITER, possibly before
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define LOG_MODULE "gateway_policy"
+#include "limiter.h"
 #include "log.h"
 
 /* Connections to a target beyond one per slot, for connections that are being replaced. */
@@ -15,12 +16,15 @@
 /* A retry is made only if the time left until the deadline is at least the goal of the route
  * divided by this. */
 #define MIN_RETRY_TIME_DIVISOR 4
+/* Fields of callers that are removed: the key and the name of the team. */
+#define MAX_REMOVED_HEADERS 2
 /* Size of the buffer for a quoted request id in a log line. */
 #define LOGGED_ID_SIZE 96
 
 typedef enum
 {
   GATEWAY_NEW,
+  GATEWAY_ADMITTING, /* waits for the verdict about the quota of its team */
   GATEWAY_QUEUED,
   GATEWAY_DISPATCHED,
   GATEWAY_ENDED,
@@ -33,6 +37,10 @@
   proxy_request_t *request;
   config_doc_t *doc; /* reference that keeps route valid */
   const config_route_t *route;
+  const config_team_info_t *team; /* team of the key; NULL: none */
+  config_team_info_t team_info;   /* storage of team */
+  quota_request_t quota;
+  const char *removed_headers[MAX_REMOVED_HEADERS + 1];
   gateway_service_t *service;
   balancer_request_t balancer_request;
   gateway_state_t state;
@@ -62,8 +70,10 @@
   return log_quote (id != NULL ? id : "", buffer, LOGGED_ID_SIZE);
 }
 
+/* CHALLENGE is the scheme of a key that is asked for, or NULL. */
 static void
-respond (gateway_request_t *r, int status, const char *text, int64_t retry_after_us)
+respond_with_challenge (gateway_request_t *r, int status, const char *text, int64_t retry_after_us,
+                        const char *challenge)
 {
   char seconds[G_ASCII_DTOSTR_BUF_SIZE];
   char id[LOGGED_ID_SIZE];
@@ -72,9 +82,13 @@
   http_headers_append (&headers, "Content-Type", "text/plain");
   if (retry_after_us > 0)
     {
-      g_ascii_formatd (seconds, sizeof (seconds), "%.3f", (double)retry_after_us / G_USEC_PER_SEC);
+      /* Rounded up: a request that returns earlier is refused again. */
+      g_ascii_formatd (seconds, sizeof (seconds), "%.3f",
+                       ceil ((double)retry_after_us / 1000) / 1000);
       http_headers_append (&headers, "Retry-After", seconds);
     }
+  if (challenge != NULL)
+    http_headers_append (&headers, "WWW-Authenticate", challenge);
   LOG_INFO ("answered id=%s status=%d reason=\"%s\" route=%s attempts=%u possibly_run=%d "
             "age_ms=%" G_GINT64_FORMAT " version=%" G_GUINT64_FORMAT,
             quote_request_id (r, id), status, text, r->route != NULL ? r->route->id : "",
@@ -89,10 +103,18 @@
     .reports_outcome = !r->possibly_run,
   };
   r->state = GATEWAY_ENDED;
+  if (status == 503 && !r->possibly_run)
+    gateway_quota_give_back (&r->policy->core->quota, &r->quota);
   proxy_request_respond (r->request, &response);
   http_headers_destroy (&headers);
 }
 
+static void
+respond (gateway_request_t *r, int status, const char *text, int64_t retry_after_us)
+{
+  respond_with_challenge (r, status, text, retry_after_us, NULL);
+}
+
 static void
 dispatch (gateway_request_t *r, const balancer_decision_t *decision,
           const registry_target_t *target)
@@ -110,6 +132,8 @@
   http_headers_init (&extra);
   if (dialect->expected_target_header != NULL)
     http_headers_append (&extra, dialect->expected_target_header, target->id);
+  if (r->team != NULL && dialect->team_header != NULL)
+    http_headers_append (&extra, dialect->team_header, r->team->name);
   request_dispatch_t options = {
     .address = target->address,
     .max_connections = max_connections,
@@ -121,6 +145,7 @@
     .end_on_stall = may_retry,
     .prefer_new_connection = r->prefer_new_connection,
     .avoid_stale_connection = !r->route->idempotent,
+    .removed_headers = r->removed_headers,
     .extra_headers = &extra,
   };
   r->attempt_count++;
@@ -168,13 +193,16 @@
 init_balancer_request (gateway_request_t *r, const request_head_t *head)
 {
   const config_route_t *route = r->route;
+  bool has_priority = r->team != NULL && r->team->priority != CONFIG_NO_PRIORITY;
   int64_t deadline_us = head->received_us + (int64_t)route->timeout_ms * 1000;
   int64_t goal_ms = route->goal_ms > 0 ? route->goal_ms : route->timeout_ms;
   if (head->deadline_us != 0)
     deadline_us = MIN (deadline_us, head->deadline_us);
   r->balancer_request = (balancer_request_t){
     .kind = g_str_hash (route->id),
-    .rank = route->priority,
+    .team = r->team != NULL ? limiter_team_id (r->team->name) : 0,
+    .rank = has_priority ? r->team->priority : route->priority,
+    .received_us = head->received_us,
     .goal_us = head->received_us + goal_ms * 1000,
     .deadline_us = deadline_us,
     .idempotent = route->idempotent,
@@ -182,6 +210,65 @@
   proxy_request_set_deadline (r->request, deadline_us);
 }
 
+/* Finds the team of the request if the configuration requires keys. Returns false if the request is
+ * refused, as it has no key of a team and its route is not public. */
+static bool
+identify_team (gateway_request_t *r, const request_head_t *head)
+{
+  const http_dialect_t *dialect = r->policy->dialect;
+  size_t size = 0;
+  size_t removed_count = 0;
+  if (!config_doc_requires_team_key (r->doc))
+    return true;
+  if (dialect->team_key_header != NULL)
+    r->removed_headers[removed_count++] = dialect->team_key_header;
+  if (dialect->team_header != NULL)
+    r->removed_headers[removed_count++] = dialect->team_header;
+  const char *key = http_dialect_get_team_key (dialect, head->headers, &size);
+  if (key != NULL && config_doc_find_team_by_key (r->doc, key, size, &r->team_info))
+    r->team = &r->team_info;
+  if (r->team != NULL || r->route->is_public)
+    return true;
+  metric_inc (&r->policy->refused_key);
+  respond_with_challenge (r, 401, "unknown key", 0, dialect->team_key_scheme);
+  return false;
+}
+
+static void
+start (gateway_request_t *r)
+{
+  gateway_core_t *core = r->policy->core;
+  const config_service_t *service = gateway_core_choose_service (core, r->doc, r->route);
+  r->service = gateway_core_get_service (core, service->name);
+  retry_budget_record_first_attempt (&r->service->budget, now_us (r));
+  enqueue (r);
+}
+
+static void
+on_quota_verdict (quota_request_t *quota, bool admitted, int64_t retry_after_us)
+{
+  gateway_request_t *r = CONTAINER_OF (quota, gateway_request_t, quota);
+  if (admitted)
+    start (r);
+  else
+    respond (r, 429, "over the limit of the team", retry_after_us);
+}
+
+/* Queues the request, after the verdict about the quota of its team if that has a limit. */
+static void
+admit_request (gateway_request_t *r)
+{
+  if (r->team == NULL || r->team->limit.rate <= 0)
+    {
+      start (r);
+      return;
+    }
+  quota_limit_t limit = { r->team->limit.rate, r->team->limit.burst };
+  r->state = GATEWAY_ADMITTING;
+  r->quota.on_verdict = on_quota_verdict;
+  gateway_quota_admit (&r->policy->core->quota, r->balancer_request.team, &limit, &r->quota);
+}
+
 static void
 begin (request_policy_t *base, proxy_request_t *request, const request_head_t *head)
 {
@@ -209,17 +296,16 @@
     }
   r->doc = config_doc_ref (core->doc);
   r->route = match.route;
+  if (!identify_team (r, head))
+    return;
   const config_caller_limits_t *limits = config_doc_caller_limits (core->doc);
   if (limits != NULL && head->content_length > (int64_t)limits->max_body_bytes)
     {
       respond (r, 413, "request body too large", 0);
       return;
     }
-  r->service
-      = gateway_core_get_service (core, gateway_core_choose_service (core, match.route)->name);
   init_balancer_request (r, head);
-  retry_budget_record_first_attempt (&r->service->budget, now_us (r));
-  enqueue (r);
+  admit_request (r);
 }
 
 static void
@@ -232,8 +318,14 @@
 {
   gateway_request_t *r = proxy_request_data (request);
   char id[LOGGED_ID_SIZE];
+  if (r->state == GATEWAY_ADMITTING)
+    gateway_quota_cancel (&r->policy->core->quota, &r->quota);
   if (r->state == GATEWAY_QUEUED)
-    gateway_core_cancel (r->policy->core, r->service, r->balancer_request.id);
+    {
+      gateway_core_cancel (r->policy->core, r->service, r->balancer_request.id);
+      if (!r->possibly_run)
+        gateway_quota_give_back (&r->policy->core->quota, &r->quota);
+    }
   r->state = GATEWAY_ENDED;
   LOG_INFO ("cancelled id=%s reason=%s attempts=%u", quote_request_id (r, id),
             cancel_reason_name (reason), r->attempt_count);
@@ -311,22 +403,6 @@
   return request_id != NULL && response_id != NULL && strcmp (request_id, response_id) == 0;
 }
 
-/* Returns the pause that a target asks for with a 503 response, in microseconds; 0 for none. */
-static int64_t
-read_pause_us (const http_dialect_t *dialect, int status, const http_headers_t *headers)
-{
-  const char *field = dialect->pause_header;
-  const char *text = field != NULL ? http_headers_get (headers, field) : NULL;
-  char *end = NULL;
-  if (status != 503 || text == NULL)
-    return 0;
-  double seconds = g_ascii_strtod (text, &end);
-  /* The comparison is false for NaN. */
-  if (end == text || *end != '\0' || !(seconds > 0))
-    return 0;
-  return (int64_t)(MIN (seconds * G_USEC_PER_SEC, (double)BALANCER_MAX_PAUSE_US));
-}
-
 /* Applies what a target says about itself: that it is leaving, or that it wants no requests for
  * some time. A response of another target at the address says nothing about the expected one, and
  * a success that cannot come from a target says nothing at all. */
@@ -339,7 +415,8 @@
   const char *leaving = dialect->leaving_header != NULL
                             ? http_headers_get (headers, dialect->leaving_header)
                             : NULL;
-  int64_t pause_us = read_pause_us (dialect, status, headers);
+  int64_t pause_us
+      = MIN (http_dialect_read_pause_us (dialect, status, headers), BALANCER_MAX_PAUSE_US);
   bool is_wrong_target
       = dialect->wrong_target_status != 0 && status == dialect->wrong_target_status;
   bool is_success = status >= 200 && status < 300;
@@ -381,6 +458,7 @@
     case ATTEMPT_CALLER_GONE:
     case ATTEMPT_CALLER_ERROR:
     case ATTEMPT_STOPPING:
+    case ATTEMPT_MEMORY:
     case ATTEMPT_CLOSED_REUSED: /* the target may have closed the connection while it was idle */
       return BALANCER_ABANDONED;
     case ATTEMPT_STALLED:
@@ -490,12 +568,18 @@
 gateway_policy_init (gateway_policy_t *policy, gateway_core_t *core, const http_dialect_t *dialect,
                      metric_registry_t *counters)
 {
-  static const char *const reasons[BALANCER_VERDICT_COUNT]
-      = { NULL, "reason=\"no_time\"", "reason=\"no_target\"", "reason=\"stopping\"" };
+  static const char *const reasons[BALANCER_VERDICT_COUNT] = { NULL,
+                                                               "reason=\"no_time\"",
+                                                               "reason=\"no_target\"",
+                                                               "reason=\"stopping\"",
+                                                               "reason=\"low_value\"",
+                                                               "reason=\"evicted\"" };
   *policy = (gateway_policy_t){ .policy.ops = &policy_ops, .core = core, .dialect = dialect };
   for (size_t i = 1; i < G_N_ELEMENTS (reasons); i++)
     metric_register (counters, &policy->refused[i], METRIC_KIND_COUNTER, "anvillb_refused_total",
                      reasons[i], "Requests refused without an attempt.");
+  metric_register (counters, &policy->refused_key, METRIC_KIND_COUNTER, "anvillb_refused_total",
+                   "reason=\"key\"", "Requests refused without an attempt.");
   metric_register (counters, &policy->retries, METRIC_KIND_COUNTER, "anvillb_retries_total", NULL,
                    "Attempts after a failed one.");
   metric_register (counters, &policy->retries_denied, METRIC_KIND_COUNTER,
--- a/src/http_dialect.h
+++ b/src/http_dialect.h
@@ -1,6 +1,10 @@
 #pragma once
 
 #include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "http_headers.h"
 
 /* http_dialect - header fields and statuses that the proxy interprets, and fields that it adds.
  *
@@ -39,6 +43,13 @@
   /* Response with status 503: header field with the time in seconds for which the target wants no
    * requests from this process. */
   const char *pause_header;
+  /* Request: field with the key of the caller's team, and the scheme in front of the key. Only read
+   * if the configuration requires keys; targets do not get the field then. */
+  const char *team_key_header;
+  const char *team_key_scheme;
+  /* Request to targets: name of the team that holds the key. Fields of that name from callers are
+   * removed if the configuration requires keys. */
+  const char *team_header;
   /* Statuses that tell callers that the request was not run and will not be, ending with 0; NULL if
    * no status alone does. */
   const int *not_run_statuses;
@@ -53,5 +64,17 @@
 /* Returns whether callers take STATUS as the assurance that the request was not run. */
 bool http_dialect_means_not_run (const http_dialect_t *dialect, int status);
 
+/* Longest pause that is understood; a longer one means this. */
+#define HTTP_DIALECT_MAX_PAUSE_S 3600
+
+/* Returns the pause that a target asks for with a 503 response, in microseconds; 0 for none. */
+int64_t http_dialect_read_pause_us (const http_dialect_t *dialect, int status,
+                                    const http_headers_t *headers);
+
+/* Returns the key of a team in HEADERS and stores its size in SIZE. Returns NULL unless there is
+ * exactly one field of the dialect for it, with the scheme and one word of visible ASCII. */
+const char *http_dialect_get_team_key (const http_dialect_t *dialect, const http_headers_t *headers,
+                                       size_t *size);
+
 /* Dialect of the product's own interface. */
 extern const http_dialect_t http_dialect_native;
--- a/src/proxy_message.c
+++ b/src/proxy_message.c
@@ -88,6 +88,9 @@
   http_headers_remove_hop_by_hop (&out);
   for (size_t i = 0; i < G_N_ELEMENTS (removed_request_fields); i++)
     http_headers_remove (&out, removed_request_fields[i]);
+  const char *const *removed = request->attempt.options.removed_headers;
+  for (; removed != NULL && *removed != NULL; removed++)
+    http_headers_remove_similar (&out, *removed);
   if (http_headers_get (&out, "Host") == NULL)
     http_headers_append (&out, "Host", request->attempt.address);
   if (request->proxy->options.dialect->sends_forwarding_headers)
@@ -140,8 +143,9 @@
   if (request->proxy->options.dialect->sends_forwarding_headers)
     http_headers_append (&out, "Via", VIA_VALUE);
 
-  request->response_chunked
-      = head->has_body && head->content_length < 0 && request->version_minor > 0;
+  bool has_no_length = head->has_body && head->content_length < 0;
+  request->response_chunked = has_no_length && request->version_minor > 0;
+  request->end_delimits = has_no_length && request->version_minor == 0;
   if (request->response_chunked)
     http_headers_append (&out, "Transfer-Encoding", "chunked");
   if (!request->keep_alive)
--- a/src/request_policy.h
+++ b/src/request_policy.h
@@ -53,6 +53,9 @@
   size_t max_body_bytes; /* a longer request body is refused with 413; 0 for no limit */
   /* Longest response body that is captured for ended(); 0 captures none. */
   size_t max_capture_bytes;
+  /* Names of fields of the caller that the target must not get, also with '_' for '-', ending with
+   * NULL; NULL for none. Valid until finished(). */
+  const char *const *removed_headers;
   const http_headers_t *extra_headers; /* replace fields of the same name; may be NULL */
 } request_dispatch_t;
 
@@ -85,9 +88,10 @@
   ATTEMPT_CALLER_GONE,
   ATTEMPT_CALLER_ERROR, /* malformed or too large request body */
   ATTEMPT_STOPPING,     /* this process stops */
+  ATTEMPT_MEMORY,       /* ended to free memory */
 } attempt_end_t;
 
-#define ATTEMPT_END_COUNT (ATTEMPT_STOPPING + 1)
+#define ATTEMPT_END_COUNT (ATTEMPT_MEMORY + 1)
 
 typedef struct
 {
@@ -109,6 +113,7 @@
   CANCEL_DEADLINE,
   CANCEL_CALLER_ERROR,
   CANCEL_STOPPING, /* this process stops */
+  CANCEL_MEMORY,   /* ended to free memory */
 } cancel_reason_t;
 
 typedef struct
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -103,8 +103,11 @@
     it in a success without a signature, "late leaving" in an additional answer to another request. The modes of ENDLESS
     write bytes without end; cut_count counts the connections that were closed meanwhile. "copies" refuses some requests,
     and writes its last answer once more, as it was or damaged, where the next answer on the connection is expected.
+    on_head, if set, is called with the handler in place of all this, before the body of the request is read.
     """
 
+    on_head = None
+
     def __init__(self, fleet, number, service, zone="a", delay_s=0.0, identity=None, address=None, slots=4):
         self.fleet, self.service, self.zone, self.delay_s, self.slots = fleet, service, zone, delay_s, slots
         self.random = random.Random(number)
@@ -112,6 +115,7 @@
         self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.requests, self.execution_times, self.mode = [], [], "normal"
         self.completed = set()  # requests whose answer was written
+        self.fields = {}  # by request id: fields of the head, and lines of the trailer
         self.arrival_times, self.pause_s, self.cut_count = [], "1.5", 0
         handler = type("Handler", (TargetHandler,), {"target": self})
         self.server = TargetServer(address or ("127.0.0.1", 0), handler)
@@ -169,8 +173,24 @@
         without_id = re.sub(rb"Attempt-Id: [^\r]*\r\n", b"", self.last_answer)
         self.wfile.write(draw.choice((self.last_answer, self.last_answer, without_id, refusal)))
 
+    def read_chunks(self):
+        """Reads a chunked body and returns it and the lines of its trailer."""
+        body, trailer = b"", []
+        while size := int(self.rfile.readline(), 16):
+            body += self.rfile.read(size)
+            self.rfile.readline()
+        while line := self.rfile.readline().strip():
+            trailer.append(line.decode("latin-1"))
+        return body, trailer
+
     def handle_request(self):
-        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        if self.target.on_head:
+            self.close_connection = True
+            self.target.on_head(self)
+            return
+        chunked = self.headers.get("Transfer-Encoding") == "chunked"
+        body, trailer = self.read_chunks() if chunked else (self.rfile.read(int(self.headers.get("Content-Length", 0))), [])
+        self.target.fields[self.headers.get("Attempt-Id", "")] = self.headers.items(), trailer
         expected = self.headers.get("Expected-Instance")
         attempt = self.headers.get("Attempt-Id", "")
         if expected and expected != self.target.identity:
@@ -254,6 +274,7 @@
         self.port_block = self.ports[0] // 200
         self.attempts, self.seen_attempts = 0, set()
         self.preloads_disk_faults = False  # set it before start()
+        self.entry_settings = {}  # besides the usual ones; set them before start()
         self.lock = threading.Lock()
 
     def __enter__(self):
@@ -289,7 +310,7 @@
                 "INSTANCE": f"entry-{i}", "DOMAIN": "abc"[i % 3], "LISTEN": f"{ip}:{self.ports[0]}",
                 "READY_LISTEN": f"{ip}:{self.ports[1]}", "PEER_LISTEN": f"{ip}:{self.ports[2]}",
                 "METRICS_LISTEN": f"{ip}:{self.ports[3]}", "SEED": seeds, "GRACE_S": GRACE_S, "RETRY_SHARE": 1, "RETRY_RATE": 100,
-                "DEFAULT_LATENCY_MS": 1000}).start())
+                "DEFAULT_LATENCY_MS": 1000, **self.entry_settings}).start())
 
     def add_target(self, service, **arguments):
         target = Target(self, len(self.targets) + 1, service, **arguments)
