--- a/src/upstream_conn.c
+++ b/src/upstream_conn.c
@@ -28,12 +28,12 @@
 
   target->request_bytes -= conn->exchange->request_bytes;
   conn->exchange->request_bytes = 0;
+  if (!was_full)
+    return;
   LIST_FOREACH (&target->active, node)
   {
     upstream_conn_t *other = CONTAINER_OF (node, upstream_conn_t, node);
-    if (!was_full || other == conn || other->exchange == NULL)
-      continue;
-    if (other->exchange->ops->relieved != NULL)
+    if (other != conn && other->exchange != NULL && other->exchange->ops->relieved != NULL)
       other->exchange->ops->relieved (other->exchange);
   }
 }
--- a/tests/platform/quotas.py
+++ b/tests/platform/quotas.py
@@ -55,9 +55,7 @@
     say(f"  about the limit admitted: {BURST + 3 * RATE - 4 <= len(admitted) <= BURST + 3 * RATE + 4}")
     say(f"  others: {sorted({status for _, status, _ in others})}, seen by the target: {any(seen(a) for a, _, _ in others)}")
     waits = [float(answer["Retry-After"]) for _, _, answer in others]
-    # An entry that gets no answer in 80 ms decides by its share, and names a time of up to 1 s.
-    soon = sum(1 for wait in waits if wait <= 2 / RATE)
-    say(f"  Retry-After within two periods of the rate: {0 < min(waits) and max(waits) <= 1 and soon >= 0.9 * len(waits)}")
+    say(f"  Retry-After within two periods of the rate: {0 < min(waits) and max(waits) <= 2 / RATE}")
     _, status, answer = send(0)
     while status == 200:
         _, status, answer = send(0)
