Test of the quota messages: compares members, not padding

It compared a decoded struct of 20 bytes in 24 with memcmp, and the last 4 bytes are padding, which the allocator fills differently there. Change: the four members are compared, which is as strict.

--- a/tests/fleet/test_fleet_wire.cc
+++ b/tests/fleet/test_fleet_wire.cc
@@ -153,7 +153,11 @@
   ASSERT_TRUE (quota_ask_decode (&decoded_ask, &ask_message.reader));
   EXPECT_EQ (decoded_ask.number, 9u);
   ASSERT_EQ (decoded_asks->len, 1u);
-  EXPECT_EQ (memcmp (decoded_asks->data, &asked, sizeof (asked)), 0);
+  const quota_ask_team_t *asking = &g_array_index (decoded_asks, quota_ask_team_t, 0);
+  EXPECT_EQ (asking->team_id, UINT64_MAX);
+  EXPECT_EQ (asking->waiting_count, 3u);
+  EXPECT_EQ (asking->used_count, 2u);
+  EXPECT_EQ (asking->returned_count, 1u);
 
   quota_grant_t grant = { 9, 107, grants }, decoded_grant = { 0, 0, decoded_grants };
   quota_grant_encode (&grant, &grant_message.writer);
