--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,8 +16,8 @@
 # "A day may be long and may contain hundreds of changes."
 CHANGES = 450
 # The end of the changes, from the start of the script, which may take 120 s.
-CHANGES_END_S = 98
-READ_S = 12
+CHANGES_END_S = 95
+READ_S = 10
 ENDS_LIMIT = 3
 
 
