--- a/review/lib2/platform2.py
+++ b/review/lib2/platform2.py
@@ -464,7 +464,7 @@
         record(f"could not run: {error}")
         print(f"could not run: {error}")
         return 2
-    except Exception as error:  # a fault of the script itself
+    except (Exception, KeyboardInterrupt) as error:  # a fault of the script itself, or its time is over
         record(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
