--- a/review/lib2/platform2.py
+++ b/review/lib2/platform2.py
@@ -311,16 +311,36 @@
         self.identity = f"i-{os.getpid():04x}{Target.count:04x}"
         self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.runs, self.lock, self.stopped = [], threading.Lock(), threading.Event()
+        self.connections = set()
         handler = type("Handler", (Handler,), {"target": self})
         self.server = Server(address or ("127.0.0.1", 0), handler)
         self.address = "127.0.0.1:%d" % self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def stop(self):
+        if self.stopped.is_set():
+            return
         self.stopped.set()
         self.server.shutdown()
         self.server.server_close()
 
+    def leave(self):
+        """Deregisters, and exits with what it still works on. Returns whether the call was acknowledged."""
+        acked = False
+        for core in self.platform.cores:
+            try:
+                acked = acked or rpc(self.platform, core, "instances.deregister", {"born": self.born},
+                                     of=self.identity)[0] == 200
+            except OSError:
+                continue
+        self.stop()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        return acked
+
     def heartbeat(self, core=None, timeout=1.0):
         """Sends one heartbeat, to CORE or to one node after the other. Returns whether it was acknowledged."""
         with self.lock:
@@ -359,6 +379,17 @@
     disable_nagle_algorithm = True
     target = None
 
+    def setup(self):
+        super().setup()
+        self.target.connections.add(self.connection)
+
+    def finish(self):
+        self.target.connections.discard(self.connection)
+        try:
+            super().finish()
+        except OSError:
+            pass
+
     def read_body(self):
         if self.headers.get("Transfer-Encoding") == "chunked":
             body = b""
