Review, part one: a case on QUOTA

All processes of the core are killed and are back within a second as a tenant turns hot: each entry admits the tenant's requests from a token of its own.

--- a/review/part-one/lib/stand_ins.py
+++ b/review/part-one/lib/stand_ins.py
@@ -106,7 +106,7 @@
 class Fleet:
     """Three control instances and some entries. Use as a context manager: all processes end with it."""
 
-    def __init__(self, record, entries=2, bounds=None):
+    def __init__(self, record, entries=2, bounds=None, limits=None):
         self.record_file = open(record, "w")
         self.started = time.monotonic()
         self.temporary = tempfile.TemporaryDirectory(prefix="anvillb-review-")
@@ -114,6 +114,7 @@
         self.port = find_free_ports()
         self.block = self.port // 10 % 250 + 1
         bounds = BOUNDS | (bounds or {})
+        self.limits = {"cpu_share": 0.2, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0} | (limits or {})
         seeds = [f"{self.ip('control', i)}:{self.port}" for i in range(3)]
         self.controls = [self.make_process("control", "core", i, seeds, bounds) for i in range(3)]
         self.entries = [self.make_process("entry", "front", i, seeds, bounds) for i in range(entries)]
@@ -135,7 +136,7 @@
         fields = {"node_name": name, "zone": ZONES[number % 3], "region": "bay-sued", "ip": ip, "bootstrap": True,
                   "internal_port_range": [self.port + 2, self.port + 3], "seeds": seeds, "bounds": bounds,
                   "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
-                  "limits": {"cpu_share": 0.2, "cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0},
+                  "limits": self.limits,
                   "data_dir": str(self.directory / f"{name}.data") if role == "control" else None,
                   "listen": {"front": f"{ip}:{self.port}", "ready": f"{ip}:{self.port + 1}",
                              "control": f"{ip}:{self.port}", "directory": f"{ip}:{self.port + 1}"}}
@@ -211,9 +212,10 @@
     return {"name": name, "health_path": "/health", "max_connections": 330, "protocol": "h1", "tls": False}
 
 
-async def put_config(fleet, routes, services=None):
+async def put_config(fleet, routes, services=None, **members):
     """Sends the first configuration until it is accepted."""
-    config = {"version": "00000001", "routes": routes, "services": services or [make_service()], "limits": LIMITS}
+    config = {"version": "00000001", "routes": routes, "services": services or [make_service()], "limits": LIMITS,
+              **members}
     status, answer = await call_control(fleet, "config.put", config, base="0", limit_s=20)
     if status != 200:
         raise CannotRun(f"first configuration: {status} {answer!r}")
@@ -234,7 +236,7 @@
         Target.count += 1
         self.fleet, self.zone, self.slots, self.work_s, self.service = fleet, zone, slots, work_s, service
         self.id, self.born, self.sequence = f"i-{random.getrandbits(40):010x}", int(time.time() * 1000), 0
-        self.ip, self.runs, self.running = fleet.ip("target", Target.count % 250), [], 0
+        self.ip, self.runs, self.run_times, self.running = fleet.ip("target", Target.count % 250), [], [], 0
         self.before_answer = self.answer = None
 
     async def start(self):
@@ -290,6 +292,7 @@
     async def run(self, writer, request, work_s):
         """Runs the request. The work stops when the connection is closed meanwhile."""
         self.runs.append(request.attempt)
+        self.run_times.append(time.monotonic())
         self.running += 1
         self.fleet.record(f"target {self.id} runs {request.attempt} {request.method} {request.path}")
         try:
@@ -310,10 +313,10 @@
         self.attempt, self.status, self.fields, self.body, self.sent, self.done = attempt, status, fields, body, sent, done
 
 
-async def send_request(fleet, entry, method, path, deadline_ms, body=b""):
+async def send_request(fleet, entry, method, path, deadline_ms, body=b"", fields=None):
     """One attempt of a client on a connection of its own. The status is None if no complete answer came."""
     attempt = f"{random.getrandbits(64):016x}"
-    fields = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Remaining-Ms": deadline_ms}
+    fields = {"Host": HOST, "Attempt-Id": attempt, "Deadline-Remaining-Ms": deadline_ms, **(fields or {})}
     sent = time.monotonic()
     fleet.record(f"client sends {attempt} {method} {path} to {fleet.entries[entry].name}")
     try:
