--- a/review/part-one/lib/stand_ins.py
+++ b/review/part-one/lib/stand_ins.py
@@ -228,9 +228,10 @@
 
 
 class Target:
-    """A sound target. BEFORE_ANSWER and ANSWER may be replaced to make it faulty."""
+    """A sound target with SLOTS and a queue. BEFORE_ANSWER and ANSWER may be replaced to make it faulty."""
 
     count = 0
+    queue_size = 8
 
     def __init__(self, fleet, zone, slots=2, work_s=0.05, service="crew-app"):
         Target.count += 1
@@ -238,6 +239,7 @@
         self.id, self.born, self.sequence = f"i-{random.getrandbits(40):010x}", int(time.time() * 1000), 0
         self.ip, self.runs, self.run_times, self.running = fleet.ip("target", Target.count % 250), [], [], 0
         self.before_answer = self.answer = None
+        self.free_slots, self.waiting = asyncio.Semaphore(slots), 0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, 0)
@@ -273,7 +275,13 @@
                     await self.before_answer(writer, request, connection)
                 if self.answer is not None and await self.answer(writer, request):
                     continue
-                await self.run(writer, request, self.work_s)
+                if self.waiting >= self.queue_size:
+                    self.write_rejection(writer, request, 503)
+                    continue
+                self.waiting += 1
+                async with self.free_slots:
+                    self.waiting -= 1
+                    await self.run(writer, request, self.work_s)
                 connection["answers"] += 1
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -291,6 +299,8 @@
 
     async def run(self, writer, request, work_s):
         """Runs the request. The work stops when the connection is closed meanwhile."""
+        if self.is_cut_off(writer):
+            return
         self.runs.append(request.attempt)
         self.run_times.append(time.monotonic())
         self.running += 1
@@ -304,7 +314,7 @@
             return
         body = f"answer to {request.attempt}".encode()
         writer.write(f"HTTP/1.1 200 OK\r\nAttempt-Id: {request.attempt}\r\nServer-Signature: s.{self.id}.{request.attempt}\r\n"
-                     f"Server-Load: {self.running},0,{self.slots}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+                     f"Server-Load: {self.running + 1},{self.waiting},{self.slots}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
         self.fleet.record(f"target {self.id} answers {request.attempt} with 200")
 
 
