--- a/review/part-one/memory/case.py
+++ b/review/part-one/memory/case.py
@@ -11,7 +11,7 @@
 import stand_ins  # noqa: E402
 
 ROUTES = 12  # four kinds of request and eight idle routes
-GROWTHS, ROUTES_A_GROWTH = 4, 350  # { kind = "big_config", count = 350 }, "more than once"
+ADDED_ROUTES = 1400  # { kind = "big_config", count = 1400 } of gleisgruen-gw-grown
 CHANGES = 850  # "A day may be long and may contain hundreds of changes."
 MEMORY_MB = 256  # of a core machine
 DISK_MB = 256
@@ -46,10 +46,8 @@
                 raise stand_ins.CannotRun(f"change {version + 1}: {status} {answer!r}")
             version += 1
 
-        for growth in range(GROWTHS if trouble else 0):
-            first = len(routes)
-            routes += [stand_ins.make_route(f"p{i:05d}x", "safe" if i % 2 else "unsafe")
-                       for i in range(first, first + ROUTES_A_GROWTH)]
+        if trouble:
+            routes += [stand_ins.make_route(f"p{i:05d}x", "safe" if i % 2 else "unsafe") for i in range(ROUTES, ROUTES + ADDED_ROUTES)]
             await put(make_text(routes, version + 1))
             fleet.record(f"the configuration has grown to {len(routes)} routes")
         text = make_text(routes, 0)
