review: case 11, the beginning of a late answer makes a booking run twice

Cause: the beginning of a second answer that breaks off in its first line is read as the status line of the next answer, and its status 421 as proof that the request has not run. The case replaces the folder of part one.

--- a/review/part-one/lib/stand_ins.py
+++ b/review/lib3/stand_ins.py
@@ -18,7 +18,7 @@
 import tomllib
 import urllib.parse
 
-REPOSITORY = pathlib.Path(__file__).resolve().parents[3]
+REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 HOST = "host.example"
 ZONES = ["bay-sued-a", "bay-sued-b", "bay-sued-c"]
 
