--- a/review/13/case.py
+++ b/review/more/floor/case.py
@@ -6,7 +6,7 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib3"))
+sys.path.insert(0, str(HERE.parent.parent / "lib3"))
 import stand_ins  # noqa: E402
 
 TARGETS, ODD_ENTRIES = 10, 4
--- a/review/12/case.py
+++ b/review/more/lost/case.py
@@ -6,7 +6,7 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib3"))
+sys.path.insert(0, str(HERE.parent.parent / "lib3"))
 import stand_ins  # noqa: E402
 
 # Longest work time of class sheet-read in the sheet's site file: mean 120 ms, max 900 ms.
--- a/review/14/case.py
+++ b/review/more/quota/case.py
@@ -7,7 +7,7 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib3"))
+sys.path.insert(0, str(HERE.parent.parent / "lib3"))
 import stand_ins  # noqa: E402
 
 ENTRIES = 107  # fronts of caroni-hq-grown
