A learner forgets a silent leader

Cause: only voters have an election timeout. A learner that was removed while it was cut off kept the leader that it had last heard, took itself for a member and did not ask to join again. An instance that should replace another one then never did. Ruled out: the leader refusing the request; the instance sent none.

--- a/src/raft_election.c
+++ b/src/raft_election.c
@@ -114,7 +114,13 @@
 raft_election_tick (raft_t *r, int64_t now_us)
 {
   if (!raft_is_voter (r))
-    return;
+    {
+      /* A learner starts no election. It forgets a silent leader, so that its owner can find out
+       * whether it has been removed. */
+      if (r->leader_id != 0 && now_us >= r->election_deadline_us)
+        raft_set_role (r, RAFT_FOLLOWER, 0);
+      return;
+    }
   /* A single voter need not wait for a leader's messages. */
   bool single_voter = raft_quorum_size (r) == 1;
   if (r->election_started)
--- a/tests/state/test_raft.cc
+++ b/tests/state/test_raft.cc
@@ -388,6 +388,22 @@
   EXPECT_EQ (group.violation, "");
 }
 
+// Guards against a learner that was removed while it could not reply and still takes itself for a
+// member with a leader, so that it never asks to join again.
+TEST (Raft, RemovedLearnerForgetsItsLeader)
+{
+  Group group (3, 2);
+  group.isolate (2, true, false);
+  ASSERT_TRUE (group.add_member (2));
+  group.run_for (SECOND);
+  EXPECT_EQ (group.node (2).raft.leader_id, group.node (group.leader ()).id);
+  ASSERT_TRUE (group.remove_member (group.node (2).id));
+  group.cut_links.clear ();
+  group.run_for (2 * SECOND);
+  EXPECT_EQ (group.node (2).raft.leader_id, 0u);
+  EXPECT_EQ (group.violation, "");
+}
+
 // Guards against an instance that votes under its old identity after it has lost its disk, and so
 // votes twice in a term.
 TEST (Raft, LostDiskGetsANewIdentity)
