Replace control instances without losing the tolerance of their group

What callers saw: a control instance is replaced as planned, another one loses its disk 0.5 s after the old one has ended.

Cause: each instance that joined became a voter, and one that stopped as planned stayed a voter until it had been silent for 2 s. The group had four voters, two of them gone, and a majority of three. The leader stepped down, and without one nobody could remove the stopped voter or take in the instance without its disk. Ruled out: a successor that had not caught up (it had the log), lost data (both voters that are left have it), the time-out (a shorter one moves the window; three instances that stop at once lose the group without any loss).

Change: an instance that joins stays a learner until it replaces a voter or one is missing. A voter that stops asks to leave (FLEET_LEAVE) and ends when the leader answers (FLEET_MAY_STOP), within its grace period (grace-s, new for control instances). The part of fleet_control that dealt with members is a module now.

Why it works: at the end of its process a leaver is no voter, so a loss that follows is the first one for the voters that remain.

--- a/src/control_tasks.c
+++ b/src/control_tasks.c
@@ -128,7 +128,7 @@
     return;
   LOG_NOTICE ("shutting down");
   for (replica_group_t **group = tasks->groups; *group != NULL; group++)
-    waiting = replica_group_transfer_leadership (*group) || waiting;
+    waiting = replica_group_transfer_leadership (*group, 0, NULL) || waiting;
   tasks->shutdown_deadline_us = waiting ? now_us + LEADERSHIP_TRANSFER_TIMEOUT_US : now_us;
   io_timer_set (tasks->loop, &tasks->stop_timer, now_us);
 }
--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -21,7 +21,6 @@
 #define CONFIG_RESEND_US INT64_C (400000)
 /* An instance that starts applies the log that it has within this time. */
 #define CONFIG_WAIT_US INT64_C (1000000)
-#define JOIN_FIELD_COUNT 2
 
 /* Entry that takes its feed from this instance. */
 typedef struct
@@ -165,39 +164,27 @@
     target_registry_remove (&control->registry, id);
 }
 
-/* Calls VISIT with the peer address of each other member of the group. */
-static void
-foreach_member (fleet_control_t *control, void (*visit) (fleet_control_t *, const char *, void *),
-                void *data)
+typedef struct
 {
-  raft_status_t status;
-  char peer_address[LINK_ADDRESS_SIZE];
-  char call_address[LINK_ADDRESS_SIZE];
-  if (!control->group.started)
-    return;
-  raft_get_status (&control->group.raft, &status);
-  for (size_t i = 0; i < status.peer_count; i++)
-    {
-      replica_group_split_member_name (status.peers[i].member.name, peer_address, call_address);
-      if (strcmp (peer_address, control->options.peer_listen) != 0)
-        visit (control, peer_address, data);
-    }
-}
+  peer_network_t *network;
+  const wire_writer_t *writer;
+} broadcast_t;
 
 static void
-send_encoded (fleet_control_t *control, const char *address, void *data)
+send_encoded (void *data, const char *address)
 {
-  const wire_writer_t *writer = data;
-  peer_network_send (&control->network, address, (const uint8_t *)writer->buffer.data,
-                     writer->buffer.size);
+  const broadcast_t *broadcast = data;
+  peer_network_send (broadcast->network, address, (const uint8_t *)broadcast->writer->buffer.data,
+                     broadcast->writer->buffer.size);
 }
 
 static void
 send_targets_to_members (fleet_control_t *control, const GArray *targets)
 {
   wire_writer_t writer;
+  broadcast_t broadcast = { &control->network, &writer };
   fleet_targets_encode (targets, now_us (control), &writer);
-  foreach_member (control, send_encoded, &writer);
+  replica_group_foreach_peer (&control->group, send_encoded, &broadcast);
   wire_writer_destroy (&writer);
 }
 
@@ -443,7 +430,7 @@
 }
 
 static void
-add_address (fleet_control_t *control, const char *address, void *data)
+add_address (void *data, const char *address)
 {
   g_ptr_array_add (data, g_strdup (address));
 }
@@ -458,7 +445,7 @@
     .peers = g_ptr_array_new_with_free_func (g_free),
   };
   set_view_cell (get_layout (control, link->peer.domain), link->peer.id, &view);
-  foreach_member (control, add_address, view.members);
+  replica_group_foreach_peer (&control->group, add_address, view.members);
   g_ptr_array_add (view.members, g_strdup (control->options.peer_listen));
   fleet_view_encode (&view, &writer);
   peer_network_reply_writer (&control->network, link->sequence_number, &writer);
@@ -561,91 +548,6 @@
     apply_announcement (control, &g_array_index (targets, registry_target_t, i));
 }
 
-/* Proposes the change of the members that group_repair_decide() selects. */
-static void
-update_membership (fleet_control_t *control)
-{
-  raft_status_t status;
-  anv_error_t err = { 0 };
-  const raft_member_t *joining = &control->repair.joining;
-
-  raft_get_status (&control->group.raft, &status);
-  group_repair_decision_t decision
-      = group_repair_next_change (&control->repair, &status, now_us (control));
-  if (decision.action == GROUP_REPAIR_ACTION_NONE)
-    return;
-  bool done = decision.action == GROUP_REPAIR_ACTION_ADD
-                  ? replica_group_add_member (&control->group, joining, &err)
-                  : replica_group_remove_member (&control->group, decision.id, &err);
-  LOG_NOTICE ("member %s id=%016" G_GINT64_MODIFIER "x joining=%s result=\"%s\"",
-              decision.action == GROUP_REPAIR_ACTION_ADD ? "added" : "removed",
-              decision.action == GROUP_REPAIR_ACTION_ADD ? joining->id : decision.id, joining->name,
-              done ? "proposed" : err.text);
-}
-
-static void
-encode_join (const raft_member_t *joining, wire_writer_t *writer)
-{
-  wire_writer_init (writer, WIRE_FLEET_JOIN, JOIN_FIELD_COUNT);
-  wire_write_uint (writer, joining->id);
-  wire_write_string (writer, joining->name);
-}
-
-static void
-forward_join (fleet_control_t *control, const raft_member_t *leader, const raft_member_t *joining)
-{
-  char peer_address[LINK_ADDRESS_SIZE];
-  char call_address[LINK_ADDRESS_SIZE];
-  wire_writer_t writer;
-  replica_group_split_member_name (leader->name, peer_address, call_address);
-  encode_join (joining, &writer);
-  send_encoded (control, peer_address, &writer);
-  wire_writer_destroy (&writer);
-}
-
-static void
-receive_join (fleet_control_t *control, const link_t *link, wire_reader_t *reader)
-{
-  raft_member_t joining = { .id = wire_read_uint (reader) };
-  raft_status_t status;
-  wire_read_string_into (reader, joining.name, sizeof (joining.name));
-  if (!wire_reader_finish (reader, NULL) || !control->group.started)
-    return;
-  raft_get_status (&control->group.raft, &status);
-  const raft_member_t *leader = group_repair_receive_request (
-      &control->repair, &status, now_us (control), &joining, link->peer.address);
-  if (leader != NULL)
-    forward_join (control, leader, &joining);
-  update_membership (control);
-}
-
-static void
-send_join (fleet_control_t *control, uint64_t id)
-{
-  raft_member_t self = { .id = id };
-  wire_writer_t writer;
-  g_strlcpy (self.name, control->member_name, sizeof (self.name));
-  encode_join (&self, &writer);
-  foreach_member (control, send_encoded, &writer);
-  for (guint i = 0; i < control->options.seeds->len; i++)
-    {
-      const char *seed = g_ptr_array_index (control->options.seeds, i);
-      if (seed != NULL && strcmp (seed, control->options.peer_listen) != 0)
-        send_encoded (control, seed, &writer);
-    }
-  wire_writer_destroy (&writer);
-}
-
-/* Asks to join the group if this instance is not a member, or may have been removed. */
-static void
-request_membership (fleet_control_t *control)
-{
-  raft_status_t status;
-  raft_get_status (&control->group.raft, &status);
-  if (group_repair_needs_request (&control->repair, &status, now_us (control)))
-    send_join (control, status.id);
-}
-
 static void
 on_message (void *data, link_t *link, wire_type_t type, wire_reader_t *reader,
             const uint8_t *message, size_t size)
@@ -666,9 +568,8 @@
     receive_status (control, link, reader);
   else if (type == WIRE_FLEET_TARGETS)
     receive_targets (control, reader);
-  else if (type == WIRE_FLEET_JOIN)
-    receive_join (control, link, reader);
-  else if (!proposal_relay_receive (&control->relay, link, type, reader)
+  else if (!group_membership_receive (&control->membership, link, type, reader)
+           && !proposal_relay_receive (&control->relay, link, type, reader)
            && !fleet_quota_receive (&control->quota, link, type, reader))
     LOG_DEBUG ("unexpected message peer=%s type=%d", link->peer.id, (int)type);
 }
@@ -746,11 +647,7 @@
   fleet_quota_set_config (&control->quota, version_store_doc (control->machine.store));
   fleet_quota_tick (&control->quota);
   found_group_if_due (control);
-  if (control->group.started)
-    {
-      request_membership (control);
-      update_membership (control);
-    }
+  group_membership_tick (&control->membership, control->options.seeds);
   if (ticks % (RENEWAL_PERIOD_US / TICK_US) == 0)
     {
       if (control->renewed_targets->len > 0)
@@ -797,6 +694,7 @@
     .initial_id = control->options.found_group
                       ? group_repair_compute_initial_id (control->options.peer_listen)
                       : 0,
+    .manual_promotion = true,
     .reset_machine = fleet_machine_reset,
     .data = &control->machine,
   };
@@ -823,6 +721,15 @@
     .counters = control->options.counters,
   };
   fleet_quota_init (&control->quota, &quota_options);
+  group_membership_options_t membership_options = {
+    .loop = control->options.loop,
+    .network = &control->network,
+    .group = &control->group,
+    .peer_address = control->options.peer_listen,
+    .member_name = control->member_name,
+    .wanted_voter_count = control->options.voter_count,
+  };
+  group_membership_init (&control->membership, &membership_options);
 }
 
 static void
@@ -884,7 +791,6 @@
 void
 fleet_control_start (fleet_control_t *control)
 {
-  group_repair_init (&control->repair, control->options.voter_count, now_us (control));
   found_group_if_due (control);
   io_timer_set (control->options.loop, &control->timer, now_us (control) + TICK_US);
 }
@@ -894,5 +800,12 @@
 {
   control->stopping = true;
   fleet_quota_stop (&control->quota);
-  replica_group_transfer_leadership (&control->group);
+  group_membership_stop (&control->membership);
+  group_membership_tick (&control->membership, control->options.seeds);
+}
+
+bool
+fleet_control_awaits_replacement (const fleet_control_t *control)
+{
+  return group_membership_awaits_replacement (&control->membership);
 }
--- a/src/fleet_control.h
+++ b/src/fleet_control.h
@@ -5,7 +5,7 @@
 #include "fleet_machine.h"
 #include "fleet_quota.h"
 #include "fleet_wire.h"
-#include "group_repair.h"
+#include "group_membership.h"
 #include "proposal_relay.h"
 
 /* fleet_control - control instance of a fleet: registry of targets, directory of entries,
@@ -30,7 +30,7 @@
   const char *call_address;    /* "IP:PORT" for calls of operators and targets, used in redirects */
   const GPtrArray *seeds;      /* char *, peer addresses of control instances */
   bool found_group;            /* first start of the whole fleet: the seeds create the group */
-  size_t voter_count;          /* desired size of the group */
+  size_t voter_count;          /* desired number of voters of the group */
   unsigned min_active_entries; /* see directory_options_t */
   double slot_rate;            /* see directory_options_t */
   int64_t call_timeout_us;     /* for a command to the group */
@@ -53,7 +53,7 @@
   config_redact_t redacted;    /* configuration in force, as sent to entries */
   list_t config_waiters;       /* config_waiter_t, in the order of their expiry */
   char *member_name;           /* "PEER_ADDRESS/CALL_ADDRESS" */
-  group_repair_t repair;
+  group_membership_t membership;
   io_timer_t timer;
   bool stopping;
   bool found_group_done;
@@ -71,10 +71,15 @@
  * running. */
 void fleet_control_start (fleet_control_t *control);
 
-/* Transfers leadership. From now on each VIEW reports that this instance is not in contact with the
- * group, so that entries take their feed from another one. */
+/* Prepares a planned stop: asks the group to transfer leadership and to replace this instance. From
+ * now on each VIEW reports that this instance is not in contact with the group, so that entries
+ * take their feed from another one. */
 void fleet_control_stop (fleet_control_t *control);
 
+/* After fleet_control_stop(): returns whether the group may still replace this instance, so that
+ * the group could lose its majority if the process ended now. */
+bool fleet_control_awaits_replacement (const fleet_control_t *control);
+
 /* OK is false if the group did not confirm in time that it recorded a departure; it may still
  * record it. */
 typedef void (*fleet_done_t) (void *data, bool ok);
--- a/src/fleet_control_tasks.c
+++ b/src/fleet_control_tasks.c
@@ -15,6 +15,8 @@
 #define CALL_TIMEOUT_US INT64_C (5000000)
 /* Longest time that a stop waits for the transfer of leadership and for calls in flight. */
 #define STOP_TIMEOUT_US INT64_C (1000000)
+/* A stop that waits for a replacement in the group ends this long before the grace period does. */
+#define STOP_MARGIN_US INT64_C (500000)
 #define STOP_CHECK_PERIOD_US INT64_C (20000)
 
 typedef struct
@@ -90,7 +92,8 @@
     .call_address = fleet_options.call_listen,
     .seeds = tasks.seeds,
     .found_group = fleet_options.found_group,
-    .voter_count = 2 * (size_t)fleet_options.tolerated_failures + 1,
+    /* The seeds found the group, even if there are more of them than the tolerance needs. */
+    .voter_count = MAX (2 * (size_t)fleet_options.tolerated_failures + 1, (size_t)tasks.seeds->len),
     .min_active_entries = (unsigned)fleet_options.min_active_entries,
     .slot_rate = fleet_options.slot_rate,
     .call_timeout_us = fleet_options.call_timeout_ms * US_PER_MS,
@@ -135,11 +138,19 @@
 on_stop_timer (io_timer_t *timer)
 {
   int64_t now_us = io_loop_now_us (tasks.loop);
+  int64_t stopping_us = now_us - tasks.stop_started_us;
   bool busy = tasks.control.group.leading || proxy_in_flight_count (&tasks.calls.proxy) > 0;
-  if (busy && now_us - tasks.stop_started_us < STOP_TIMEOUT_US)
-    io_timer_set (tasks.loop, timer, now_us + STOP_CHECK_PERIOD_US);
-  else
-    g_main_loop_quit (tasks.main_loop);
+  bool awaits_replacement = fleet_control_awaits_replacement (&tasks.control);
+  if ((busy && stopping_us < STOP_TIMEOUT_US)
+      || (awaits_replacement
+          && stopping_us < fleet_options.grace_s * G_USEC_PER_SEC - STOP_MARGIN_US))
+    {
+      io_timer_set (tasks.loop, timer, now_us + STOP_CHECK_PERIOD_US);
+      return;
+    }
+  if (awaits_replacement)
+    LOG_WARNING ("stopping as a member of the group, which has not replaced this instance in time");
+  g_main_loop_quit (tasks.main_loop);
 }
 
 static bool
--- a/src/fleet_options.c
+++ b/src/fleet_options.c
@@ -123,6 +123,8 @@
     "start" },
   { "tolerated-failures", OPTION_INTEGER, &fleet_options.tolerated_failures, "1", 0, 4, NULL, false,
     "COUNT", "Control instances that may be lost at once; the group has twice that and one" },
+  { "grace-s", OPTION_INTEGER, &fleet_options.grace_s, "5", 1, 86400, NULL, false, "SECONDS",
+    "Time from SIGTERM to the end of the process" },
   { "least-active", OPTION_INTEGER, &fleet_options.min_active_entries, "2", 1, 64, NULL, false,
     "COUNT", "Fewest entries of a failure domain that callers are sent to" },
   { "slot-rate", OPTION_NUMBER, &fleet_options.slot_rate, "2.5", 0.001, 100000, NULL, false, "RATE",
--- a/src/raft.c
+++ b/src/raft.c
@@ -408,7 +408,8 @@
   if (r->role != RAFT_LEADER)
     return;
   raft_read_complete (r);
-  raft_membership_promote_learner (r, now_us);
+  if (!r->options.manual_promotion)
+    raft_membership_promote_learner (r, now_us);
   raft_continue_transfer (r, now_us);
 }
 
@@ -427,6 +428,7 @@
     .snapshot_index = r->snapshot.index,
     .disk_full = r->disk_full,
     .change_pending = raft_membership_is_pending (r),
+    .transferring = r->transferee != 0,
     .peers = r->peers,
     .peer_count = r->peer_count,
   };
--- a/src/raft.h
+++ b/src/raft.h
@@ -130,6 +130,7 @@
   uint64_t snapshot_interval_entries; /* applied entries between two snapshots */
   uint64_t trailing_entries; /* entries kept in the log after a snapshot, for slow members */
   size_t max_batch_bytes; /* entries or snapshot data per message; a larger entry is sent alone */
+  bool manual_promotion;  /* learners become voters only by raft_promote_member() */
 } raft_options_t;
 
 /* Defaults for members in the same region and for small entries. */
@@ -224,6 +225,7 @@
   uint64_t snapshot_index;
   bool disk_full;
   bool change_pending;      /* a membership change is not yet committed */
+  bool transferring;        /* leadership is being transferred */
   const raft_peer_t *peers; /* valid until the next call that changes the member */
   size_t peer_count;
 } raft_status_t;
@@ -261,10 +263,15 @@
 /* Syncs, sends and applies what earlier calls have queued. */
 void raft_flush (raft_t *r, int64_t now_us);
 
-/* Proposes to add MEMBER as a learner. The leader promotes it to voter once it has synced all
- * committed entries. Returns false with ANV_ERROR_RAFT on failure, as the next two functions do. */
+/* Proposes to add MEMBER as a learner. Unless MANUAL_PROMOTION is set, the leader promotes it to
+ * voter once it has synced all committed entries. Returns false with ANV_ERROR_RAFT on failure, as
+ * the next three functions do. */
 bool raft_add_member (raft_t *r, int64_t now_us, const raft_member_t *member, anv_error_t *err);
 
+/* Proposes to make the learner ID a voter. Fails if it has not synced all committed entries or is
+ * not in contact. */
+bool raft_promote_member (raft_t *r, int64_t now_us, uint64_t id, anv_error_t *err);
+
 /* Proposes to remove the member ID. Fails for the leader itself, and if the remaining voters that
  * are in contact would not be a majority. */
 bool raft_remove_member (raft_t *r, int64_t now_us, uint64_t id, anv_error_t *err);
--- a/src/raft_membership.c
+++ b/src/raft_membership.c
@@ -183,6 +183,36 @@
   return propose_config (r, now_us, &config, err);
 }
 
+/* Returns whether PEER is a learner that is in contact and has synced all committed entries. */
+static bool
+can_promote (const raft_t *r, const raft_peer_t *peer, int64_t now_us)
+{
+  return !peer->member.voter && peer->match_index >= r->commit_index
+         && raft_replication_in_contact (r, peer, now_us);
+}
+
+static bool
+propose_promotion (raft_t *r, int64_t now_us, const raft_peer_t *peer, anv_error_t *err)
+{
+  raft_config_t config;
+  current_config (r, &config);
+  config.members[peer - r->peers].voter = true;
+  LOG_NOTICE ("learner becomes voter group=%s member=%016" PRIx64, r->options.name,
+              peer->member.id);
+  return propose_config (r, now_us, &config, err);
+}
+
+bool
+raft_promote_member (raft_t *r, int64_t now_us, uint64_t id, anv_error_t *err)
+{
+  if (!check_can_change (r, err))
+    return false;
+  const raft_peer_t *peer = raft_find_peer (r, id);
+  if (peer == NULL || !can_promote (r, peer, now_us))
+    return set_error (err, RAFT_ERROR_MEMBER, "no learner that is in contact and has caught up");
+  return propose_promotion (r, now_us, peer, err);
+}
+
 void
 raft_membership_promote_learner (raft_t *r, int64_t now_us)
 {
@@ -190,16 +220,9 @@
     return;
   for (size_t i = 0; i < r->peer_count; i++)
     {
-      const raft_peer_t *peer = &r->peers[i];
-      if (peer->member.voter || peer->match_index < r->commit_index
-          || !raft_replication_in_contact (r, peer, now_us))
+      if (!can_promote (r, &r->peers[i], now_us))
         continue;
-      raft_config_t config;
-      current_config (r, &config);
-      config.members[i].voter = true;
-      LOG_NOTICE ("learner becomes voter group=%s member=%016" PRIx64, r->options.name,
-                  peer->member.id);
-      propose_config (r, now_us, &config, NULL);
+      propose_promotion (r, now_us, &r->peers[i], NULL);
       return;
     }
 }
--- a/src/replica_group.c
+++ b/src/replica_group.c
@@ -9,6 +9,8 @@
 #define TICK_INTERVAL_US INT64_C (20000)
 /* Time between two attempts to open the files of a member whose disk fails. */
 #define REOPEN_INTERVAL_US INT64_C (500000)
+/* A member that has not replied to the leader for this time does not count as a spare voter. */
+#define CONTACT_TIMEOUT_US INT64_C (1000000)
 
 /* A proposal or read that has not been completed. */
 typedef struct
@@ -147,6 +149,7 @@
   options.group = group->options.group_number;
   options.new_id = group->options.initial_id != 0 ? group->options.initial_id : random_id ();
   options.seed = random_id ();
+  options.manual_promotion = group->options.manual_promotion;
   /* Also writes the file, which shows whether the disk can be used. */
   if (!raft_meta_load (group->options.store, options.name, options.new_id, &meta, err))
     return false;
@@ -173,7 +176,10 @@
   group->started = false;
   group->leading = false;
   metric_set (&group->is_leader, 0);
+  metric_set (&group->voters, 0);
+  metric_set (&group->learners, 0);
   metric_set (&group->following_voters, 0);
+  metric_set (&group->spare_voters, 0);
   metric_set (&group->disk_usable, 0);
   fail_all (&group->proposals);
   fail_all (&group->reads);
@@ -231,28 +237,48 @@
   check_failure (group);
 }
 
-/* Returns the number of voters that have synced all that is committed, including this member. */
-static size_t
-count_following_voters (const raft_status_t *status)
+typedef struct
+{
+  int64_t voters;
+  int64_t learners;
+  int64_t following_voters; /* have synced all that is committed, including this member */
+  int64_t spare_voters;     /* that follow and reply, beyond a majority */
+} member_counts_t;
+
+/* Counts the members at the leader. */
+static member_counts_t
+count_members (const raft_status_t *status, int64_t now)
 {
-  size_t count = 0;
+  member_counts_t counts = { 0 };
+  int64_t replying_voters = 0;
   for (size_t i = 0; i < status->peer_count; i++)
     {
       const raft_peer_t *peer = &status->peers[i];
-      uint64_t synced = peer->member.id == status->id ? status->synced_index : peer->match_index;
-      count += peer->member.voter && synced >= status->commit_index;
+      bool self = peer->member.id == status->id;
+      uint64_t synced = self ? status->synced_index : peer->match_index;
+      bool follows = peer->member.voter && synced >= status->commit_index;
+      counts.voters += peer->member.voter;
+      counts.learners += !peer->member.voter;
+      counts.following_voters += follows;
+      replying_voters += follows && (self || now - peer->last_reply_us < CONTACT_TIMEOUT_US);
     }
-  return count;
+  counts.spare_voters = MAX (replying_voters - (counts.voters / 2 + 1), 0);
+  return counts;
 }
 
 static void
 update_metrics (replica_group_t *group)
 {
   raft_status_t status;
+  member_counts_t counts = { 0 };
   raft_get_status (&group->raft, &status);
+  if (status.role == RAFT_LEADER)
+    counts = count_members (&status, now_us (group));
   metric_set (&group->disk_usable, !status.disk_full);
-  metric_set (&group->following_voters,
-              status.role == RAFT_LEADER ? (int64_t)count_following_voters (&status) : 0);
+  metric_set (&group->voters, counts.voters);
+  metric_set (&group->learners, counts.learners);
+  metric_set (&group->following_voters, counts.following_voters);
+  metric_set (&group->spare_voters, counts.spare_voters);
 }
 
 static void
@@ -327,6 +353,14 @@
   metric_register (options->counters, &group->following_voters, METRIC_KIND_GAUGE,
                    "anvillb_group_following_voters", group->labels,
                    "Voters that have synced all that is committed, at the leader; 0 at others.");
+  metric_register (options->counters, &group->voters, METRIC_KIND_GAUGE, "anvillb_group_voters",
+                   group->labels, "Voters of the group, at the leader; 0 at others.");
+  metric_register (options->counters, &group->learners, METRIC_KIND_GAUGE, "anvillb_group_learners",
+                   group->labels, "Members that are not voters, at the leader; 0 at others.");
+  metric_register (options->counters, &group->spare_voters, METRIC_KIND_GAUGE,
+                   "anvillb_group_spare_voters", group->labels,
+                   "Voters that the group may lose and keep a majority, at the leader; 0 at "
+                   "others.");
   metric_register (options->counters, &group->disk_usable, METRIC_KIND_GAUGE,
                    "anvillb_group_disk_usable", group->labels,
                    "Whether this member runs and its last write to the disk succeeded.");
@@ -462,6 +496,16 @@
   return added;
 }
 
+bool
+replica_group_promote_member (replica_group_t *group, uint64_t id, anv_error_t *err)
+{
+  if (!check_started (group, err))
+    return false;
+  bool promoted = raft_promote_member (&group->raft, now_us (group), id, err);
+  io_loop_defer (group->options.loop, &group->flush);
+  return promoted;
+}
+
 bool
 replica_group_remove_member (replica_group_t *group, uint64_t id, anv_error_t *err)
 {
@@ -472,12 +516,32 @@
   return removed;
 }
 
+void
+replica_group_foreach_peer (const replica_group_t *group,
+                            void (*visit) (void *data, const char *peer_address), void *data)
+{
+  raft_status_t status;
+  char own_address[LINK_ADDRESS_SIZE];
+  char peer_address[LINK_ADDRESS_SIZE];
+  char operator_address[LINK_ADDRESS_SIZE];
+  if (!group->started)
+    return;
+  replica_group_split_member_name (group->options.member_name, own_address, operator_address);
+  raft_get_status (&group->raft, &status);
+  for (size_t i = 0; i < status.peer_count; i++)
+    {
+      replica_group_split_member_name (status.peers[i].member.name, peer_address, operator_address);
+      if (strcmp (peer_address, own_address) != 0)
+        visit (data, peer_address);
+    }
+}
+
 bool
-replica_group_transfer_leadership (replica_group_t *group)
+replica_group_transfer_leadership (replica_group_t *group, uint64_t id, anv_error_t *err)
 {
-  if (!group->started || !group->leading)
+  if (!check_started (group, err))
     return false;
-  bool begun = raft_transfer_leadership (&group->raft, now_us (group), 0, NULL);
+  bool begun = raft_transfer_leadership (&group->raft, now_us (group), id, err);
   io_loop_defer (group->options.loop, &group->flush);
   return begun;
 }
--- a/src/replica_group.h
+++ b/src/replica_group.h
@@ -29,7 +29,8 @@
   metric_registry_t *counters;
   /* Empties the state machine, before the snapshot is restored and the log is applied. */
   void (*reset_machine) (void *data);
-  uint64_t initial_id; /* identity for an empty data directory; 0 for a random one */
+  uint64_t initial_id;   /* identity for an empty data directory; 0 for a random one */
+  bool manual_promotion; /* see raft_options_t */
   /* Reports that this member became the leader or is no longer the leader. Not called when the task
    * stops. May be NULL. */
   void (*on_leadership) (void *data, bool leading);
@@ -55,7 +56,10 @@
   char labels[64];
   metric_t is_leader;
   metric_t leader_changes;
+  metric_t voters;
+  metric_t learners;
   metric_t following_voters;
+  metric_t spare_voters;
   metric_t disk_usable;
   metric_t proposal_counter;
   metric_t applied_counter;
@@ -96,17 +100,22 @@
 bool replica_group_bootstrap (replica_group_t *group, const raft_member_t *members, size_t count,
                               anv_error_t *err);
 
-/* Add and remove a member; see raft_add_member() and raft_remove_member(). */
+/* Add, promote and remove a member; see raft_add_member(), raft_promote_member() and
+ * raft_remove_member(). */
 bool replica_group_add_member (replica_group_t *group, const raft_member_t *member,
                                anv_error_t *err);
+bool replica_group_promote_member (replica_group_t *group, uint64_t id, anv_error_t *err);
 bool replica_group_remove_member (replica_group_t *group, uint64_t id, anv_error_t *err);
 
-/* Starts a transfer of leadership to another member, before a planned stop. Returns whether it has
- * started. */
-bool replica_group_transfer_leadership (replica_group_t *group);
+/* Starts a transfer of leadership; see raft_transfer_leadership(). */
+bool replica_group_transfer_leadership (replica_group_t *group, uint64_t id, anv_error_t *err);
 
 /* Stores the name of the leader in NAME, "" if it is unknown. */
 void replica_group_get_leader_name (const replica_group_t *group, char name[RAFT_NAME_SIZE]);
 
+/* Calls VISIT with the peer address of each other member. */
+void replica_group_foreach_peer (const replica_group_t *group,
+                                 void (*visit) (void *data, const char *peer_address), void *data);
+
 /* Splits the NAME of a member into its two addresses; each buffer has LINK_ADDRESS_SIZE bytes. */
 void replica_group_split_member_name (const char *name, char *peer_address, char *operator_address);
--- a/src/wire.h
+++ b/src/wire.h
@@ -60,6 +60,8 @@
   WIRE_FLEET_QUOTA_ASK = 69,
   WIRE_FLEET_QUOTA_GRANT = 70,
   WIRE_FLEET_QUOTA_MOVED = 71,
+  WIRE_FLEET_LEAVE = 72,
+  WIRE_FLEET_MAY_STOP = 73,
 } wire_type_t;
 
 typedef enum
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -295,15 +295,10 @@
 
     def start(self, controls=3, entries=2):
         """The first three control instances are the seeds."""
-        seeds = ",".join(f"{self.ip(1, i)}:{self.ports[0]}" for i in range(min(controls, 3)))
-        for i in range(controls):
-            ip = self.ip(1, i)
-            self.controls.append(Program(self, f"control-{i}", self.build / "anvillb-fleet-control", {
-                "INSTANCE": f"control-{i}", "DOMAIN": "abc"[i % 3], "CALL_LISTEN": f"{ip}:{self.ports[0]}",
-                "DIRECTORY_LISTEN": f"{ip}:{self.ports[1]}", "PEER_LISTEN": f"{ip}:{self.ports[2]}", "SEED": seeds,
-                "METRICS_LISTEN": f"{ip}:{self.ports[3]}",
-                "DATA_DIR": self.directory / f"data-{i}", "FOUND_GROUP": "true", "CALL_TIMEOUT_MS": 5000,
-                "TOLERATED_FAILURES": (controls - 1) // 2}).start())
+        self.tolerated_failures = (controls - 1) // 2
+        seeds = self.seeds(range(min(controls, 3)))
+        for _ in range(controls):
+            self.add_control(seeds, found_group=True)
         for i in range(entries):
             ip = self.ip(2, i)
             self.entries.append(Program(self, f"entry-{i}", self.build / "anvillb-fleet-entry", {
@@ -312,6 +307,21 @@
                 "METRICS_LISTEN": f"{ip}:{self.ports[3]}", "SEED": seeds, "GRACE_S": GRACE_S, "RETRY_SHARE": 1, "RETRY_RATE": 100,
                 "DEFAULT_LATENCY_MS": 1000, **self.entry_settings}).start())
 
+    def seeds(self, controls):
+        return ",".join(f"{self.ip(1, i)}:{self.ports[0]}" for i in controls)
+
+    def add_control(self, seeds, found_group=False):
+        """Starts a further control instance and returns its number."""
+        i = len(self.controls)
+        ip = self.ip(1, i)
+        self.controls.append(Program(self, f"control-{i}", self.build / "anvillb-fleet-control", {
+            "INSTANCE": f"control-{i}", "DOMAIN": "abc"[i % 3], "CALL_LISTEN": f"{ip}:{self.ports[0]}",
+            "DIRECTORY_LISTEN": f"{ip}:{self.ports[1]}", "PEER_LISTEN": f"{ip}:{self.ports[2]}", "SEED": seeds,
+            "METRICS_LISTEN": f"{ip}:{self.ports[3]}",
+            "DATA_DIR": self.directory / f"data-{i}", "FOUND_GROUP": str(found_group).lower(), "CALL_TIMEOUT_MS": 5000,
+            "TOLERATED_FAILURES": self.tolerated_failures}).start())
+        return i
+
     def add_target(self, service, **arguments):
         target = Target(self, len(self.targets) + 1, service, **arguments)
         self.targets.append(target)
--- a/tests/state/raft_sim.cc
+++ b/tests/state/raft_sim.cc
@@ -397,6 +397,24 @@
   });
 }
 
+int
+RaftSim::count_running_voters (int slot) const
+{
+  const raft_t &raft = nodes_[slot]->raft;
+  int count = 0;
+  if (!nodes_[slot]->up || raft_membership_is_pending (&raft))
+    return -1;
+  for (size_t i = 0; i < raft.peer_count; i++)
+    {
+      const raft_member_t &member = raft.peers[i].member;
+      const SimNode &node = *nodes_[slot_of_id_.at (member.id)];
+      if (!node.up || node.id != member.id)
+        return -1;
+      count += member.voter;
+    }
+  return count;
+}
+
 bool
 RaftSim::is_removed_everywhere (uint64_t id) const
 {
--- a/tests/state/raft_sim.h
+++ b/tests/state/raft_sim.h
@@ -68,6 +68,12 @@
   RaftSim (uint64_t seed, int member_count, bool small_snapshots);
   ~RaftSim ();
 
+  // Learners become voters only by raft_promote_member(). Call it before bootstrap().
+  void
+  use_manual_promotion ()
+  {
+    options_.manual_promotion = true;
+  }
   // Starts all slots and bootstraps the group with the first VOTERS of them.
   void bootstrap (int voters);
   void run_for (int64_t us);
@@ -92,6 +98,10 @@
   // Returns whether SLOT runs and its committed configuration has the current identities of all
   // slots, all as voters, and no others.
   bool knows_all_voters (int slot) const;
+  // Returns the number of voters of the committed configuration that SLOT knows, or -1 if it does
+  // not run, its configuration is not committed, or one of its members, also a learner, is not the
+  // current identity of a running instance.
+  int count_running_voters (int slot) const;
   // Returns whether all instances run and none has ID as a member.
   bool is_removed_everywhere (uint64_t id) const;
   // Returns whether the leader has committed its whole log, and all members that it knows run and
--- a/tests/state/test_group_repair_faults.cc
+++ b/tests/state/test_group_repair_faults.cc
@@ -6,12 +6,7 @@
 
 #include <cstdlib>
 
-#include "raft_sim.h"
-
-extern "C"
-{
-#include "group_repair.h"
-}
+#include "repair_sim.h"
 
 #if defined(__SANITIZE_ADDRESS__)
 #define DEFAULT_RUN_COUNT 40
@@ -26,11 +21,6 @@
 constexpr int INSTANCES = 5;
 constexpr int SEEDS = 3;
 constexpr int TOLERATED = 2;
-// A lost disk counts as lost until the instance has been up and connected for this long.
-constexpr int64_t CATCH_UP_US = 6 * SECOND;
-// Time after the last fault within which the group must serve again.
-constexpr int64_t RECOVERY_US = 15 * SECOND;
-constexpr int64_t REPAIR_TICK_US = 100 * MS;
 
 enum fault_t
 {
@@ -46,15 +36,16 @@
 // Five instances, of which the first three are the seeds and found the group. At most TOLERATED
 // disks are lost at a time. Each disk is lost right after a power failure, which may also hit all
 // other instances at the same moment.
-class RepairRun
+class RepairRun : public RepairSim
 {
 public:
-  RepairRun (uint64_t seed) : sim (seed, INSTANCES, seed % 2 == 0)
+  explicit RepairRun (uint64_t seed)
+      : RepairSim ({ .seed = seed,
+                     .slots = INSTANCES,
+                     .seeds = SEEDS,
+                     .initial_instances = INSTANCES,
+                     .wanted_voter_count = INSTANCES })
   {
-    sim.mean_link_delay_us = seed % 3 == 0 ? 30 * MS : 5 * MS;
-    sim.bootstrap (SEEDS);
-    for (int i = 0; i < INSTANCES; i++)
-      init_repair (i);
   }
 
   void
@@ -91,8 +82,6 @@
     check_recovery ();
   }
 
-  RaftSim sim;
-
 private:
   int
   random_slot ()
@@ -101,104 +90,10 @@
   }
 
   void
-  init_repair (int slot)
-  {
-    group_repair_init (&repairs_[slot], INSTANCES, sim.node (slot).now ());
-  }
-
-  // A message that arrives at once unless the link is cut.
-  bool
-  reaches (int from, int to)
-  {
-    return from != to && sim.node (to).up && sim.cut_links.count ({ from, to }) == 0;
-  }
-
-  void
-  change_membership (int slot)
+  fail_power (int slot, int64_t down_us)
   {
-    SimNode &node = sim.node (slot);
-    raft_status_t status;
-    raft_get_status (&node.raft, &status);
-    group_repair_decision_t decision
-        = group_repair_next_change (&repairs_[slot], &status, node.now ());
-    if (decision.action == GROUP_REPAIR_ACTION_ADD)
-      raft_add_member (&node.raft, node.now (), &repairs_[slot].joining, nullptr);
-    else if (decision.action == GROUP_REPAIR_ACTION_REMOVE)
-      raft_remove_member (&node.raft, node.now (), decision.id, nullptr);
-  }
-
-  void
-  receive_request (int slot, const raft_member_t &joining, int sender)
-  {
-    SimNode &node = sim.node (slot);
-    raft_status_t status;
-    raft_get_status (&node.raft, &status);
-    std::string address = "h" + std::to_string (sender) + ":1";
-    const raft_member_t *leader = group_repair_receive_request (
-        &repairs_[slot], &status, node.now (), &joining, address.c_str ());
-    int leader_slot = leader != nullptr ? atoi (leader->name + 1) : slot;
-    if (leader != nullptr && reaches (slot, leader_slot))
-      receive_request (leader_slot, joining, slot);
-    change_membership (slot);
-  }
-
-  void
-  repair_tick (int slot)
-  {
-    SimNode &node = sim.node (slot);
-    raft_status_t status;
-    if (!node.up)
-      return;
-    raft_get_status (&node.raft, &status);
-    if (group_repair_needs_request (&repairs_[slot], &status, node.now ()))
-      {
-        std::set<int> receivers;
-        for (int seed = 0; seed < SEEDS; seed++)
-          receivers.insert (seed);
-        for (size_t i = 0; i < status.peer_count; i++)
-          receivers.insert (atoi (status.peers[i].member.name + 1));
-        for (int receiver : receivers)
-          {
-            if (reaches (slot, receiver))
-              receive_request (receiver, node.member (), slot);
-          }
-      }
-    change_membership (slot);
-  }
-
-  void
-  run_for (int64_t us)
-  {
-    int64_t end = sim.time_us + us;
-    while (sim.time_us < end && sim.violation.empty ())
-      {
-        for (int slot = 0; slot < INSTANCES; slot++)
-          repair_tick (slot);
-        if (sim.leader () >= 0)
-          sim.propose (sim.leader (), "entry " + std::to_string (++proposals_));
-        sim.run_for (std::min (REPAIR_TICK_US, end - sim.time_us));
-        for (int slot = 0; slot < INSTANCES; slot++)
-          {
-            if (!sim.node (slot).up && sim.time_us >= restart_us_[slot])
-              restart (slot);
-          }
-      }
-  }
-
-  void
-  restart (int slot)
-  {
-    if (!sim.start (slot))
-      sim.report_violation ("instance " + std::to_string (slot) + " does not start");
-    init_repair (slot);
-  }
-
-  void
-  lose_power (int slot, int64_t down_us)
-  {
-    sim.crash (slot, true);
-    restart_us_[slot] = sim.time_us + down_us;
-    extend_loss (slot, restart_us_[slot]);
+    lose_power (slot, down_us);
+    extend_loss (slot, sim.time_us + down_us);
   }
 
   // A lost disk of SLOT counts from BACK_US on, when the instance is up and connected again.
@@ -219,33 +114,18 @@
   }
 
   void
-  lose_disk (int slot, int64_t down_us)
+  fail_disk (int slot, int64_t down_us)
   {
     if (sim.time_us >= lost_until_us_[slot] && count_lost_disks () >= TOLERATED)
       return;
-    sim.lose_disk (slot);
-    restart_us_[slot] = sim.time_us + down_us;
-    lost_until_us_[slot] = restart_us_[slot] + CATCH_UP_US;
-  }
-
-  // Runs until an entry is acknowledged, or for a second.
-  void
-  await_acknowledgement ()
-  {
-    uint64_t before = sim.acked_count;
-    for (int i = 0; i < 10 && sim.acked_count == before; i++)
-      run_for (REPAIR_TICK_US);
+    lose_disk (slot, down_us);
+    lost_until_us_[slot] = sim.time_us + down_us + CATCH_UP_US;
   }
 
   void
   cut_one_way (int slot, bool outwards)
   {
-    for (int other = 0; other < INSTANCES; other++)
-      {
-        if (other != slot)
-          sim.cut_links.insert (outwards ? std::make_pair (slot, other)
-                                         : std::make_pair (other, slot));
-      }
+    cut (slot, outwards);
     extend_loss (slot, sim.time_us + 4 * SECOND);
     run_for (4 * SECOND);
     sim.cut_links.clear ();
@@ -255,7 +135,7 @@
   start ()
   {
     run_for (4 * SECOND);
-    check_membership ("after the start");
+    check_voters ("after the start");
   }
 
   void
@@ -264,7 +144,7 @@
     switch (fault)
       {
       case POWER_FAILURE:
-        lose_power (slot, down_us);
+        fail_power (slot, down_us);
         break;
       case CUT_OUTWARDS:
       case CUT_INWARDS:
@@ -272,11 +152,11 @@
         break;
       case POWER_FAILURE_OF_ALL:
         for (int i = 0; i < INSTANCES; i++)
-          lose_power (i, down_us);
+          fail_power (i, down_us);
         break;
       case LOST_DISK:
         await_acknowledgement ();
-        lose_disk (slot, down_us);
+        fail_disk (slot, down_us);
         break;
       }
   }
@@ -288,36 +168,20 @@
     run_for ((int64_t)rng_uniform_int (&sim.rng, 400 * MS));
     int64_t down_us = 1500 * MS;
     for (int i = 0; i < INSTANCES; i++)
-      lose_power (i, down_us);
+      fail_power (i, down_us);
     for (int i = 0; i < 2 * TOLERATED; i++)
-      lose_disk (random_slot (), down_us);
+      fail_disk (random_slot (), down_us);
   }
 
   void
   check_recovery ()
   {
     run_for (RECOVERY_US);
-    uint64_t acked_before = sim.acked_count;
-    run_for (SECOND);
-    if (sim.acked_count == acked_before)
-      sim.report_violation ("no entry is committed after the last fault:" + sim.describe ());
-    check_membership ("at the end");
-  }
-
-  // The voters are the current identities of all instances, so that the group tolerates the next
-  // losses as well.
-  void
-  check_membership (const std::string &when)
-  {
-    int leader = sim.leader ();
-    if (sim.violation.empty () && (leader < 0 || !sim.knows_all_voters (leader)))
-      sim.report_violation ("not all instances are voters " + when + ":" + sim.describe ());
+    check_service ("after the last fault");
+    check_voters ("at the end");
   }
 
-  group_repair_t repairs_[INSTANCES] = {};
-  int64_t restart_us_[INSTANCES] = {};
   int64_t lost_until_us_[INSTANCES] = {};
-  int proposals_ = 0;
 };
 
 uint64_t
