An instance without its disk finds members although all its seeds left

Cause: an empty instance asks only its seeds to join. If all of them have been replaced, it never joins, and the group stays one loss short. Meanwhile the leader sends its messages to the earlier identity at that address, which the instance drops. Ruled out: forwarding of the request, as none was received. Change: an instance that is no member answers a message for an earlier identity by a request to join.

--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -559,7 +559,10 @@
   if (raft_wire_is_type (type))
     {
       if (raft_wire_decode (&decoded, message, size, &err))
-        replica_group_receive (&control->group, link, &decoded.message);
+        {
+          group_membership_on_raft_message (&control->membership, link, &decoded.message);
+          replica_group_receive (&control->group, link, &decoded.message);
+        }
       else
         LOG_WARNING ("malformed message peer=%s error=\"%s\"", link->peer.id, err.text);
       raft_wire_destroy (&decoded);
--- a/src/group_membership.c
+++ b/src/group_membership.c
@@ -236,6 +236,24 @@
   return true;
 }
 
+void
+group_membership_on_raft_message (group_membership_t *membership, const link_t *link,
+                                  const raft_message_t *message)
+{
+  raft_status_t status;
+  wire_writer_t writer;
+  if (!membership->options.group->started || membership->stopping)
+    return;
+  raft_get_status (&membership->options.group->raft, &status);
+  if (message->to == status.id || raft_status_find_member (&status, status.id) != NULL)
+    return;
+  /* The message is for an earlier identity of this instance, which has lost its disk. The sender is
+   * a member, while the seeds may all have been replaced. */
+  raft_member_t self = make_self (membership, status.id);
+  encode_request (GROUP_REPAIR_REQUEST_JOIN, &self, &writer);
+  peer_network_reply_writer (membership->options.network, link->sequence_number, &writer);
+}
+
 void
 group_membership_init (group_membership_t *membership, const group_membership_options_t *options)
 {
--- a/src/group_membership.h
+++ b/src/group_membership.h
@@ -53,3 +53,7 @@
 /* Handles a message of this module. Returns whether TYPE is one. */
 bool group_membership_receive (group_membership_t *membership, const link_t *link, wire_type_t type,
                                wire_reader_t *reader);
+
+/* Call it with each MESSAGE between members that arrives for the group. */
+void group_membership_on_raft_message (group_membership_t *membership, const link_t *link,
+                                       const raft_message_t *message);
--- a/src/group_repair.h
+++ b/src/group_repair.h
@@ -10,7 +10,9 @@
  * member without a leader, since it may have been removed. An instance that is about to stop asks
  * to leave, until the leader tells it that it may stop. Requests go to the seeds and to the members
  * that the instance knows. None of them need be the leader: a new instance knows only the seeds,
- * and any member may lead. So a member that does not lead forwards a request to the leader.
+ * and any member may lead. So a member that does not lead forwards a request to the leader. An
+ * instance that lost its disk also asks members that send messages to its earlier identity, since
+ * all of the seeds that it knows may have been replaced.
  *
  * An instance that joins becomes a learner, which does not count for majorities. A learner that has
  * caught up becomes a voter only if the group has too few voters or in place of a voter:
--- a/tests/platform/replaced_controls.py
+++ b/tests/platform/replaced_controls.py
@@ -31,9 +31,23 @@
     fleet.lose_disk(0).start()
 
 
+def replace_all_then_lose_disk(fleet):
+    replace(fleet, [0, 1, 2])
+    fleet.lose_disk(3).start()
+
+
+def lose_new_one_while_all_stop(fleet):
+    add_controls(fleet, VOTERS)
+    fleet.controls[VOTERS].kill()
+    stop(fleet, [0, 1, 2])
+    fleet.lose_disk(VOTERS).start()
+
+
 ORDERS = {
     "one replaced, then a lost disk": replace_then_lose_disk,
     "one lost, then another one replaced": lose_then_replace,
+    "all replaced at once, then a lost disk": replace_all_then_lose_disk,
+    "all replaced at once, a new one killed": lose_new_one_while_all_stop,
 }
 
 
--- a/tests/state/repair_sim.cc
+++ b/tests/state/repair_sim.cc
@@ -88,6 +88,18 @@
     may_stop_[asking_slot] = true;
 }
 
+// Returns whether LEADER sends messages to an earlier identity of SLOT, which reach it.
+bool
+RepairSim::has_earlier_identity_at (int leader, int slot)
+{
+  if (leader < 0 || !reaches (leader, slot))
+    return false;
+  const raft_t &raft = sim.node (leader).raft;
+  return std::any_of (raft.peers, raft.peers + raft.peer_count, [&] (const raft_peer_t &peer) {
+    return atoi (peer.member.name + 1) == slot && peer.member.id != sim.node (slot).id;
+  });
+}
+
 void
 RepairSim::send_request (int slot, group_repair_request_t request)
 {
@@ -102,6 +114,8 @@
     }
   for (size_t i = 0; i < status.peer_count; i++)
     receivers.insert (atoi (status.peers[i].member.name + 1));
+  if (request == GROUP_REPAIR_REQUEST_JOIN && has_earlier_identity_at (sim.leader (), slot))
+    receivers.insert (sim.leader ());
   for (int receiver : receivers)
     {
       if (reaches (slot, receiver))
--- a/tests/state/repair_sim.h
+++ b/tests/state/repair_sim.h
@@ -72,6 +72,7 @@
   void change_membership (int slot);
   void receive_request (int slot, group_repair_request_t request, const raft_member_t &member,
                         int sender);
+  bool has_earlier_identity_at (int leader, int slot);
   void send_request (int slot, group_repair_request_t request);
   void tick (int slot);
   void tick_stop (int slot);
