--- a/tests/platform/full_disks.py
+++ b/tests/platform/full_disks.py
@@ -117,11 +117,11 @@
     return max(fleet.read_control_metric(i, "anvillb_group_following_voters") or 0 for i in range(controls))
 
 
-def is_complete(fleet):
-    """Returns whether all control instances are voters that follow, within the limit."""
+def is_complete(fleet, voters=None):
+    """Returns whether VOTERS control instances, by default all, are voters that follow, within the limit."""
     end, controls = time.monotonic() + VOTER_LIMIT_S, len(fleet.controls)
     while time.monotonic() < end:
-        if count_voters(fleet, controls) == controls:
+        if count_voters(fleet, controls) == (voters or controls):
             return True
         time.sleep(0.1)
     return False
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -48,6 +48,10 @@
 RECOVERY_LIMIT_S = 15.0
 # A read that begins this long after an acknowledgement must return the acknowledged version or a later one.
 READ_LAG_S = 2.0
+VOTERS = 3
+# Time that a new control instance, or one without its disk, has to become a full member.
+CATCH_UP_S = 4.0
+LOSSES = ("disk", "disk", "kill", "pause")
 CALLER_COUNT = 6
 TARGET_COUNT = 6
 # Callers that keep the services with one target busy.
@@ -151,6 +155,7 @@
         self.acknowledged, self.version, self.planned_stops, self.reserved = [], 1, [], {}
         self.expected_services, self.planned_only = {}, seed % 3 == 0
         self.entry_pauses = []  # start and end of each pause of an entry
+        self.replaced = []  # control instances that were stopped for good
 
     # Reports of the callers.
 
@@ -277,7 +282,7 @@
 
     def kill(self):
         # Keeps a majority of the control group running: the settings tolerate the loss of one instance.
-        down = [p for p in self.fleet.controls if self.reserved.get(p.name)]
+        down = [p for p in self.controls() if self.reserved.get(p.name)]
         program = self.reserve(self.fleet.entries if down else self.fleet.processes())
         if program is None:
             return None
@@ -290,9 +295,9 @@
 
     def break_disk(self):
         """Lets calls of one control instance to its disk fail, and restarts it meanwhile in one of three cases."""
-        if any(self.reserved.get(p.name) for p in self.fleet.controls):
+        if any(self.reserved.get(p.name) for p in self.controls()):
             return None
-        program = self.reserve(self.fleet.controls)
+        program = self.reserve(self.controls())
         if program is None:
             return None
         faults, restarts = self.random.choice(list(FAULTS.values()) + ["sync=hang"]), self.random.random() < 0.3
@@ -310,8 +315,8 @@
         return self.run_fault("disk " + program.name, self.random.uniform(0.2, 6), begin, finish)
 
     def kill_all_controls(self):
-        programs = [p for p in self.fleet.controls if not self.reserved.get(p.name)]
-        if len(programs) < len(self.fleet.controls):
+        programs = [p for p in self.controls() if not self.reserved.get(p.name)]
+        if len(programs) < len(self.controls()):
             return None
         self.reserved.update((p.name, True) for p in programs)
 
@@ -323,6 +328,59 @@
         return self.run_fault("kill all controls", self.random.uniform(0.05, 1),
                               lambda: [p.kill() for p in programs], restart)
 
+    def controls(self):
+        return [p for p in self.fleet.controls if p not in self.replaced]
+
+    def replace_controls(self):
+        """Replaces one, two or all control instances as planned, by turns, while another one may be lost for a while."""
+        choose, end = random.Random(f"{self.seed}/replace"), time.monotonic() + self.seconds
+        while not self.finished.wait(choose.uniform(0.5, 2)) and time.monotonic() < end:
+            if not any(self.reserved.get(p.name) for p in self.controls()):
+                self.replace_some(choose)
+
+    def replace_some(self, choose):
+        # No other fault may hit the control instances meanwhile: the settings tolerate the loss of one.
+        leavers = choose.sample(self.controls(), choose.choice((1, 1, 2, VOTERS)))
+        seeds = self.fleet.seeds(i for i, p in enumerate(self.fleet.controls) if p not in self.replaced)
+        self.reserved.update((p.name, True) for p in self.controls())
+        new = [self.fleet.controls[self.fleet.add_control(seeds)] for _ in leavers]
+        self.reserved.update((p.name, True) for p in new)
+        time.sleep(CATCH_UP_S)
+        others = [p for p in self.controls() if p not in leavers]
+        loss_delay_s, stop_delay_s = choose.uniform(0, 1.5), choose.uniform(0, 1)
+        loss = threading.Timer(loss_delay_s, self.lose_control, (choose.choice(others), choose.choice(LOSSES), choose.uniform(0.2, 3)))
+        if not self.planned_only:
+            loss.start()
+        time.sleep(stop_delay_s)
+        for program in leavers:
+            program.popen.terminate()
+        for program in leavers:
+            status = program.popen.wait(2 * GRACE_S)
+            if status != 0:
+                self.violations.add(f"{program.name} ended a planned stop with {status}")
+        if not self.planned_only:
+            loss.join()
+        self.replaced += leavers
+        time.sleep(CATCH_UP_S)
+        for program in self.controls():
+            self.release(program)
+
+    def lose_control(self, program, kind, seconds):
+        key = (f"lose {kind} {program.name}", time.monotonic())
+        self.fault_end_times[key] = None
+        if kind == "pause":
+            program.popen.send_signal(signal.SIGSTOP)
+        elif kind == "disk":
+            self.fleet.lose_disk(self.fleet.controls.index(program))
+        else:
+            program.kill()
+        time.sleep(seconds)
+        if kind == "pause":
+            program.popen.send_signal(signal.SIGCONT)
+        else:
+            program.start()
+        self.fault_end_times[key] = time.monotonic()
+
     def planned_stop(self):
         program = self.reserve(self.fleet.entries)
         if program is None:
@@ -380,7 +438,7 @@
             return None
 
     def read_version(self):
-        answer = self.try_call(lambda: self.fleet.read(control=self.random.randrange(3)))
+        answer = self.try_call(lambda: self.fleet.read(control=self.fleet.controls.index(self.random.choice(self.controls()))))
         return int(answer[1]["version"], 16) if answer and answer[0] == 200 else None
 
     def check_reads(self):
@@ -463,6 +521,8 @@
         actions = planned if self.planned_only else planned[1:] + [self.break_link] * 4 + [self.break_target] * 3 + [
             self.pause_process, self.kill, self.kill_all_controls, self.break_disk, self.break_disk]
         threads, end = [], time.monotonic() + self.seconds
+        threads.append(threading.Thread(target=self.replace_controls, daemon=True))
+        threads[0].start()
         while time.monotonic() < end:
             thread = self.random.choice(actions)()
             if thread is not None:
@@ -483,7 +543,7 @@
             wait_until(lambda: (self.read_version() or 0) >= required, "a read", limit_s=RECOVERY_LIMIT_S)
         except AssertionError:
             self.violations.add(f"version {required} was acknowledged and is not read back")
-        if not is_complete(self.fleet):
+        if not is_complete(self.fleet, VOTERS):
             self.violations.add("not all control instances are voters that follow")
 
     def is_after_pause(self, at, acknowledged):
--- a/tests/state/repair_sim.cc
+++ b/tests/state/repair_sim.cc
@@ -248,6 +248,23 @@
     }
 }
 
+bool
+RepairSim::may_be_voter (int slot)
+{
+  for (int other = 0; other < options_.slots; other++)
+    {
+      const raft_t &raft = sim.node (other).raft;
+      bool known = sim.node (other).up
+                   && std::any_of (
+                       raft.peers, raft.peers + raft.peer_count, [&] (const raft_peer_t &peer) {
+                         return peer.member.voter && peer.member.id == sim.node (slot).id;
+                       });
+      if (known)
+        return true;
+    }
+  return false;
+}
+
 void
 RepairSim::await_acknowledgement ()
 {
--- a/tests/state/repair_sim.h
+++ b/tests/state/repair_sim.h
@@ -57,6 +57,10 @@
     return state_[slot] != ABSENT;
   }
 
+  // Returns whether a running instance knows SLOT as a voter, perhaps of a configuration that is
+  // not committed.
+  bool may_be_voter (int slot);
+
   RaftSim sim;
 
 private:
--- a/tests/state/test_group_exchange.cc
+++ b/tests/state/test_group_exchange.cc
@@ -55,7 +55,7 @@
                      .seeds = std::min (voters, 3),
                      .initial_instances = voters,
                      .wanted_voter_count = (size_t)voters }),
-        tolerated_ (voters / 2), lost_until_us_ (2 * voters, 0)
+        tolerated_ (voters / 2), counts_ (2 * voters, true), lost_until_us_ (2 * voters, 0)
   {
   }
 
@@ -89,13 +89,14 @@
   }
 
 private:
-  // The group need not count on the new instance, which may be lost as well, until it has had time
-  // to catch up and its leaver is stopped.
+  // Until it has had time to catch up and its leaver is stopped, the new instance may be lost
+  // besides the tolerated losses, unless it has replaced a voter.
   void
   begin (int slot)
   {
     start_new (slot);
     lost_until_us_[slot] = sim.time_us + CATCH_UP_US;
+    counts_[slot] = false;
     new_slots_.insert (slot);
   }
 
@@ -109,6 +110,7 @@
     bool down = sim.time_us < lost_until_us_[exchange.leaver];
     lost_until_us_[exchange.leaver] = down ? sim.time_us + CATCH_UP_US : 0;
     new_slots_.erase (exchange.slot);
+    counts_[exchange.slot] = true;
     stop (exchange.leaver);
   }
 
@@ -117,18 +119,19 @@
   {
     int count = 0;
     for (size_t slot = 0; slot < lost_until_us_.size (); slot++)
-      count += sim.time_us < lost_until_us_[slot] && new_slots_.count ((int)slot) == 0;
+      count += counts_[slot] && sim.time_us < lost_until_us_[slot];
     return count;
   }
 
   void
   lose (const Loss &loss)
   {
-    bool is_new = new_slots_.count (loss.slot) > 0;
-    bool lost = !is_new && sim.time_us < lost_until_us_[loss.slot];
-    if (!exists (loss.slot) || lost || (!is_new && count_lost () >= tolerated_)
+    bool lost = counts_[loss.slot] && sim.time_us < lost_until_us_[loss.slot];
+    bool counts = new_slots_.count (loss.slot) == 0 || may_be_voter (loss.slot) || lost;
+    if (!exists (loss.slot) || lost || (counts && count_lost () >= tolerated_)
         || !sim.cut_links.empty ())
       return;
+    counts_[loss.slot] = counts;
     lost_until_us_[loss.slot] = sim.time_us + loss.down_us + CATCH_UP_US;
     switch (loss.kind)
       {
@@ -155,6 +158,7 @@
 
   int tolerated_;
   int cut_slot_ = -1;
+  std::vector<bool> counts_; // whether the loss of a slot is one of the tolerated ones
   std::vector<int64_t> lost_until_us_;
   std::set<int> new_slots_; // their leavers still count
 };
