--- a/src/fleet_control.c
+++ b/src/fleet_control.c
@@ -164,27 +164,12 @@
     target_registry_remove (&control->registry, id);
 }
 
-typedef struct
-{
-  peer_network_t *network;
-  const wire_writer_t *writer;
-} broadcast_t;
-
-static void
-send_encoded (void *data, const char *address)
-{
-  const broadcast_t *broadcast = data;
-  peer_network_send (broadcast->network, address, (const uint8_t *)broadcast->writer->buffer.data,
-                     broadcast->writer->buffer.size);
-}
-
 static void
 send_targets_to_members (fleet_control_t *control, const GArray *targets)
 {
   wire_writer_t writer;
-  broadcast_t broadcast = { &control->network, &writer };
   fleet_targets_encode (targets, now_us (control), &writer);
-  replica_group_foreach_peer (&control->group, send_encoded, &broadcast);
+  replica_group_send_to_peers (&control->group, &writer);
   wire_writer_destroy (&writer);
 }
 
--- a/src/group_membership.c
+++ b/src/group_membership.c
@@ -45,20 +45,6 @@
   peer_network_send_writer (membership->options.network, peer_address, writer);
 }
 
-typedef struct
-{
-  peer_network_t *network;
-  const wire_writer_t *writer;
-} broadcast_t;
-
-static void
-send_encoded (void *data, const char *address)
-{
-  const broadcast_t *broadcast = data;
-  peer_network_send (broadcast->network, address, (const uint8_t *)broadcast->writer->buffer.data,
-                     broadcast->writer->buffer.size);
-}
-
 /* Sends a request of this instance, whose identity is ID, to all members and seeds. */
 static void
 send_request (group_membership_t *membership, group_repair_request_t request, uint64_t id,
@@ -67,14 +53,14 @@
   const group_membership_options_t *options = &membership->options;
   raft_member_t self = make_self (membership, id);
   wire_writer_t writer;
-  broadcast_t broadcast = { options->network, &writer };
   encode_request (request, &self, &writer);
-  replica_group_foreach_peer (options->group, send_encoded, &broadcast);
+  replica_group_send_to_peers (options->group, &writer);
   for (guint i = 0; i < seeds->len; i++)
     {
       const char *seed = g_ptr_array_index (seeds, i);
       if (seed != NULL && strcmp (seed, options->peer_address) != 0)
-        send_encoded (&broadcast, seed);
+        peer_network_send (options->network, seed, (const uint8_t *)writer.buffer.data,
+                           writer.buffer.size);
     }
   wire_writer_destroy (&writer);
 }
--- a/src/replica_group.c
+++ b/src/replica_group.c
@@ -536,6 +536,28 @@
     }
 }
 
+typedef struct
+{
+  peer_network_t *network;
+  const wire_writer_t *writer;
+} broadcast_t;
+
+static void
+send_to_peer (void *data, const char *peer_address)
+{
+  const broadcast_t *broadcast = data;
+  peer_network_send (broadcast->network, peer_address,
+                     (const uint8_t *)broadcast->writer->buffer.data,
+                     broadcast->writer->buffer.size);
+}
+
+void
+replica_group_send_to_peers (const replica_group_t *group, const wire_writer_t *writer)
+{
+  broadcast_t broadcast = { group->options.network, writer };
+  replica_group_foreach_peer (group, send_to_peer, &broadcast);
+}
+
 bool
 replica_group_transfer_leadership (replica_group_t *group, uint64_t id, anv_error_t *err)
 {
--- a/src/replica_group.h
+++ b/src/replica_group.h
@@ -117,5 +117,8 @@
 void replica_group_foreach_peer (const replica_group_t *group,
                                  void (*visit) (void *data, const char *peer_address), void *data);
 
+/* Sends an encoded message to each other member. */
+void replica_group_send_to_peers (const replica_group_t *group, const wire_writer_t *writer);
+
 /* Splits the NAME of a member into its two addresses; each buffer has LINK_ADDRESS_SIZE bytes. */
 void replica_group_split_member_name (const char *name, char *peer_address, char *operator_address);
