--- a/tests/state/repair_sim.h
+++ b/tests/state/repair_sim.h
@@ -90,7 +90,7 @@
   std::vector<int64_t> listed_from_us_;
   std::vector<int64_t> listed_until_us_;
   std::vector<int64_t> stop_us_; // time of the signal
-  std::vector<int> phases_; // of the ticks, in steps
+  std::vector<int> phases_;      // of the ticks, in steps
   std::vector<bool> may_stop_;
   int proposals_ = 0;
   int step_ = 0;
