--- a/tests/fleet/test_group_repair.cc
+++ b/tests/fleet/test_group_repair.cc
@@ -36,6 +36,13 @@
     peer.match_index = COMMIT_INDEX;
     peers.push_back (peer);
   }
+  // Adds the voters 1 to COUNT at the addresses "h1:1" and so on.
+  void
+  add_voters (uint64_t count)
+  {
+    for (uint64_t id = 1; id <= count; id++)
+      add_member (id, "h" + std::to_string (id) + ":1");
+  }
   // Stores a request to leave of the member ID, received AGO_US before.
   void
   ask_to_leave (uint64_t id, int64_t ago_us = 0)
@@ -179,8 +186,7 @@
 // replacement: the surplus member is removed when it is silent.
 TEST_F (GroupRepair, SurplusMemberIsRemovedWhenSilent)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   EXPECT_EQ (decide_action (4, "h4:1"), "add");
   add_member (4, "h4:1");
   EXPECT_EQ (decide_action (), "nothing");
@@ -191,8 +197,7 @@
 // Guards against a new group of five instances and three seeds that stays at three voters.
 TEST_F (GroupRepair, InstancesBeyondTheSeedsJoin)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   EXPECT_EQ (decide_action (4, "h4:1", 5), "add");
   add_member (4, "h4:1", 0, false);
   EXPECT_EQ (decide_action (5, "h5:1", 5), "add");
@@ -218,8 +223,7 @@
 // stopped as planned and another one is lost, the group has no leader any more.
 TEST_F (GroupRepair, NewInstanceIsNoVoterWhileTheOthersAreUp)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   add_member (4, "h4:1", 0, false);
   EXPECT_EQ (decide_action (), "nothing");
 }
@@ -228,8 +232,7 @@
 // while the stopping one still runs.
 TEST_F (GroupRepair, LearnerReplacesAVoterThatAsksToLeave)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   add_member (4, "h4:1", 0, false);
   EXPECT_TRUE (must_ask_to_leave (3));
   ask_to_leave (3);
@@ -242,8 +245,7 @@
 // no other instance can replace the one that restarts.
 TEST_F (GroupRepair, VoterWithoutReplacementStaysAndMayStopAtOnce)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   EXPECT_FALSE (must_ask_to_leave (3));
   ask_to_leave (3);
   EXPECT_TRUE (may_stop (3));
@@ -253,8 +255,7 @@
 // Guards against an instance that stops although its replacement is about to have caught up.
 TEST_F (GroupRepair, LeaverWaitsForALearnerThatIsBehind)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   add_member (4, "h4:1", 0, false);
   peers.back ().match_index = 0;
   ask_to_leave (3);
@@ -268,8 +269,7 @@
 // leadership that goes to another instance that stops.
 TEST_F (GroupRepair, StoppingLeaderTransfersLeadershipToAVoterThatStays)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   add_member (4, "h4:1", 0, false);
   ask_to_leave (1);
   ask_to_leave (2);
@@ -283,8 +283,7 @@
 // not know yet that the others stop as well.
 TEST_F (GroupRepair, NewLeaderWaitsForRequestsBeforeItTransfersLeadership)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   add_member (4, "h4:1", 0, false);
   peers.back ().match_index = 0;
   status.leading_since_us = NOW_US - 200000;
@@ -298,8 +297,7 @@
 // Guards against a stopping learner that replaces a voter.
 TEST_F (GroupRepair, LearnerThatAsksToLeaveIsRemoved)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   add_member (4, "h4:1", 0, false);
   ask_to_leave (4);
   ask_to_leave (3);
@@ -313,8 +311,7 @@
 // may return, and against one that was started again and is then taken for one that leaves.
 TEST_F (GroupRepair, LeaverThatFellSilentIsReplacedEarly)
 {
-  for (uint64_t id = 1; id <= 3; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (3);
   add_member (4, "h4:1", 0, false);
   ask_to_leave (3, 1500000);
   peers[2].last_reply_us = NOW_US - 1400000;
@@ -329,8 +326,7 @@
 // silent and two that stop, two learners replace the silent ones.
 TEST_F (GroupRepair, LossesAndPlannedStopsAtOnce)
 {
-  for (uint64_t id = 1; id <= 5; id++)
-    add_member (id, "h" + std::to_string (id) + ":1");
+  add_voters (5);
   peers[1].last_reply_us = peers[2].last_reply_us = NOW_US - 3000000;
   add_member (6, "h6:1", 0, false);
   add_member (7, "h7:1", 0, false);
--- a/tests/state/repair_sim.cc
+++ b/tests/state/repair_sim.cc
@@ -200,7 +200,7 @@
 void
 RepairSim::restart (int slot)
 {
-  /* A process that ended during its planned stop does not return. */
+  // A process that ended during its planned stop does not return.
   if (state_[slot] == STOPPING)
     {
       state_[slot] = ABSENT;
