--- a/review/lib11/stand_in.py
+++ b/review/lib11/stand_in.py
@@ -458,6 +458,8 @@
             try:
                 await asyncio.wait_for(receive(), deadline_ms / 1000 + 1)
             finally:
+                # A request whose body was not sent whole ends its connection.
+                unfinished = not sender.done()
                 sender.cancel()
                 try:
                     await sender
@@ -465,11 +467,12 @@
                     pass
         except (OSError, asyncio.TimeoutError) as error:
             result["error"] = type(error).__name__
+            unfinished = True
         result["end"] = time.monotonic()
         signed = "server-signature" in result["fields"]
         self.fleet.record.write(f"caller gets attempt={attempt} status={result['status']} complete={result['complete']}"
                                 f" signed={signed} after_s={result['end'] - result['sent']:.3f} {result['body'][:60]!r}")
-        if not result["complete"] or result["fields"].get("connection", "").lower() == "close":
+        if unfinished or not result["complete"] or result["fields"].get("connection", "").lower() == "close":
             self.close()
         return result
 
