--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # checks that they can be read. The programs themselves come from the build line of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - lib11/*.py 1[1-5]/case.py <<'PYTHON'
+python3 - lib11/*.py 1[1-5]/case.py more3/*/case.py <<'PYTHON'
 import pathlib
 import sys
 
