End requests in the last part of a short grace period

Callers saw: with a grace period of 1 s, requests in progress were answered 504 0.70 s after SIGTERM, although one of the targets answered 80 ms later and the process could have waited until 0.9 s.

Cause: the margin for the last answers was 0.3 s for each grace period.

--- a/src/stop_plan.c
+++ b/src/stop_plan.c
@@ -2,8 +2,10 @@
 
 #include <glib.h>
 
-/* Requests are ended this long before the end of the grace period. */
-#define END_MARGIN_US INT64_C (300000)
+/* Requests are ended this long before the end of the grace period, or the grace period divided by
+ * the divisor if that is less. */
+#define MAX_END_MARGIN_US INT64_C (300000)
+#define END_MARGIN_DIVISOR 12
 
 /* A request that arrives later than this after the start of the stop is not sent on an estimate.
  * Callers may keep an address for three seconds after the directory has dropped it; the rest is for
@@ -13,11 +15,12 @@
 void
 stop_plan_init (stop_plan_t *plan, int64_t started_us, int64_t grace_us)
 {
+  int64_t margin_us = MIN (MAX_END_MARGIN_US, grace_us / END_MARGIN_DIVISOR);
   *plan = (stop_plan_t){
     .started_us = started_us,
-    .refuse_from_us = started_us + grace_us / 2 - END_MARGIN_US,
-    .end_requests_us = started_us + grace_us - END_MARGIN_US,
-    .exit_us = started_us + grace_us - END_MARGIN_US / 2,
+    .refuse_from_us = started_us + grace_us / 2 - margin_us,
+    .end_requests_us = started_us + grace_us - margin_us,
+    .exit_us = started_us + grace_us - margin_us / 2,
   };
 }
 
--- a/tests/decision/test_stop_plan.cc
+++ b/tests/decision/test_stop_plan.cc
@@ -21,6 +21,21 @@
 }
 }
 
+// Guards against requests that are broken off long before the end of a short grace period, and
+// against a process that is killed before it has answered them.
+TEST (StopPlan, RequestsAreEndedInTheLastSixthOfTheGracePeriod)
+{
+  for (int64_t grace : { 100 * MS, 500 * MS, SECOND, 2 * SECOND, 6 * SECOND, 20 * SECOND })
+    {
+      stop_plan_t plan = plan_stop (grace);
+      EXPECT_GE (plan.refuse_from_us, START) << grace;
+      EXPECT_GE (plan.end_requests_us, START + grace * 5 / 6) << grace;
+      EXPECT_LT (plan.refuse_from_us, plan.end_requests_us) << grace;
+      EXPECT_LT (plan.end_requests_us, plan.exit_us) << grace;
+      EXPECT_LT (plan.exit_us, START + grace) << grace;
+    }
+}
+
 // Guards against requests that are held back by a plan of a process that does not stop.
 TEST (StopPlan, ProcessThatRunsSendsEverything)
 {
--- a/tests/platform/grace_periods.py
+++ b/tests/platform/grace_periods.py
@@ -1,5 +1,6 @@
 """Guards against requests that a planned stop breaks off at their target although they arrived late in the grace period,
-and against late requests that are refused although their deadline ends them before the process does."""
+against late requests that are refused although their deadline ends them before the process does, and against requests
+that a stop with a short grace period breaks off long before its end."""
 
 import signal
 import threading
@@ -10,13 +11,16 @@
 
 TIMEOUT_MS = 6000
 USUAL_S, LONG_S = 0.2, 5.9
-GRACE_PERIODS_S = (10, 20)
-# Seconds after SIGTERM, deadline of the caller, and work at the target; for each grace period.
+GRACE_PERIODS_S = (1, 10, 20)
+# Seconds after SIGTERM at which the request is sent, deadline of the caller, and work at the target; for each grace period.
 REQUESTS = {
+    1: ((-0.2, 9000, 0.98), (-0.1, 9000, 3.0)),
     10: ((2.0, 9000, USUAL_S), (3.4, 9000, LONG_S), (4.1, 9000, LONG_S), (4.3, 2000, LONG_S)),
     20: ((4.4, 9000, LONG_S), (8.5, 9000, LONG_S), (8.7, 9000, USUAL_S)),
 }
 AT_ONCE_S = 0.3
+# Time before the signal.
+LEAD_S = 0.5
 
 
 def start(fleet):
@@ -38,7 +42,7 @@
 
 def run(fleet, say):
     start(fleet)
-    outcomes = {}
+    outcomes, stopped_at = {}, {}
 
     def send_request(entry, after_s, deadline_ms, work_s):
         sent_at = time.monotonic()
@@ -48,18 +52,19 @@
         if status == 503:
             text += f", at once {took_s < AT_ONCE_S}, may return {'Retry-After' in headers}"
         elif status == 504:
-            text += f", at the deadline {took_s >= deadline_ms / 1000}"
+            at_end = sent_at + took_s - stopped_at[entry] >= GRACE_PERIODS_S[entry] * 5 / 6
+            text += f", at the deadline {took_s >= deadline_ms / 1000}, in the last sixth of the grace period {at_end}"
         outcomes[entry, after_s] = text
 
     def stop_entry(entry):
         requests = REQUESTS[GRACE_PERIODS_S[entry]]
-        fleet.entries[entry].popen.send_signal(signal.SIGTERM)
-        stopped_at = time.monotonic()
-        threads = []
-        for request in requests:
-            time.sleep(stopped_at + request[0] - time.monotonic())
-            threads.append(threading.Thread(target=send_request, args=(entry, *request)))
-            threads[-1].start()
+        stopped_at[entry] = time.monotonic() + LEAD_S
+        threads = [threading.Thread(target=send_request, args=(entry, *request)) for request in requests]
+        actions = [(request[0], thread.start) for request, thread in zip(requests, threads)]
+        actions.append((0, lambda: fleet.entries[entry].popen.send_signal(signal.SIGTERM)))
+        for after_s, action in sorted(actions, key=lambda item: item[0]):
+            time.sleep(max(stopped_at[entry] + after_s - time.monotonic(), 0))
+            action()
         for thread in threads:
             thread.join()
 
