Recall requests that wait for a connection when a stop leaves no time

Callers saw: a booking that waited for one of max_connections connections was sent 0.3 s before a stopping entry ended its requests, and answered 504 although it may have run.

Cause: the time was looked at when the balancer dispatched the request, and not again while it waited for a connection.

--- a/src/fleet_entry_tasks.c
+++ b/src/fleet_entry_tasks.c
@@ -283,6 +283,7 @@
                   caller_listener_open_count (&tasks.listener),
                   proxy_in_flight_count (&tasks.proxy));
     }
+  proxy_recall_requests (&tasks.proxy);
   if (!tasks.requests_ended && now_us () >= tasks.stop.end_requests_us)
     {
       tasks.requests_ended = true;
@@ -334,6 +335,7 @@
   stop_plan_init (&tasks.stop, now_us (), fleet_options.grace_s * G_USEC_PER_SEC);
   tasks.proxy.draining = true;
   gateway_core_leave (&tasks.core, &tasks.stop);
+  proxy_recall_requests (&tasks.proxy);
   arm_drain_timer ();
 }
 
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -354,6 +354,13 @@
 {
 }
 
+static bool
+may_send (request_policy_t *policy, proxy_request_t *request)
+{
+  gateway_request_t *r = proxy_request_data (request);
+  return balancer_ends_before_stop (&r->service->balancer, &r->balancer_request, now_us (r));
+}
+
 /* Returns whether another attempt may be made now. REACHED_TARGET tells that the last attempt
  * reached its target; the next one then counts against the retry budget. */
 static bool
@@ -477,6 +484,7 @@
     case ATTEMPT_CALLER_ERROR:
     case ATTEMPT_STOPPING:
     case ATTEMPT_MEMORY:
+    case ATTEMPT_RECALLED:
     case ATTEMPT_CLOSED_REUSED: /* the target may have closed the connection while it was idle */
       return BALANCER_ABANDONED;
     case ATTEMPT_STALLED:
@@ -505,6 +513,10 @@
     case ATTEMPT_TIMED_OUT:
       respond (r, 504, "the target did not answer in time", 0);
       break;
+    case ATTEMPT_RECALLED:
+      respond (r, r->possibly_run ? 502 : 503, balancer_verdict_name (BALANCER_REFUSE_STOPPING),
+               r->possibly_run ? 0 : BALANCER_MIN_RETRY_AFTER_US);
+      break;
     default:
       respond (r, r->possibly_run ? 502 : 503, "no valid answer of the target",
                r->possibly_run ? 0 : UNAVAILABLE_RETRY_AFTER_US);
@@ -530,7 +542,8 @@
   if (result->wrote_bytes && !shed)
     r->possibly_run = true;
   /* Nothing was sent without a connection, so this does not count as an attempt. */
-  if (result->end == ATTEMPT_CONNECT_FAILED && r->attempt_count > 0)
+  bool unsent = result->end == ATTEMPT_CONNECT_FAILED || result->end == ATTEMPT_RECALLED;
+  if (unsent && r->attempt_count > 0)
     r->attempt_count--;
   r->state = GATEWAY_ENDED;
   balancer_outcome_t outcome = to_balancer_outcome (r, result);
@@ -580,6 +593,7 @@
   .finished = finished,
   .attempt_timed_out = attempt_timed_out,
   .response_head = response_head,
+  .may_send = may_send,
 };
 
 void
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -30,7 +30,7 @@
     "end=\"complete\"",      "end=\"shed\"",      "end=\"discarded\"",   "end=\"connect_failed\"",
     "end=\"closed_reused\"", "end=\"closed\"",    "end=\"truncated\"",   "end=\"invalid\"",
     "end=\"stalled\"",       "end=\"timed_out\"", "end=\"caller_gone\"", "end=\"caller_error\"",
-    "end=\"stopping\"",      "end=\"memory\"",
+    "end=\"stopping\"",      "end=\"memory\"",    "end=\"recalled\"",
   };
   proxy_counters_t *counters = &proxy->counters;
   metric_registry_t *registry = proxy->options.counters;
@@ -576,6 +576,9 @@
     case ATTEMPT_SHED:
       proxy_request_send_error (request, 503, "backend server is overloaded");
       break;
+    case ATTEMPT_RECALLED:
+      proxy_request_send_error (request, 503, "request not sent in time");
+      break;
     case ATTEMPT_STALLED:
     case ATTEMPT_TIMED_OUT:
       proxy_request_send_error (request, 504, "backend server did not answer in time");
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -17,8 +17,8 @@
  * pool provides the connections to backend servers.
  *
  * proxy.c handles the lifecycle of a request and the decisions of the policy, proxy_attempt.c one
- * attempt, proxy_stop.c the requests that the end of the process leaves, and proxy_message.c the
- * message heads and chunks. */
+ * attempt, proxy_stop.c the requests of a process that stops, and proxy_message.c the message heads
+ * and chunks. */
 
 /* One request and its response on a caller connection; caller_conn implements it. */
 typedef struct caller_exchange caller_exchange_t;
@@ -91,6 +91,10 @@
 /* Ends all requests and aborts their caller connections. */
 void proxy_destroy (proxy_t *proxy);
 
+/* Ends the attempts that wait for a connection to their target and that the policy no longer lets
+ * be sent, see may_send() in request_policy.h. */
+void proxy_recall_requests (proxy_t *proxy);
+
 /* Answers all requests whose response has not started, shortly before the process ends: 503 if no
  * target can have run the request, otherwise 504. */
 void proxy_end_requests (proxy_t *proxy);
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -24,6 +24,7 @@
   [ATTEMPT_CALLER_ERROR] = "caller_error",
   [ATTEMPT_STOPPING] = "stopping",
   [ATTEMPT_MEMORY] = "memory",
+  [ATTEMPT_RECALLED] = "recalled",
 };
 
 const char *
@@ -118,6 +119,13 @@
   end_attempt (request, end, detail, true);
 }
 
+void
+proxy_attempt_recall (proxy_request_t *request)
+{
+  upstream_pool_cancel (&request->exchange);
+  end_attempt (request, ATTEMPT_RECALLED, "waited for a connection", false);
+}
+
 static attempt_end_t
 end_for_timeout (const proxy_request_t *request)
 {
--- a/src/proxy_request.h
+++ b/src/proxy_request.h
@@ -124,6 +124,8 @@
 /* Ends the attempt and closes its connection. The policy gets a final result: it must not decide
  * again. */
 void proxy_attempt_cancel (proxy_request_t *request, attempt_end_t end, const char *detail);
+/* Ends an attempt that has no connection yet. The policy decides again. */
+void proxy_attempt_recall (proxy_request_t *request);
 /* Handles the time limit of the attempt. */
 void proxy_attempt_expired (io_timer_t *timer);
 /* Frees what ATTEMPT owns and resets it. */
--- a/src/proxy_stop.c
+++ b/src/proxy_stop.c
@@ -29,6 +29,32 @@
   proxy_request_send_error (request, 503, STOPPING_TEXT);
 }
 
+/* Returns a request whose attempt waits for a connection and may not be sent any more, or NULL. */
+static proxy_request_t *
+find_unsendable (const proxy_t *proxy)
+{
+  request_policy_t *policy = proxy->options.policy;
+  LIST_FOREACH (&proxy->requests, node)
+  {
+    proxy_request_t *request = CONTAINER_OF (node, proxy_request_t, node);
+    if (request->state == REQUEST_ATTEMPT && !request->attempt.head_written
+        && !policy->ops->may_send (policy, request))
+      return request;
+  }
+  return NULL;
+}
+
+void
+proxy_recall_requests (proxy_t *proxy)
+{
+  proxy_request_t *request = NULL;
+  if (proxy->options.policy->ops->may_send == NULL)
+    return;
+  /* The policy may answer others when one ends, so each search begins anew. */
+  while ((request = find_unsendable (proxy)) != NULL)
+    proxy_attempt_recall (request);
+}
+
 /* Returns a request whose response has not started, or NULL. */
 static proxy_request_t *
 find_unanswered (const proxy_t *proxy)
--- a/src/request_policy.h
+++ b/src/request_policy.h
@@ -89,9 +89,10 @@
   ATTEMPT_CALLER_ERROR, /* malformed or too large request body */
   ATTEMPT_STOPPING,     /* this process stops */
   ATTEMPT_MEMORY,       /* ended to free memory */
+  ATTEMPT_RECALLED,     /* may_send() no longer holds; nothing was written */
 } attempt_end_t;
 
-#define ATTEMPT_END_COUNT (ATTEMPT_MEMORY + 1)
+#define ATTEMPT_END_COUNT (ATTEMPT_RECALLED + 1)
 
 typedef struct
 {
@@ -142,6 +143,9 @@
    * run. Called before accept_response(). May be NULL. */
   void (*response_head) (request_policy_t *policy, proxy_request_t *request, int status,
                          const http_headers_t *headers);
+  /* Returns whether the request may still be sent. proxy_recall_requests() asks this for attempts
+   * without a connection; those that may not be sent end as ATTEMPT_RECALLED. May be NULL. */
+  bool (*may_send) (request_policy_t *policy, proxy_request_t *request);
 } request_policy_ops_t;
 
 struct request_policy
--- a/tests/http/proxy_fixture.h
+++ b/tests/http/proxy_fixture.h
@@ -152,6 +152,7 @@
   size_t attempt_count = 0;     /* attempts so far */
   size_t max_attempts = 1;
   bool continue_late_attempt = false; /* an attempt continues after its time limit */
+  bool hold_back = false;             /* may_send() returns false */
   std::string captured_body;
   proxy_request_t *last_request = nullptr;
 
@@ -247,6 +248,10 @@
     self (policy)->events.push_back ("late");
     return !self (policy)->continue_late_attempt;
   },
+  /* response_head */
+  nullptr,
+  /* may_send */
+  [] (request_policy_t *policy, proxy_request_t *request) { return !self (policy)->hold_back; },
 };
 
 class Proxy : public ::testing::Test
--- a/tests/http/test_proxy_flow.cc
+++ b/tests/http/test_proxy_flow.cc
@@ -506,6 +506,26 @@
   EXPECT_EQ (peer->count ("GET /a"), 1u);
 }
 
+// Guards against a request that waits for a connection until a stop leaves no time for it, and is
+// sent then. One that a target is at work on is left alone.
+TEST_F (Proxy, RequestsThatWaitForAConnectionAreRecalled)
+{
+  policy.dispatch.max_connections = 1;
+  peer_ptr running = connect_caller (GET_A);
+  peer_ptr peer = wait_for_request (0, "\r\n\r\n");
+  peer_ptr unsent = connect_caller (GET_A);
+  ASSERT_TRUE (wait_until ([&] { return policy.attempt_count == 2; }));
+  proxy_recall_requests (&proxy);
+  EXPECT_EQ (proxy_in_flight_count (&proxy), 2u);
+  policy.hold_back = true;
+  proxy_recall_requests (&proxy);
+  ASSERT_TRUE (wait_until_received (unsent, "Anvillb-Not-Run: 1"));
+  EXPECT_TRUE (policy.has_event ("ended:recalled"));
+  peer->send_all (OK_AB);
+  ASSERT_TRUE (wait_until_received (running, "\r\n\r\nab"));
+  EXPECT_EQ (peer->count ("GET /a"), 1u);
+}
+
 // Guards against a response that is cut when the process answers the other requests.
 TEST_F (Proxy, EndOfTheProcessLeavesStartedResponses)
 {
