Leave a late attempt alone if its request cannot be sent again

Cause: attempt_timed_out() ended a late attempt as soon as another target had a free slot. The start of a body over 256 KiB is dropped by then, so the request could not follow.

Change: it also asks whether the request can be sent again.

--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -563,12 +563,14 @@
   give_up (r, result);
 }
 
-/* Ends a late attempt only if another target can take the request at once. */
+/* Ends a late attempt only if the request can be sent again and another target can take it at once.
+ */
 static bool
 attempt_timed_out (request_policy_t *policy, proxy_request_t *request)
 {
   gateway_request_t *r = proxy_request_data (request);
-  return balancer_can_dispatch (&r->service->balancer, now_us (r), &r->balancer_request)
+  return proxy_request_can_repeat (request)
+         && balancer_can_dispatch (&r->service->balancer, now_us (r), &r->balancer_request)
          && take_retry (r, true);
 }
 
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -509,6 +509,12 @@
   return &request->head;
 }
 
+bool
+proxy_request_can_repeat (const proxy_request_t *request)
+{
+  return !request->body_dropped;
+}
+
 void
 proxy_request_respond (proxy_request_t *request, const request_response_t *response)
 {
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -94,7 +94,7 @@
     .end = end,
     .final = is_final (request, end, cancelled),
     .wrote_bytes = attempt.wrote_bytes,
-    .can_repeat = !request->body_dropped,
+    .can_repeat = proxy_request_can_repeat (request),
     .status = attempt.status,
     .duration_us = now_us - attempt.start_us,
     .time_to_head_us
--- a/src/request_policy.h
+++ b/src/request_policy.h
@@ -164,6 +164,9 @@
 /* Returns the head that was passed to begin(); valid until finished(). */
 const request_head_t *proxy_request_head (const proxy_request_t *request);
 
+/* Returns whether the request can be sent once more: the start of its body is still buffered. */
+bool proxy_request_can_repeat (const proxy_request_t *request);
+
 /* Decisions of the policy; see above. proxy_request_dispatch() copies DISPATCH. A request body that
  * is larger than allowed is refused with 413, so cancelled() and finished() can be called inside
  * these functions. ended() is not called for a dispatch that is refused in this way. */
