Leave late attempts alone while the entry stops

Cause: a late attempt is ended when the balancer knows of a free slot at another target. Nothing ensures that this target accepts the request.

Change: attempt_timed_out() ends no attempt once the stop has begun. The request ends by its answer, its deadline or the end of the grace period.

--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -564,12 +564,12 @@
 }
 
 /* Ends a late attempt only if the request can be sent again and another target can take it at once.
- */
+ * The other target may still reject it, so an entry that stops leaves a target at work alone. */
 static bool
 attempt_timed_out (request_policy_t *policy, proxy_request_t *request)
 {
   gateway_request_t *r = proxy_request_data (request);
-  return proxy_request_can_repeat (request)
+  return !stop_plan_is_active (&r->policy->core->stop) && proxy_request_can_repeat (request)
          && balancer_can_dispatch (&r->service->balancer, now_us (r), &r->balancer_request)
          && take_retry (r, true);
 }
--- a/tests/platform/late_attempts.py
+++ b/tests/platform/late_attempts.py
@@ -1,6 +1,7 @@
-"""Guards against a request that is broken off at a target which is at work on it, for an attempt that cannot follow, as
-the start of its body is no longer kept."""
+"""Guards against a request that is broken off at a target which is at work on it, for an attempt that cannot follow: the
+start of its body is no longer kept, or the entry stops and the other target rejects it."""
 
+import signal
 import threading
 
 from stand_in import route, service
@@ -46,3 +47,8 @@
         return f"{sorted(set(statuses))}, run {sum(fleet.executions(attempt) for attempt in attempts)} times"
 
     say(f"long uploads: {send_together(1, 'POST', LONG_BODY)}")
+    fleet.entries[0].popen.send_signal(signal.SIGTERM)
+    wait_until(lambda: fleet.readiness_status(0) == 503, "the entry stops")
+    fleet.targets[0].mode = "full"
+    say(f"slow requests during a stop, one target full: {send_together(0, 'GET', None)}")
+    say(f"exit status {fleet.entries[0].popen.wait(10)}")
