Do not trust the default latency of a kind before a stop

Callers saw: an entry that had no answer of a route yet sent a request on it during a stop and broke it off at the end of the grace period.

Cause: a kind without a sample counts with the default latency, a setting for the order of the queue that says nothing about the kind.

Change: while the entry stops, such a request needs a deadline before the end.

--- a/src/balancer_queue.c
+++ b/src/balancer_queue.c
@@ -224,7 +224,7 @@
   const stop_plan_request_t planned = {
     .received_us = request->received_us,
     .deadline_us = request->deadline_us,
-    .max_duration_us = (int64_t)latest_us,
+    .max_duration_us = latency->has_sample ? (int64_t)latest_us : STOP_PLAN_UNKNOWN_DURATION,
   };
   return stop_plan_may_send (&b->stop, &planned, start_us);
 }
--- a/src/stop_plan.h
+++ b/src/stop_plan.h
@@ -18,6 +18,9 @@
  *
  * All times are in microseconds of the clock of the main loop. The module does no I/O. */
 
+/* Duration of a request of which nothing is known. */
+#define STOP_PLAN_UNKNOWN_DURATION INT64_MAX
+
 typedef struct
 {
   int64_t started_us;      /* the stop was requested */
--- a/tests/fleet/test_balancer.cc
+++ b/tests/fleet/test_balancer.cc
@@ -82,6 +82,14 @@
     EXPECT_EQ (decisions.at (0).verdict, BALANCER_DISPATCH);
     return decisions.at (0).target_id;
   }
+  // Lets a target answer a request of KIND in 100 ms.
+  void
+  learn_latency (uint64_t kind = 1)
+  {
+    uint64_t id = submit (0, (uint32_t)kind - 1);
+    next_decisions (0);
+    balancer_finish (&balancer, 0, id, BALANCER_OK, 100 * MS);
+  }
   // Plans a stop that begins at 0 and ends the requests at END.
   void
   stop_at (int64_t end)
@@ -523,6 +531,7 @@
 TEST_F (Balancer, StopRefusesAtOnceWhatCannotEnd)
 {
   add_target (1, 1);
+  learn_latency ();
   uint64_t running = submit (0, 0, 10 * SECOND, 20 * SECOND);
   ASSERT_EQ (next_dispatch_target (0), 1u);
   std::vector<uint64_t> waiting;
@@ -546,6 +555,7 @@
 TEST_F (Balancer, NothingIsDispatchedShortlyBeforeAStop)
 {
   add_target (1);
+  learn_latency ();
   stop_at (SECOND);
   submit (700 * MS);
   EXPECT_EQ (next_decisions (700 * MS).at (0).verdict, BALANCER_DISPATCH);
@@ -563,6 +573,7 @@
   request.deadline_us = 20 * SECOND;
   request.idempotent = true;
   add_target (1);
+  learn_latency ();
   EXPECT_TRUE (balancer_can_dispatch (&balancer, 850 * MS, &request));
   stop_at (SECOND);
   EXPECT_TRUE (balancer_can_dispatch (&balancer, 700 * MS, &request));
@@ -574,6 +585,7 @@
 TEST_F (Balancer, LateArrivalBeforeAStopNeedsADeadlineBeforeIt)
 {
   add_target (1, 4);
+  learn_latency ();
   stop_at (10 * SECOND);
   submit (1 * SECOND, 0, SECOND, 20 * SECOND);
   EXPECT_EQ (next_decisions (1 * SECOND).at (0).verdict, BALANCER_DISPATCH);
@@ -583,6 +595,18 @@
   EXPECT_EQ (next_decisions (4 * SECOND).at (0).verdict, BALANCER_REFUSE_STOPPING);
 }
 
+// Guards against a request of a kind that is not known yet, which is sent on the default latency
+// and cut off by the stop.
+TEST_F (Balancer, UnknownKindBeforeAStopNeedsADeadlineBeforeIt)
+{
+  add_target (1, 4);
+  stop_at (10 * SECOND);
+  submit (0, 0, SECOND, 20 * SECOND);
+  EXPECT_EQ (next_decisions (0).at (0).verdict, BALANCER_REFUSE_STOPPING);
+  submit (0, 0, SECOND, 9 * SECOND);
+  EXPECT_EQ (next_decisions (0).at (0).verdict, BALANCER_DISPATCH);
+}
+
 // Guards against a refusal for a stop that cannot cut the request off, as its deadline comes first.
 TEST_F (Balancer, DeadlineBeforeAStopNeedsNoEstimate)
 {
