--- a/src/fleet_entry_tasks.c
+++ b/src/fleet_entry_tasks.c
@@ -332,7 +332,7 @@
     return;
   LOG_NOTICE ("shutting down connections=%zu in_flight=%zu",
               caller_listener_open_count (&tasks.listener), proxy_in_flight_count (&tasks.proxy));
-  stop_plan_init (&tasks.stop, now_us (), fleet_options.grace_s * G_USEC_PER_SEC);
+  stop_plan_init (&tasks.stop, now_us (), fleet_options_grace_us ());
   tasks.proxy.draining = true;
   gateway_core_leave (&tasks.core, &tasks.stop);
   proxy_recall_requests (&tasks.proxy);
--- a/src/fleet_options.c
+++ b/src/fleet_options.c
@@ -80,7 +80,7 @@
     "Address of the port for callers, also told to them" },
   { "ready-listen", OPTION_ADDRESS, &fleet_options.ready_listen, NULL, 0, 0, NULL, true, "ADDRESS",
     "Address of the port that tells whether this instance is ready" },
-  { "grace-s", OPTION_INTEGER, &fleet_options.grace_s, "10", 1, 86400, NULL, false, "SECONDS",
+  { "grace-s", OPTION_NUMBER, &fleet_options.grace_s, "10", 0.1, 86400, NULL, false, "SECONDS",
     "Time from SIGTERM to the end of the process" },
   { "max-connections", OPTION_INTEGER, &fleet_options.max_connections, "2048", 1, 1000000, NULL,
     false, "COUNT", "Open connections of callers" },
@@ -123,7 +123,7 @@
     "start" },
   { "tolerated-failures", OPTION_INTEGER, &fleet_options.tolerated_failures, "1", 0, 4, NULL, false,
     "COUNT", "Control instances that may be lost at once; the group has twice that and one" },
-  { "grace-s", OPTION_INTEGER, &fleet_options.grace_s, "5", 1, 86400, NULL, false, "SECONDS",
+  { "grace-s", OPTION_NUMBER, &fleet_options.grace_s, "5", 0.1, 86400, NULL, false, "SECONDS",
     "Time from SIGTERM to the end of the process" },
   { "least-active", OPTION_INTEGER, &fleet_options.min_active_entries, "2", 1, 64, NULL, false,
     "COUNT", "Fewest entries of a failure domain that callers are sent to" },
@@ -176,6 +176,12 @@
          && check_address ("directory-listen", fleet_options.directory_listen, err);
 }
 
+int64_t
+fleet_options_grace_us (void)
+{
+  return (int64_t)(fleet_options.grace_s * G_USEC_PER_SEC);
+}
+
 double
 fleet_options_capacity (void)
 {
--- a/src/fleet_options.h
+++ b/src/fleet_options.h
@@ -17,7 +17,7 @@
   /* entry */
   char *listen;
   char *ready_listen;
-  int64_t grace_s;
+  double grace_s;
   int64_t max_connections;
   double memory_mb;
   int64_t connect_timeout_ms;
@@ -51,6 +51,9 @@
 bool fleet_entry_options_check (anv_error_t *err);
 bool fleet_control_options_check (anv_error_t *err);
 
+/* Returns the time from SIGTERM to the end of the process. */
+int64_t fleet_options_grace_us (void);
+
 /* Returns the number of requests per second that this entry can serve on average, estimated from
  * the settings. */
 double fleet_options_capacity (void);
--- a/tests/platform/grace_periods.py
+++ b/tests/platform/grace_periods.py
@@ -1,6 +1,6 @@
 """Guards against requests that a planned stop breaks off at their target although they arrived late in the grace period,
 against late requests that are refused although their deadline ends them before the process does, and against requests
-that a stop with a short grace period breaks off long before its end."""
+that a stop with a short grace period breaks off long before its end. Grace periods may have a fraction."""
 
 import signal
 import threading
@@ -11,10 +11,11 @@
 
 TIMEOUT_MS = 6000
 USUAL_S, LONG_S = 0.2, 5.9
-GRACE_PERIODS_S = (1, 10, 20)
+GRACE_PERIODS_S = (1, 1.5, 10, 20)
 # Seconds after SIGTERM at which the request is sent, deadline of the caller, and work at the target; for each grace period.
 REQUESTS = {
     1: ((-0.2, 9000, 0.98), (-0.1, 9000, 3.0)),
+    1.5: ((-0.2, 9000, 1.4),),
     10: ((2.0, 9000, USUAL_S), (3.4, 9000, LONG_S), (4.1, 9000, LONG_S), (4.3, 2000, LONG_S)),
     20: ((4.4, 9000, LONG_S), (8.5, 9000, LONG_S), (8.7, 9000, USUAL_S)),
 }
