Split gateway_policy: attempts in a file of their own

What comes of an attempt, its response, its end and retries, is now in gateway_attempt.c, and the state of a request in gateway_request.h. No change of behaviour.

Measured: scenarios platform_late_attempts and platform_requests pass.

--- a/src/fleet_control_tasks.c
+++ b/src/fleet_control_tasks.c
@@ -142,8 +142,7 @@
   bool busy = tasks.control.group.leading || proxy_in_flight_count (&tasks.calls.proxy) > 0;
   bool awaits_replacement = fleet_control_awaits_replacement (&tasks.control);
   if ((busy && stopping_us < STOP_TIMEOUT_US)
-      || (awaits_replacement
-          && stopping_us < fleet_options_grace_us () - STOP_MARGIN_US))
+      || (awaits_replacement && stopping_us < fleet_options_grace_us () - STOP_MARGIN_US))
     {
       io_timer_set (tasks.loop, timer, now_us + STOP_CHECK_PERIOD_US);
       return;
--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -1,7 +1,6 @@
-#include "gateway_policy.h"
+#include "gateway_request.h"
 
 #include <math.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define LOG_MODULE "gateway_policy"
@@ -10,64 +9,21 @@
 
 /* Connections to a target beyond one per slot, for connections that are being replaced. */
 #define EXTRA_CONNECTIONS 2
-/* Retry-After of a 503 response if there is no configuration, or if no attempt can have run the
- * request. */
-#define UNAVAILABLE_RETRY_AFTER_US INT64_C (300000)
-/* A retry is made only if the time left until the deadline is at least the goal of the route
- * divided by this. */
-#define MIN_RETRY_TIME_DIVISOR 4
-/* Fields of callers that are removed: the key and the name of the team. */
-#define MAX_REMOVED_HEADERS 2
-/* Size of the buffer for a quoted request id in a log line. */
-#define LOGGED_ID_SIZE 96
 
-typedef enum
-{
-  GATEWAY_NEW,
-  GATEWAY_ADMITTING, /* waits for the verdict about the quota of its team */
-  GATEWAY_QUEUED,
-  GATEWAY_DISPATCHED,
-  GATEWAY_ENDED,
-} gateway_state_t;
-
-typedef struct
-{
-  gateway_waiter_t waiter; /* first member */
-  gateway_policy_t *policy;
-  proxy_request_t *request;
-  config_doc_t *doc; /* reference that keeps route valid */
-  const config_route_t *route;
-  const config_team_info_t *team; /* team of the key; NULL: none */
-  config_team_info_t team_info;   /* storage of team */
-  quota_request_t quota;
-  const char *removed_headers[MAX_REMOVED_HEADERS + 1];
-  gateway_service_t *service;
-  balancer_request_t balancer_request;
-  gateway_state_t state;
-  unsigned attempt_count;
-  bool possibly_run;                  /* a target may have run the request */
-  bool retry_taken;                   /* take_retry() has permitted the next attempt */
-  bool prefer_new_connection;         /* the next attempt prefers a new connection */
-  uint64_t target_id;                 /* id in the balancer of the last target */
-  char registry_id[REGISTRY_ID_SIZE]; /* id in the registry of the last target */
-  int status;                         /* status of the last response of a target */
-} gateway_request_t;
-
-static int64_t
-now_us (const gateway_request_t *r)
+int64_t
+gateway_request_now_us (const gateway_request_t *r)
 {
   return gateway_core_now (r->policy->core);
 }
 
-/* Returns the id that the caller gave the request, quoted for the log. */
-static const char *
-quote_request_id (const gateway_request_t *r, char buffer[LOGGED_ID_SIZE])
+const char *
+gateway_request_quote_id (const gateway_request_t *r, char buffer[GATEWAY_LOGGED_ID_SIZE])
 {
   const char *field = r->policy->dialect->request_id_header;
   const char *id = NULL;
   if (field != NULL)
     id = http_headers_get (proxy_request_head (r->request)->headers, field);
-  return log_quote (id != NULL ? id : "", buffer, LOGGED_ID_SIZE);
+  return log_quote (id != NULL ? id : "", buffer, GATEWAY_LOGGED_ID_SIZE);
 }
 
 /* CHALLENGE is the scheme of a key that is asked for, or NULL. */
@@ -76,7 +32,7 @@
                         const char *challenge)
 {
   char seconds[G_ASCII_DTOSTR_BUF_SIZE];
-  char id[LOGGED_ID_SIZE];
+  char id[GATEWAY_LOGGED_ID_SIZE];
   http_headers_t headers;
   http_headers_init (&headers);
   http_headers_append (&headers, "Content-Type", "text/plain");
@@ -91,9 +47,9 @@
     http_headers_append (&headers, "WWW-Authenticate", challenge);
   LOG_INFO ("answered id=%s status=%d reason=\"%s\" route=%s attempts=%u possibly_run=%d "
             "age_ms=%" G_GINT64_FORMAT " version=%" G_GUINT64_FORMAT,
-            quote_request_id (r, id), status, text, r->route != NULL ? r->route->id : "",
+            gateway_request_quote_id (r, id), status, text, r->route != NULL ? r->route->id : "",
             r->attempt_count, r->possibly_run,
-            (now_us (r) - proxy_request_head (r->request)->received_us) / 1000,
+            (gateway_request_now_us (r) - proxy_request_head (r->request)->received_us) / 1000,
             r->policy->core->version);
   request_response_t response = {
     .status = status,
@@ -109,8 +65,8 @@
   http_headers_destroy (&headers);
 }
 
-static void
-respond (gateway_request_t *r, int status, const char *text, int64_t retry_after_us)
+void
+gateway_request_respond (gateway_request_t *r, int status, const char *text, int64_t retry_after_us)
 {
   respond_with_challenge (r, status, text, retry_after_us, NULL);
 }
@@ -121,7 +77,7 @@
 {
   const http_dialect_t *dialect = r->policy->dialect;
   const config_service_t *service = config_doc_find_service (r->doc, r->service->name);
-  char id[LOGGED_ID_SIZE];
+  char id[GATEWAY_LOGGED_ID_SIZE];
   http_headers_t extra;
 
   bool is_last = r->attempt_count + 1 >= r->route->max_attempts;
@@ -158,8 +114,9 @@
   metric_observe_ms (&r->policy->queue_wait, (double)decision->waited_us / 1000);
   LOG_INFO ("dispatch id=%s route=%s service=%s target=%s attempt=%u waited_ms=%" G_GINT64_FORMAT
             " suspicion=%.2f version=%" G_GUINT64_FORMAT,
-            quote_request_id (r, id), r->route->id, r->service->name, target->id, r->attempt_count,
-            decision->waited_us / 1000, decision->suspicion, r->policy->core->version);
+            gateway_request_quote_id (r, id), r->route->id, r->service->name, target->id,
+            r->attempt_count, decision->waited_us / 1000, decision->suspicion,
+            r->policy->core->version);
   proxy_request_dispatch (r->request, &options);
   http_headers_destroy (&extra);
 }
@@ -176,13 +133,14 @@
     }
   metric_inc (&r->policy->refused[decision->verdict]);
   if (r->possibly_run)
-    respond (r, 502, "no answer of the target", 0);
+    gateway_request_respond (r, 502, "no answer of the target", 0);
   else
-    respond (r, 503, balancer_verdict_name (decision->verdict), decision->retry_after_us);
+    gateway_request_respond (r, 503, balancer_verdict_name (decision->verdict),
+                             decision->retry_after_us);
 }
 
-static void
-enqueue (gateway_request_t *r)
+void
+gateway_request_enqueue (gateway_request_t *r)
 {
   r->state = GATEWAY_QUEUED;
   r->balancer_request.id = ++r->policy->core->last_request_id;
@@ -240,8 +198,8 @@
   gateway_core_t *core = r->policy->core;
   const config_service_t *service = gateway_core_choose_service (core, r->doc, r->route);
   r->service = gateway_core_get_service (core, service->name);
-  retry_budget_record_first_attempt (&r->service->budget, now_us (r));
-  enqueue (r);
+  retry_budget_record_first_attempt (&r->service->budget, gateway_request_now_us (r));
+  gateway_request_enqueue (r);
 }
 
 static void
@@ -251,7 +209,7 @@
   if (admitted)
     start (r);
   else
-    respond (r, 429, "over the limit of the team", retry_after_us);
+    gateway_request_respond (r, 429, "over the limit of the team", retry_after_us);
 }
 
 /* Returns whether the queue is certain to refuse the request because this entry stops. */
@@ -262,7 +220,7 @@
     .received_us = r->balancer_request.received_us,
     .deadline_us = r->balancer_request.deadline_us,
   };
-  return !stop_plan_may_send (&r->policy->core->stop, &planned, now_us (r));
+  return !stop_plan_may_send (&r->policy->core->stop, &planned, gateway_request_now_us (r));
 }
 
 /* Queues the request, after the verdict about the quota of its team if that has a limit. */
@@ -272,8 +230,8 @@
   if (is_too_late_before_stop (r))
     {
       metric_inc (&r->policy->refused[BALANCER_REFUSE_STOPPING]);
-      respond (r, 503, balancer_verdict_name (BALANCER_REFUSE_STOPPING),
-               BALANCER_MIN_RETRY_AFTER_US);
+      gateway_request_respond (r, 503, balancer_verdict_name (BALANCER_REFUSE_STOPPING),
+                               BALANCER_MIN_RETRY_AFTER_US);
       return;
     }
   if (r->team == NULL || r->team->limit.rate <= 0)
@@ -301,7 +259,7 @@
   proxy_request_set_data (request, r);
   if (core->doc == NULL)
     {
-      respond (r, 503, "no configuration", UNAVAILABLE_RETRY_AFTER_US);
+      gateway_request_respond (r, 503, "no configuration", GATEWAY_UNAVAILABLE_RETRY_AFTER_US);
       return;
     }
   route_result_t result
@@ -309,7 +267,7 @@
                             head->request_target, &match);
   if (result != ROUTE_FOUND)
     {
-      respond (r, 404, route_result_text (result), 0);
+      gateway_request_respond (r, 404, route_result_text (result), 0);
       return;
     }
   r->doc = config_doc_ref (core->doc);
@@ -319,7 +277,7 @@
   const config_caller_limits_t *limits = config_doc_caller_limits (core->doc);
   if (limits != NULL && head->content_length > (int64_t)limits->max_body_bytes)
     {
-      respond (r, 413, "request body too large", 0);
+      gateway_request_respond (r, 413, "request body too large", 0);
       return;
     }
   init_balancer_request (r, head);
@@ -335,7 +293,7 @@
 cancelled (request_policy_t *policy, proxy_request_t *request, cancel_reason_t reason)
 {
   gateway_request_t *r = proxy_request_data (request);
-  char id[LOGGED_ID_SIZE];
+  char id[GATEWAY_LOGGED_ID_SIZE];
   if (r->state == GATEWAY_ADMITTING)
     gateway_quota_cancel (&r->policy->core->quota, &r->quota);
   if (r->state == GATEWAY_QUEUED)
@@ -345,7 +303,7 @@
         gateway_quota_give_back (&r->policy->core->quota, &r->quota);
     }
   r->state = GATEWAY_ENDED;
-  LOG_INFO ("cancelled id=%s reason=%s attempts=%u", quote_request_id (r, id),
+  LOG_INFO ("cancelled id=%s reason=%s attempts=%u", gateway_request_quote_id (r, id),
             cancel_reason_name (reason), r->attempt_count);
 }
 
@@ -354,226 +312,6 @@
 {
 }
 
-static bool
-may_send (request_policy_t *policy, proxy_request_t *request)
-{
-  gateway_request_t *r = proxy_request_data (request);
-  return balancer_ends_before_stop (&r->service->balancer, &r->balancer_request, now_us (r));
-}
-
-/* Returns whether another attempt may be made now. REACHED_TARGET tells that the last attempt
- * reached its target; the next one then counts against the retry budget. */
-static bool
-take_retry (gateway_request_t *r, bool reached_target)
-{
-  int64_t remaining_us = r->balancer_request.deadline_us - now_us (r);
-  int64_t goal_us = (int64_t)r->route->goal_ms * 1000;
-  if (r->retry_taken)
-    return true;
-  if (r->attempt_count >= r->route->max_attempts || remaining_us < goal_us / MIN_RETRY_TIME_DIVISOR)
-    return false;
-  /* The queue would refuse the retry, and the caller would lose the answer of this attempt. */
-  if (!balancer_ends_before_stop (&r->service->balancer, &r->balancer_request, now_us (r)))
-    return false;
-  if (reached_target && !retry_budget_take (&r->service->budget, now_us (r)))
-    {
-      metric_inc (&r->policy->retries_denied);
-      return false;
-    }
-  r->retry_taken = true;
-  return true;
-}
-
-/* Passes the load in the response of a target, "RUNNING,WAITING,SLOTS", to the balancer. */
-static void
-record_target_load (gateway_request_t *r, const http_headers_t *headers)
-{
-  const char *field = r->policy->dialect->load_header;
-  const char *text = field != NULL ? http_headers_get (headers, field) : NULL;
-  char *end = NULL;
-  if (text == NULL)
-    return;
-  unsigned long running = strtoul (text, &end, 10);
-  if (*end != ',')
-    return;
-  unsigned long waiting = strtoul (end + 1, &end, 10);
-  if (*end != ',' || running > UINT16_MAX || waiting > UINT16_MAX)
-    return;
-  /* The target counts the answered request as running. */
-  unsigned long busy = running + waiting;
-  balancer_set_reported_load (&r->service->balancer, now_us (r), r->target_id,
-                              (uint32_t)(busy > 0 ? busy - 1 : 0));
-}
-
-/* Returns whether a successful response can come from a target: it must have the required header
- * field of the dialect and no content coding. A dialect without such a field accepts all. */
-static bool
-is_valid_success (const gateway_request_t *r, const http_headers_t *headers)
-{
-  const char *field = r->policy->dialect->required_success_header;
-  return field == NULL
-         || (http_headers_get (headers, field) != NULL
-             && http_headers_get (headers, "Content-Encoding") == NULL);
-}
-
-/* Returns whether a response carries the id of the request. The proxy also accepts one without an
- * id, but that may be damaged. */
-static bool
-is_identified (const gateway_request_t *r, const http_headers_t *headers)
-{
-  const char *field = r->policy->dialect->request_id_header;
-  const char *request_id
-      = field != NULL ? http_headers_get (proxy_request_head (r->request)->headers, field) : NULL;
-  const char *response_id = field != NULL ? http_headers_get (headers, field) : NULL;
-  return request_id != NULL && response_id != NULL && strcmp (request_id, response_id) == 0;
-}
-
-/* Applies what a target says about itself: that it is leaving, or that it wants no requests for
- * some time. A response of another target at the address says nothing about the expected one, and
- * a success that cannot come from a target says nothing at all. */
-static void
-response_head (request_policy_t *policy, proxy_request_t *request, int status,
-               const http_headers_t *headers)
-{
-  gateway_request_t *r = proxy_request_data (request);
-  const http_dialect_t *dialect = r->policy->dialect;
-  const char *leaving = dialect->leaving_header != NULL
-                            ? http_headers_get (headers, dialect->leaving_header)
-                            : NULL;
-  int64_t pause_us
-      = MIN (http_dialect_read_pause_us (dialect, status, headers), BALANCER_MAX_PAUSE_US);
-  bool is_wrong_target
-      = dialect->wrong_target_status != 0 && status == dialect->wrong_target_status;
-  bool is_success = status >= 200 && status < 300;
-
-  if (is_wrong_target || (is_success && !is_valid_success (r, headers)))
-    return;
-  if (pause_us > 0)
-    gateway_core_pause_target (r->policy->core, r->target_id, pause_us);
-  if (leaving != NULL && strcmp (leaving, "1") == 0 && is_identified (r, headers))
-    gateway_core_record_leaving_target (r->policy->core, r->target_id);
-}
-
-static bool
-accept_response (request_policy_t *policy, proxy_request_t *request, int status,
-                 const http_headers_t *headers)
-{
-  gateway_request_t *r = proxy_request_data (request);
-  r->status = status;
-  record_target_load (r, headers);
-  if (status >= 200 && status < 300)
-    return is_valid_success (r, headers);
-  /* Passed on, the status would tell the caller that the request was not run, without proof. */
-  if (!r->route->idempotent && http_dialect_means_not_run (r->policy->dialect, status))
-    return false;
-  return status < 500 || !r->route->idempotent || !take_retry (r, true);
-}
-
-static balancer_outcome_t
-to_balancer_outcome (const gateway_request_t *r, const attempt_result_t *result)
-{
-  switch (result->end)
-    {
-    case ATTEMPT_COMPLETE:
-      return result->status >= 500 ? BALANCER_FAILED : BALANCER_OK;
-    case ATTEMPT_SHED:
-      return BALANCER_SHED;
-    case ATTEMPT_CONNECT_FAILED:
-      return BALANCER_UNREACHABLE;
-    case ATTEMPT_CALLER_GONE:
-    case ATTEMPT_CALLER_ERROR:
-    case ATTEMPT_STOPPING:
-    case ATTEMPT_MEMORY:
-    case ATTEMPT_RECALLED:
-    case ATTEMPT_CLOSED_REUSED: /* the target may have closed the connection while it was idle */
-      return BALANCER_ABANDONED;
-    case ATTEMPT_STALLED:
-    case ATTEMPT_TIMED_OUT:
-      return BALANCER_LATE;
-    default:
-      return BALANCER_FAILED;
-    }
-}
-
-static void
-give_up (gateway_request_t *r, const attempt_result_t *result)
-{
-  int64_t available_us = balancer_available_after_us (&r->service->balancer, now_us (r));
-  switch (result->end)
-    {
-    case ATTEMPT_SHED:
-    case ATTEMPT_CONNECT_FAILED:
-      if (!r->possibly_run)
-        respond (r, 503, "no target took the request",
-                 MAX (available_us, UNAVAILABLE_RETRY_AFTER_US));
-      else
-        respond (r, 502, "no answer of the target", 0);
-      break;
-    case ATTEMPT_STALLED:
-    case ATTEMPT_TIMED_OUT:
-      respond (r, 504, "the target did not answer in time", 0);
-      break;
-    case ATTEMPT_RECALLED:
-      respond (r, r->possibly_run ? 502 : 503, balancer_verdict_name (BALANCER_REFUSE_STOPPING),
-               r->possibly_run ? 0 : BALANCER_MIN_RETRY_AFTER_US);
-      break;
-    default:
-      respond (r, r->possibly_run ? 502 : 503, "no valid answer of the target",
-               r->possibly_run ? 0 : UNAVAILABLE_RETRY_AFTER_US);
-      break;
-    }
-}
-
-static void
-ended (request_policy_t *policy, proxy_request_t *request, const attempt_result_t *result)
-{
-  gateway_request_t *r = proxy_request_data (request);
-  gateway_core_t *core = r->policy->core;
-  const http_dialect_t *dialect = r->policy->dialect;
-  char id[LOGGED_ID_SIZE];
-  bool shed = result->end == ATTEMPT_SHED;
-  uint64_t balancer_id = r->balancer_request.id;
-
-  LOG_INFO ("attempt id=%s target=%s end=%s status=%d latency_ms=%" G_GINT64_FORMAT,
-            quote_request_id (r, id), r->registry_id, attempt_end_name (result->end),
-            result->status, result->duration_us / 1000);
-  if (result->end == ATTEMPT_COMPLETE)
-    metric_observe_ms (&r->policy->latency, (double)result->duration_us / 1000);
-  if (result->wrote_bytes && !shed)
-    r->possibly_run = true;
-  /* Nothing was sent without a connection, so this does not count as an attempt. */
-  bool unsent = result->end == ATTEMPT_CONNECT_FAILED || result->end == ATTEMPT_RECALLED;
-  if (unsent && r->attempt_count > 0)
-    r->attempt_count--;
-  r->state = GATEWAY_ENDED;
-  balancer_outcome_t outcome = to_balancer_outcome (r, result);
-  if (shed && dialect->wrong_target_status != 0 && result->status == dialect->wrong_target_status)
-    gateway_core_remove_replaced_target (core, r->target_id);
-  gateway_core_finish_attempt (core, r->service, balancer_id, outcome, result->duration_us);
-  if (result->final)
-    return;
-  bool may_retry = r->route->idempotent || !r->possibly_run;
-  if (result->can_repeat && may_retry && take_retry (r, result->wrote_bytes))
-    {
-      metric_inc (&r->policy->retries);
-      r->prefer_new_connection = result->end != ATTEMPT_SHED;
-      enqueue (r);
-      return;
-    }
-  give_up (r, result);
-}
-
-/* Ends a late attempt only if the request can be sent again and another target can take it at once.
- * The other target may still reject it, so an entry that stops leaves a target at work alone. */
-static bool
-attempt_timed_out (request_policy_t *policy, proxy_request_t *request)
-{
-  gateway_request_t *r = proxy_request_data (request);
-  return !stop_plan_is_active (&r->policy->core->stop) && proxy_request_can_repeat (request)
-         && balancer_can_dispatch (&r->service->balancer, now_us (r), &r->balancer_request)
-         && take_retry (r, true);
-}
-
 static void
 finished (request_policy_t *policy, proxy_request_t *request)
 {
@@ -590,12 +328,12 @@
   .body = body,
   .cancelled = cancelled,
   .first_byte_written = first_byte_written,
-  .accept_response = accept_response,
-  .ended = ended,
+  .accept_response = gateway_attempt_accept_response,
+  .ended = gateway_attempt_ended,
   .finished = finished,
-  .attempt_timed_out = attempt_timed_out,
-  .response_head = response_head,
-  .may_send = may_send,
+  .attempt_timed_out = gateway_attempt_timed_out,
+  .response_head = gateway_attempt_response_head,
+  .may_send = gateway_attempt_may_send,
 };
 
 void
