Soak: stops with short and long grace periods, and slow requests in them

Change: the grace period depends on the seed (1, 4 or 10 s), one in ten requests of the patient callers takes 4 s instead of 0.8 s, and a 504 before the deadline while a target is at work counts like a connection that ends.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,20 +1,20 @@
 """Randomized soak test: runs the real programs on loopback, injects faults, and checks the guarantees of the fleet.
 
-Usage: soak.py BUILD_DIRECTORY [--seeds FIRST-LAST | --seeds N,N...] [--seconds S] [--keep DIRECTORY]
+Usage: soak.py BUILD_DIRECTORY [--seeds FIRST-LAST | --seeds N,N...] [--seconds S] [--entries N] [--keep DIRECTORY]
 
 Each seed runs a fleet of three control instances and three entries with six targets behind loopback proxies. Callers
 reuse a connection until it ends. Faults follow each other and overlap: connections that are delayed, reset, or dropped
 in one direction or both; targets that refuse, fail, write late copies of answers or bytes without end; processes that
 are paused, killed and restarted; disks of control instances that are full, fail or hang, one at a time; planned stops; SIGHUP; targets that drain; changes of the configuration, and the same
 change sent again. Every third seed has planned work and late copies only. Two services have one target with one slot, a
-limit of one or two connections, and routes that let requests wait for seconds. Some answers take seconds to pass, and
-some paths lack a part of a prefix.
+limit of one or two connections, and routes that let requests wait for seconds; some requests there take much longer than
+most. Some answers take seconds to pass, and some paths lack a part of a prefix. The grace period depends on the seed.
 
 Checks what callers and targets see: an answer belongs to its request and is whole; a request that is not idempotent runs
 at most once; a request that was refused as not run did not run; a drained target gets no work 2 s after the
 acknowledgement, except from an entry that was paused all the time since; an acknowledged configuration is read back, and never an older one; a change that was acknowledged is
 acknowledged again; a planned stop cuts off no request that was passed on, or that arrived well before its connection
-ended; a request runs only at the service of the longest prefix that begins its path; no process ends by itself or grows
+ended, and answers none itself at which a target is at work; a request runs only at the service of the longest prefix that begins its path; no process ends by itself or grows
 beyond its machine; after the last fault the fleet serves again, and all control instances are voters that follow. REGRESSIONS lists the seeds that failed once.
 """
 
@@ -62,12 +62,18 @@
 CROSSING_S = 0.2
 # Time in which an entry that drains closes a connection after an answer.
 CLOSING_S = 0.3
+# Grace periods of the entries, by seed.
+GRACE_PERIODS_S = (GRACE_S, 10, GRACE_S, 1)
+# A request that was sent later than this after SIGTERM must not be ended by the stop.
+LAST_ENDED_S = 3
+# Work of most requests, and of some, at the targets that are alone.
+PATIENT_WORK_S, SLOW_WORK_S = 0.8, 4.0
 # Memory of the smallest machines of the users' deployments.
 MAX_ENTRY_KB, MAX_CONTROL_KB = 160 << 10, 256 << 10
 # Routes by their prefix: the service, and whether a request may be repeated.
 ROUTES = {"/safe/": ("s1", True), "/unsafe/": ("s1", False), "/one/": ("one", True), "/one/book/": ("two", False)}
 PATHS = {True: ("/safe/x",), False: ("/unsafe/x",)}
-PATIENT_PATHS = {True: ("/one/x",), False: ("/one/book/x",)}
+PATIENT_PATHS = {True: ("/one/x",) * 9 + ("/one/slow",), False: ("/one/book/x",) * 9 + ("/one/book/slow",)}
 ODD_PATHS = ("/safe", "/unsafe", "/one/book", "/one/book?x=/", "/safex/", "/one/bookx/", "/unsafe%2Fx", "//unsafe/x",
              "/one//book/x")
 
@@ -142,6 +148,8 @@
         # A path of another route decides whether the request may be repeated, not its method.
         at_most_once = at_most_once and path in self.paths[False]
         self.soak.record_answer(attempt, at_most_once, answer, body)
+        if answer.status == 504 and time.monotonic() - started < self.deadline_ms / 1000:
+            self.soak.record_ended(entry, started, attempt)
         if answer.getheader("Connection", "").lower() == "close" or answer.will_close:
             return False
         self.soak.check_drained(entry, connection.sock, self.opened)
@@ -149,7 +157,7 @@
 
 
 class Soak:
-    def __init__(self, build, seed, seconds, plant=False):
+    def __init__(self, build, seed, seconds, plant=False, entries=3):
         self.seed, self.seconds, self.plant, self.random = seed, seconds, plant, random.Random(seed)
         self.fleet, self.finished = PlatformFleet(build), threading.Event()
         self.violations, self.answers, self.lock = Violations(), [], threading.Lock()
@@ -158,6 +166,7 @@
         self.expected_services, self.planned_only = {}, seed % 3 == 0
         self.entry_pauses = []  # start and end of each pause of an entry
         self.replaced = []  # control instances that were stopped for good
+        self.entries, self.grace_s = entries, GRACE_PERIODS_S[seed % len(GRACE_PERIODS_S)]
 
     # Reports of the callers.
 
@@ -171,23 +180,43 @@
         """Adds a violation if a planned stop cut off a request that had run, or long after it was sent, and no other
         fault was active."""
         now = time.monotonic()
-        planned = any(at <= now <= at + 6 and entry == stopped for at, stopped in self.planned_stops)
-        if not planned or self.had_fault_since(started - 3):
-            return
+        stop = self.find_stop(entry, started, now)
         executions = self.fleet.executions(attempt)
-        stop = max(at for at, stopped in self.planned_stops if stopped == entry)
-        at_work = executions > 0 and not any(attempt in target.completed for target in self.fleet.targets)
-        if at_work and now - stop >= GRACE_S * 5 / 6 and started - stop <= GRACE_S / 2:
-            return  # sent before the drain, and its target needed more than the rest of the grace period
+        if stop is None or self.may_be_ended(attempt, started - stop, now - stop):
+            return
         if executions > 0 or now - started > CROSSING_S:
             self.violations.add(f"{attempt}, sent {started - stop:.2f} s after SIGTERM at entry-{entry}, was cut off after "
                                 f"{now - started:.2f} s, run {executions}: {error!r}")
 
+    def record_ended(self, entry, started, attempt):
+        """Adds a violation if a planned stop answered 504 before the deadline while a target was at work, and no other
+        fault was active."""
+        now = time.monotonic()
+        stop = self.find_stop(entry, started, now)
+        if stop is None or not self.is_at_work(attempt) or self.may_be_ended(attempt, started - stop, now - stop):
+            return
+        self.violations.add(f"{attempt}, sent {started - stop:.2f} s after SIGTERM at entry-{entry}, was answered 504 after "
+                            f"{now - started:.2f} s while its target was at work")
+
+    def find_stop(self, entry, started, now):
+        """Returns the time of the planned stop of ENTRY that may have ended a request, or None."""
+        stops = [at for at, stopped in self.planned_stops if stopped == entry and at <= now <= at + self.grace_s + 2]
+        return max(stops) if stops and not self.had_fault_since(started - 3) else None
+
+    def is_at_work(self, attempt):
+        return self.fleet.executions(attempt) > 0 and not any(attempt in target.completed for target in self.fleet.targets)
+
+    def may_be_ended(self, attempt, sent_s, ended_s):
+        """Returns whether a stop may end a request, by the times since SIGTERM: it was sent before the drain, and its
+        target needed more than the rest of the grace period."""
+        last_s = min(self.grace_s / 2, LAST_ENDED_S)
+        return self.is_at_work(attempt) and ended_s >= self.grace_s * 5 / 6 and sent_s <= last_s
+
     def check_drained(self, entry, connection, opened):
         """Adds a violation if a connection from before a planned stop stays open after an answer that was complete after
         the drain."""
         now = time.monotonic()
-        stops = [at for at, stopped in self.planned_stops if stopped == entry and opened < at < now - GRACE_S / 2]
+        stops = [at for at, stopped in self.planned_stops if stopped == entry and opened < at < now - self.grace_s / 2]
         if not stops or self.had_fault_since(stops[0] - 3):
             return
         connection.settimeout(CLOSING_S)
@@ -486,13 +515,16 @@
     def run(self):
         with self.fleet:
             self.fleet.preloads_disk_faults = True
-            self.fleet.start(entries=3)
+            self.fleet.entry_settings = {"GRACE_S": self.grace_s}
+            self.fleet.start(entries=self.entries)
             wait_until(lambda: self.fleet.put("00000001", "0", configured_routes(), configured_services()) == 200,
                        "the first configuration")
             for number in range(TARGET_COUNT + 2):
                 # The last two are the only targets of their services.
                 name, slots = ("s1", 4) if number < TARGET_COUNT else (("one", "two")[number - TARGET_COUNT], 1)
-                target = self.fleet.add_target(name, zone="abc"[number % 3], delay_s=0.02 if slots > 1 else 0.8, slots=slots)
+                target = self.fleet.add_target(name, zone="abc"[number % 3], delay_s=0.02, slots=slots)
+                if slots == 1:
+                    target.work_s = lambda path: SLOW_WORK_S if path.endswith("/slow") else PATIENT_WORK_S
                 proxy = LoopbackProxy(target.server.server_address[:2], self.random.random())
                 target.address = proxy.address
                 self.proxies.append(proxy)
@@ -590,13 +622,14 @@
     parser.add_argument("build")
     parser.add_argument("--seeds", type=parse_seeds, default=[1, 2, 3])
     parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--keep", type=pathlib.Path)
     parser.add_argument("--plant", action="store_true",
                         help="plants targets that refuse POST requests after they ran them; fails unless the soak reports it")
     options = parser.parse_args()
     failed = []
     for seed in options.seeds:
-        soak = Soak(options.build, seed, options.seconds, options.plant)
+        soak = Soak(options.build, seed, options.seconds, options.plant, options.entries)
         logs = soak.run()
         served = sum(status == 200 for _, _, status in soak.answers)
         print(f"seed {seed}: {len(soak.answers)} answers, {served} served, {len(soak.acknowledged)} versions, "
