Ask for the stop once, in the queue

Cause: the policy also looked at the stop before it asked for the quota of a team, which saves at most the 80 ms until the verdict, and nothing tested it.

Change: only the balancer decides. A request over its limit gets 429 in a stop as well.

--- a/src/gateway_policy.c
+++ b/src/gateway_policy.c
@@ -212,28 +212,10 @@
     gateway_request_respond (r, 429, "over the limit of the team", retry_after_us);
 }
 
-/* Returns whether the queue is certain to refuse the request because this entry stops. */
-static bool
-is_too_late_before_stop (const gateway_request_t *r)
-{
-  const stop_plan_request_t planned = {
-    .received_us = r->balancer_request.received_us,
-    .deadline_us = r->balancer_request.deadline_us,
-  };
-  return !stop_plan_may_send (&r->policy->core->stop, &planned, gateway_request_now_us (r));
-}
-
 /* Queues the request, after the verdict about the quota of its team if that has a limit. */
 static void
 admit_request (gateway_request_t *r)
 {
-  if (is_too_late_before_stop (r))
-    {
-      metric_inc (&r->policy->refused[BALANCER_REFUSE_STOPPING]);
-      gateway_request_respond (r, 503, balancer_verdict_name (BALANCER_REFUSE_STOPPING),
-                               BALANCER_MIN_RETRY_AFTER_US);
-      return;
-    }
   if (r->team == NULL || r->team->limit.rate <= 0)
     {
       start (r);
--- a/src/stop_plan.c
+++ b/src/stop_plan.c
@@ -7,9 +7,8 @@
 #define MAX_END_MARGIN_US INT64_C (300000)
 #define END_MARGIN_DIVISOR 12
 
-/* A request that arrives later than this after the start of the stop is not sent on an estimate.
- * Callers may keep an address for three seconds after the directory has dropped it; the rest is for
- * a signal that is handled late. */
+/* A request that arrives later than this after the start of the stop is not sent on an estimate:
+ * callers have had the time to learn the addresses of other instances. */
 #define MAX_ESTIMATED_ARRIVAL_US INT64_C (2700000)
 
 void
